--- /dev/null
+++ b/lib/coordination/mb_agent.c
@@ -0,0 +1,318 @@
+#include "mb_agent.h"
+
+#include <string.h>
+
+#include "mb_agent_internal.h"
+
+/* Places of the worker's texts. */
+enum { TEXT_NAME, TEXT_SERVICE, TEXT_DOMAIN, TEXT_RACK, TEXT_LABELS };
+
+/* Prepares an agent that knows neither its worker nor an owner. */
+void
+mb_agent_init(mb_agent_t *agent, const mb_agent_callbacks_t *callbacks,
+              const mb_executor_t *executor, const mb_clock_t *clock,
+              const mb_log_t *log)
+{
+    memset(agent, 0, sizeof(*agent));
+    agent->callbacks = *callbacks;
+    agent->executor = *executor;
+    agent->clock = *clock;
+    agent->log = *log;
+    agent->begun_us = mb_clock_us(clock);
+    agent->runs = g_ptr_array_new_with_free_func(mb_agent_free_run);
+    agent->ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
+    mb_report_init(&agent->report);
+    mb_pacing_init(&agent->pacing);
+}
+
+/* Frees the agent; no call to the worker is open. */
+void
+mb_agent_finish(mb_agent_t *agent)
+{
+    mb_agent_forget_worker(agent);
+    g_ptr_array_unref(agent->runs);
+    g_array_unref(agent->ends);
+    mb_report_finish(&agent->report);
+    for (size_t i = 0; i < G_N_ELEMENTS(agent->text); i++) {
+        mb_buf_finish(&agent->text[i]);
+    }
+}
+
+/* Copies what a worker says of itself. */
+static void
+copy_info(mb_agent_t *agent, const mb_worker_info_t *info)
+{
+    mb_buf_set(&agent->text[TEXT_NAME], info->name);
+    mb_buf_set(&agent->text[TEXT_SERVICE], info->service);
+    mb_buf_set(&agent->text[TEXT_DOMAIN], info->failure_domain);
+    mb_buf_set(&agent->text[TEXT_RACK], info->rack);
+    agent->info = *info;
+    agent->info.name = mb_buf_view(&agent->text[TEXT_NAME]);
+    agent->info.service = mb_buf_view(&agent->text[TEXT_SERVICE]);
+    agent->info.failure_domain = mb_buf_view(&agent->text[TEXT_DOMAIN]);
+    agent->info.rack = mb_buf_view(&agent->text[TEXT_RACK]);
+    for (uint32_t i = 0; i < info->label_count; i++) {
+        mb_buf_set(&agent->text[TEXT_LABELS + i], info->labels[i]);
+        agent->info.labels[i] = mb_buf_view(&agent->text[TEXT_LABELS + i]);
+    }
+}
+
+/* Takes a heartbeat of the worker. One that was held up, of an incarnation
+   that began before the known one or that comes out of order, is left out. */
+void
+mb_agent_heartbeat(mb_agent_t *agent, const mb_worker_info_t *info,
+                   uint64_t sequence)
+{
+    bool known = agent->info.name.len > 0;
+    bool same = known && info->incarnation == agent->info.incarnation;
+    if (known && !same && info->born_ms < agent->info.born_ms) {
+        mb_log_info(&agent->log, "heartbeat of an earlier incarnation ignored "
+                    "name=%.*s", MB_STR_ARG(info->name));
+        return;
+    }
+    if (same && sequence <= agent->heartbeat) {
+        return;
+    }
+    if (!same) {
+        mb_log_notice(&agent->log,
+                      "worker announced name=%.*s service=%.*s cpu_milli=%u "
+                      "memory_mb=%u born_ms=%" G_GUINT64_FORMAT,
+                      MB_STR_ARG(info->name), MB_STR_ARG(info->service),
+                      info->capacity.cpu_milli, info->capacity.memory_mb,
+                      info->born_ms);
+        mb_agent_forget_worker(agent);
+        agent->gone = false;
+    }
+    if (same && info->state != agent->info.state) {
+        mb_log_notice(&agent->log, "worker state name=%.*s from=%d to=%d",
+                      MB_STR_ARG(info->name), (int)agent->info.state,
+                      (int)info->state);
+        agent->report_due = true;
+    }
+    agent->heartbeat = sequence;
+    copy_info(agent, info);
+}
+
+/* Takes the departure of the worker: nothing runs there any more. */
+void
+mb_agent_deregister(mb_agent_t *agent, mb_str_t name)
+{
+    if (!mb_str_equal(name, agent->info.name)) {
+        return;
+    }
+    mb_log_notice(&agent->log, "worker left name=%.*s runs=%u",
+                  MB_STR_ARG(name), agent->runs->len);
+    agent->gone = true;
+    agent->gone_us = mb_clock_us(&agent->clock);
+    agent->report_due = true;
+}
+
+/* Begins to obey an owner; see the header for the result. */
+bool
+mb_agent_connected(mb_agent_t *agent, uint64_t token)
+{
+    if (token < agent->token) {
+        mb_log_notice(&agent->log,
+                      "owner refused token=%" G_GUINT64_FORMAT
+                      " known=%" G_GUINT64_FORMAT,
+                      token, agent->token);
+        return false;
+    }
+    if (token > agent->token) {
+        mb_log_notice(&agent->log,
+                      "owner changed token=%" G_GUINT64_FORMAT
+                      " before=%" G_GUINT64_FORMAT,
+                      token, agent->token);
+    }
+    agent->token = token;
+    agent->connected = true;
+    agent->sequence = 0;
+    agent->processed = 0;
+    agent->reported_end = agent->acknowledged;
+    agent->complete_due = true;
+    (void)g_array_set_size(agent->report.refusals, 0);
+    memset(agent->sent_us, 0, sizeof(agent->sent_us));
+    return true;
+}
+
+/* Notes that the owner's connection has ended. */
+void
+mb_agent_disconnected(mb_agent_t *agent)
+{
+    agent->connected = false;
+}
+
+/* Returns when the report that an order answers was sent; 0 when it is not
+   known. */
+static uint64_t
+echoed_us(const mb_agent_t *agent, const mb_order_t *order)
+{
+    if (order->echo == 0 || order->echo > agent->sequence ||
+        order->echo + MB_AGENT_REPORTS_KEPT <= agent->sequence) {
+        return 0;
+    }
+    return agent->sent_us[order->echo % MB_AGENT_REPORTS_KEPT];
+}
+
+/* Returns why starts of an order can't be carried out; MB_REFUSAL_COUNT when
+   they can. */
+static mb_refusal_t
+refusal_of(const mb_agent_t *agent, const mb_order_t *order, uint64_t made_us)
+{
+    uint64_t now_us = mb_clock_us(&agent->clock);
+    if (agent->info.name.len == 0 || agent->gone ||
+        order->incarnation != agent->info.incarnation) {
+        return MB_REFUSAL_ABSENT;
+    }
+    if (agent->leaving || agent->info.state != MB_WORKER_READY) {
+        return MB_REFUSAL_LEAVING;
+    }
+    if (made_us == 0 ||
+        now_us - made_us > MB_AGENT_ORDER_AGE_MS * (uint64_t)MB_US_PER_MS ||
+        !agent->has_clock || agent->grant_us <= now_us) {
+        return MB_REFUSAL_EXPIRED;
+    }
+    return MB_REFUSAL_COUNT;
+}
+
+/* Carries out the starts of an order. */
+static void
+take_starts(mb_agent_t *agent, const mb_order_t *order, uint64_t made_us)
+{
+    mb_refusal_t refusal = refusal_of(agent, order, made_us);
+    for (guint i = 0; i < order->starts->len; i++) {
+        const mb_order_start_t *start =
+            &g_array_index(order->starts, mb_order_start_t, i);
+        bool known = mb_agent_find_run(agent, &start->task, start->run) != NULL;
+        if (refusal == MB_REFUSAL_COUNT || known) {
+            mb_agent_start(agent, start);
+        }
+        else {
+            mb_agent_refuse(agent, &start->task, start->run, refusal);
+        }
+    }
+}
+
+/* Takes an order of the owner that is obeyed. */
+void
+mb_agent_order(mb_agent_t *agent, const mb_order_t *order)
+{
+    uint64_t made_us = echoed_us(agent, order);
+    agent->processed = order->sequence;
+    if (made_us != 0) {
+        agent->grant_us =
+            MAX(agent->grant_us,
+                made_us + order->lease_ms * (uint64_t)MB_US_PER_MS);
+    }
+    if (order->incarnation == agent->info.incarnation) {
+        agent->acknowledged = MAX(agent->acknowledged, order->acknowledged);
+        for (guint i = 0; i < order->stops->len; i++) {
+            mb_agent_stop(agent,
+                          &g_array_index(order->stops, mb_order_stop_t, i));
+        }
+    }
+    take_starts(agent, order, made_us);
+}
+
+/* Takes no more starts and tells the owner. */
+void
+mb_agent_leave(mb_agent_t *agent)
+{
+    agent->leaving = true;
+    agent->report_due = true;
+}
+
+/* Lists the runs in a complete report. */
+static void
+report_runs(mb_agent_t *agent)
+{
+    for (guint i = 0; i < agent->runs->len; i++) {
+        const mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        mb_report_run_t row = {.task = run->task,
+                               .run = run->run,
+                               .confirmed = run->listed,
+                               .described = run->described,
+                               .percent = run->percent,
+                               .value = run->value,
+                               .checkpoint = mb_buf_view(&run->checkpoint)};
+        g_array_append_val(agent->report.runs, row);
+    }
+}
+
+/* Lists the ends that were not reported on this connection. */
+static void
+report_ends(mb_agent_t *agent)
+{
+    for (guint i = 0; i < agent->ends->len; i++) {
+        const mb_report_end_t *end =
+            &g_array_index(agent->ends, mb_report_end_t, i);
+        if (end->number > agent->reported_end) {
+            g_array_append_val(agent->report.ends, *end);
+            agent->reported_end = end->number;
+        }
+    }
+}
+
+/* Tells whether it is known what the worker runs: it was listed, or whatever
+   it ran for an earlier agent has ended. */
+static bool
+is_listed(const mb_agent_t *agent, uint64_t now_us)
+{
+    return agent->answered_us != 0 || agent->gone ||
+           now_us - agent->begun_us >=
+               MB_AGENT_UNKNOWN_MS * (uint64_t)MB_US_PER_MS;
+}
+
+/* Sends a report. The first one on a connection is complete, and waits for
+   the first list of the worker. */
+static void
+send_report(mb_agent_t *agent, uint64_t now_us)
+{
+    mb_report_t *report = &agent->report;
+    report->token = agent->token;
+    report->sequence = ++agent->sequence;
+    report->processed = agent->processed;
+    report->leaving = agent->leaving;
+    report->worker = agent->info;
+    if (agent->gone || agent->info.name.len == 0 ||
+        !mb_agent_worker_answers(agent, now_us)) {
+        report->worker.state = MB_WORKER_ABSENT;
+    }
+    report->complete = agent->complete_due;
+    if (agent->complete_due) {
+        report_runs(agent);
+        agent->completed_us = now_us;
+    }
+    report_ends(agent);
+    agent->sent_us[report->sequence % MB_AGENT_REPORTS_KEPT] = now_us;
+    agent->reported_us = now_us;
+    agent->report_due = false;
+    agent->complete_due = false;
+    agent->callbacks.report(agent->callbacks.context, report);
+    mb_report_clear(report);
+}
+
+/* Sends a report when something happened or time has passed. */
+static void
+report_if_due(mb_agent_t *agent, uint64_t now_us)
+{
+    uint64_t period_us = MB_AGENT_REPORT_MS * (uint64_t)MB_US_PER_MS;
+    if (now_us - agent->completed_us >=
+        MB_AGENT_COMPLETE_MS * (uint64_t)MB_US_PER_MS) {
+        agent->complete_due = true;
+    }
+    bool due = agent->report_due || agent->complete_due ||
+               now_us - agent->reported_us >= period_us;
+    if (agent->connected && due && is_listed(agent, now_us)) {
+        send_report(agent, now_us);
+    }
+}
+
+/* Does what is due; see the header. */
+void
+mb_agent_run(mb_agent_t *agent)
+{
+    uint64_t now_us = mb_clock_us(&agent->clock);
+    mb_agent_worker_tick(agent, now_us);
+    report_if_due(agent, now_us);
+}
--- /dev/null
+++ b/lib/coordination/mb_agent_internal.h
@@ -0,0 +1,60 @@
+/* Parts of the agent that its files share. Calls go one way: mb_agent.c (the
+   owner, time) uses mb_agent_worker.c (lists and lease), which uses
+   mb_agent_runs.c (starts and stops of single runs). */
+#ifndef MB_AGENT_INTERNAL_H
+#define MB_AGENT_INTERNAL_H
+
+#include "mb_agent.h"
+
+typedef enum mb_agent_run_state {
+    MB_AGENT_RUN_STARTING,   /* its start has no answer yet */
+    MB_AGENT_RUN_RUNNING,    /* the worker has taken it */
+    MB_AGENT_RUN_DOUBTFUL    /* its start got no answer; it is stopped */
+} mb_agent_run_state_t;
+
+/* One run as the agent knows it. */
+typedef struct mb_agent_run {
+    mb_dag_task_id_t task;
+    uint64_t run;
+    mb_agent_run_state_t state;
+    bool listed;    /* by the worker */
+    bool described; /* the two fields below are known */
+    bool fills;
+    uint32_t latency_target_ms;
+    uint64_t answered_us;  /* when the worker took the start */
+    bool stop_wanted;
+    bool stopping;         /* a stop has no answer yet */
+    uint64_t stop_due_us;  /* when to send the next stop */
+    uint64_t stopped_us;   /* when a stop was confirmed; 0: not yet */
+    bool pacing;           /* a change of pace has no answer yet */
+    uint32_t percent;      /* pace that the worker lists */
+    uint32_t value;
+    uint64_t seen_us; /* begin of the list that named it last */
+    mb_buf_t checkpoint;
+} mb_agent_run_t;
+
+/* mb_agent_runs.c */
+mb_agent_run_t *mb_agent_find_run(const mb_agent_t *agent,
+                                  const mb_dag_task_id_t *task, uint64_t run);
+mb_agent_run_t *mb_agent_add_run(mb_agent_t *agent,
+                                 const mb_dag_task_id_t *task, uint64_t run);
+void mb_agent_drop_run(mb_agent_t *agent, mb_agent_run_t *run);
+void mb_agent_free_run(gpointer data);
+void mb_agent_refuse(mb_agent_t *agent, const mb_dag_task_id_t *task,
+                     uint64_t run, mb_refusal_t reason);
+void mb_agent_start(mb_agent_t *agent, const mb_order_start_t *start);
+void mb_agent_stop(mb_agent_t *agent, const mb_order_stop_t *stop);
+void mb_agent_runs_tick(mb_agent_t *agent, uint64_t now_us);
+void mb_agent_pace(mb_agent_t *agent, mb_agent_run_t *run, uint32_t percent);
+mb_executor_call_t mb_agent_call(const mb_agent_t *agent,
+                                 void (*done)(void *context,
+                                              const mb_executor_answer_t *),
+                                 void *context);
+
+/* mb_agent_worker.c */
+uint64_t mb_agent_lease_end_ms(mb_agent_t *agent);
+void mb_agent_worker_tick(mb_agent_t *agent, uint64_t now_us);
+bool mb_agent_worker_answers(const mb_agent_t *agent, uint64_t now_us);
+void mb_agent_forget_worker(mb_agent_t *agent);
+
+#endif
--- /dev/null
+++ b/lib/coordination/mb_agent_runs.c
@@ -0,0 +1,266 @@
+/* Starts, stops and pace of single runs at the worker. */
+#include <string.h>
+
+#include "mb_agent_internal.h"
+
+/* A call about one run; the run may be gone when the answer comes. */
+typedef struct run_call {
+    mb_agent_t *agent;
+    uint64_t generation;
+    mb_dag_task_id_t task;
+    uint64_t run;
+} run_call_t;
+
+/* Frees a run. */
+void
+mb_agent_free_run(gpointer data)
+{
+    mb_agent_run_t *run = data;
+    mb_buf_finish(&run->checkpoint);
+    g_free(run);
+}
+
+/* Returns a run, or NULL. */
+mb_agent_run_t *
+mb_agent_find_run(const mb_agent_t *agent, const mb_dag_task_id_t *task,
+                  uint64_t number)
+{
+    for (guint i = 0; i < agent->runs->len; i++) {
+        mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        if (run->run == number && mb_dag_task_id_equal(&run->task, task)) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+/* Adds a run. */
+mb_agent_run_t *
+mb_agent_add_run(mb_agent_t *agent, const mb_dag_task_id_t *task,
+                 uint64_t number)
+{
+    mb_agent_run_t *run = g_new0(mb_agent_run_t, 1);
+    run->task = *task;
+    run->run = number;
+    run->percent = 100;
+    g_ptr_array_add(agent->runs, run);
+    return run;
+}
+
+/* Forgets a run. */
+void
+mb_agent_drop_run(mb_agent_t *agent, mb_agent_run_t *run)
+{
+    (void)g_ptr_array_remove_fast(agent->runs, run);
+}
+
+/* Reports that a start came to nothing and never will come to anything. */
+void
+mb_agent_refuse(mb_agent_t *agent, const mb_dag_task_id_t *task, uint64_t run,
+                mb_refusal_t reason)
+{
+    mb_report_refusal_t refusal = {*task, run, reason};
+    g_array_append_val(agent->report.refusals, refusal);
+    agent->report_due = true;
+}
+
+/* Fills in what all calls to the worker have. */
+mb_executor_call_t
+mb_agent_call(const mb_agent_t *agent,
+              void (*done)(void *context, const mb_executor_answer_t *),
+              void *context)
+{
+    return (mb_executor_call_t){.worker = agent->info.name,
+                                .token = agent->token,
+                                .timeout_ms = MB_AGENT_CALL_TIMEOUT_MS,
+                                .done = done,
+                                .context = context};
+}
+
+/* Makes the context of a call about a run. */
+static run_call_t *
+new_call(mb_agent_t *agent, const mb_dag_task_id_t *task, uint64_t run)
+{
+    run_call_t *call = g_new0(run_call_t, 1);
+    call->agent = agent;
+    call->generation = agent->generation;
+    call->task = *task;
+    call->run = run;
+    agent->open_calls++;
+    return call;
+}
+
+/* Returns the run that a call is about, or NULL if it is gone. */
+static mb_agent_run_t *
+run_of_call(const run_call_t *call)
+{
+    return call->generation != call->agent->generation
+               ? NULL
+               : mb_agent_find_run(call->agent, &call->task, call->run);
+}
+
+/* Has an unanswered start stopped: the worker then refuses it for good, even
+   if it arrives later. */
+static void
+doubt(mb_agent_run_t *run)
+{
+    run->state = MB_AGENT_RUN_DOUBTFUL;
+    run->stop_wanted = true;
+    run->stop_due_us = 0;
+}
+
+/* Takes the answer to a start. */
+static void
+start_done(void *context, const mb_executor_answer_t *answer)
+{
+    g_autofree run_call_t *call = context;
+    mb_agent_t *agent = call->agent;
+    mb_agent_run_t *run = run_of_call(call);
+    agent->open_calls--;
+    if (run == NULL || run->state != MB_AGENT_RUN_STARTING) {
+        return;
+    }
+    switch (answer->result) {
+    case MB_EXECUTOR_OK:
+        run->state = MB_AGENT_RUN_RUNNING;
+        run->answered_us = mb_clock_us(&agent->clock);
+        break;
+    case MB_EXECUTOR_REFUSED:
+        mb_agent_refuse(agent, &run->task, run->run, answer->reason);
+        mb_agent_drop_run(agent, run);
+        break;
+    case MB_EXECUTOR_OTHER:
+        mb_agent_refuse(agent, &run->task, run->run, MB_REFUSAL_ABSENT);
+        mb_agent_drop_run(agent, run);
+        break;
+    case MB_EXECUTOR_UNANSWERED:
+        mb_log_info(&agent->log,
+                    "start unanswered, stopping it job=%.*s task=%u.%u.%u "
+                    "run=%" G_GUINT64_FORMAT,
+                    MB_STR_ARG(mb_dag_id_view(&run->task.job)),
+                    run->task.occurrence, run->task.step, run->task.index,
+                    run->run);
+        doubt(run);
+        break;
+    }
+}
+
+/* Starts a run. One that is known already only learns what pacing needs. */
+void
+mb_agent_start(mb_agent_t *agent, const mb_order_start_t *start)
+{
+    mb_agent_run_t *run = mb_agent_find_run(agent, &start->task, start->run);
+    bool known = run != NULL;
+    if (!known) {
+        run = mb_agent_add_run(agent, &start->task, start->run);
+    }
+    run->described = true;
+    run->fills = start->fills;
+    run->latency_target_ms = start->latency_target_ms;
+    if (known) {
+        return;
+    }
+    run_call_t *context = new_call(agent, &start->task, start->run);
+    mb_executor_call_t call = mb_agent_call(agent, start_done, context);
+    if (!agent->executor.start(agent->executor.context, &call, start,
+                               mb_agent_lease_end_ms(agent))) {
+        agent->open_calls--;
+        g_free(context);
+        mb_agent_refuse(agent, &start->task, start->run,
+                        MB_REFUSAL_UNHEALTHY);
+        mb_agent_drop_run(agent, run);
+    }
+}
+
+/* Takes the answer to a stop. Without one it is sent again. */
+static void
+stop_done(void *context, const mb_executor_answer_t *answer)
+{
+    g_autofree run_call_t *call = context;
+    mb_agent_t *agent = call->agent;
+    mb_agent_run_t *run = run_of_call(call);
+    uint64_t now_us = mb_clock_us(&agent->clock);
+    agent->open_calls--;
+    if (run == NULL) {
+        return;
+    }
+    run->stopping = false;
+    run->stop_due_us = now_us + MB_AGENT_RETRY_MS * MB_US_PER_MS;
+    if (answer->result == MB_EXECUTOR_OK) {
+        run->stopped_us = now_us;
+    }
+}
+
+/* Sends the stop of a run. */
+static void
+send_stop(mb_agent_t *agent, mb_agent_run_t *run)
+{
+    run_call_t *context = new_call(agent, &run->task, run->run);
+    mb_executor_call_t call = mb_agent_call(agent, stop_done, context);
+    mb_executor_run_t which = {run->task, run->run};
+    run->stopping = true;
+    if (!agent->executor.stop(agent->executor.context, &call, &which)) {
+        agent->open_calls--;
+        g_free(context);
+        run->stopping = false;
+        run->stop_due_us = mb_clock_us(&agent->clock) +
+                           MB_AGENT_RETRY_MS * (uint64_t)MB_US_PER_MS;
+    }
+}
+
+/* Stops a run; its end is listed by the worker. */
+void
+mb_agent_stop(mb_agent_t *agent, const mb_order_stop_t *stop)
+{
+    mb_agent_run_t *run = mb_agent_find_run(agent, &stop->task, stop->run);
+    if (run == NULL) {
+        /* Gone already; the next complete report says so. */
+        agent->complete_due = true;
+        return;
+    }
+    run->stop_wanted = true;
+    run->stop_due_us = 0;
+}
+
+/* Sends the stops that are due. A start that has no answer yet is not
+   stopped before it, so that the stop can't be overtaken. */
+void
+mb_agent_runs_tick(mb_agent_t *agent, uint64_t now_us)
+{
+    for (guint i = 0; i < agent->runs->len; i++) {
+        mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        if (run->stop_wanted && !run->stopping && run->stopped_us == 0 &&
+            run->state != MB_AGENT_RUN_STARTING && now_us >= run->stop_due_us) {
+            send_stop(agent, run);
+        }
+    }
+}
+
+/* Takes the answer to a change of pace; the next list shows the effect. */
+static void
+pace_done(void *context, const mb_executor_answer_t *answer)
+{
+    g_autofree run_call_t *call = context;
+    mb_agent_run_t *run = run_of_call(call);
+    call->agent->open_calls--;
+    (void)answer;
+    if (run != NULL) {
+        run->pacing = false;
+    }
+}
+
+/* Sets the pace of a run. */
+void
+mb_agent_pace(mb_agent_t *agent, mb_agent_run_t *run, uint32_t percent)
+{
+    run_call_t *context = new_call(agent, &run->task, run->run);
+    mb_executor_call_t call = mb_agent_call(agent, pace_done, context);
+    mb_executor_run_t which = {run->task, run->run};
+    run->pacing = true;
+    if (!agent->executor.pace(agent->executor.context, &call, &which,
+                              percent)) {
+        agent->open_calls--;
+        g_free(context);
+        run->pacing = false;
+    }
+}
--- /dev/null
+++ b/lib/coordination/mb_agent_worker.c
@@ -0,0 +1,297 @@
+/* The lists of the worker, and its lease. */
+#include <string.h>
+
+#include "mb_agent_internal.h"
+
+/* Time after a confirmed stop after which a run that is not listed has never
+   begun, in microseconds. */
+#define STOP_SETTLED_US UINT64_C(50000)
+#define MILLI 1000u
+
+/* Tells whether the worker answered lately. */
+bool
+mb_agent_worker_answers(const mb_agent_t *agent, uint64_t now_us)
+{
+    return agent->answered_us != 0 &&
+           now_us - agent->answered_us <
+               MB_AGENT_SILENT_MS * (uint64_t)MB_US_PER_MS;
+}
+
+/* Returns the end of the lease to grant now, by the worker's clock; 0 when no
+   lease may be granted. The clock was read before its answer arrived, so the
+   lease ends no later than the owner allows. */
+uint64_t
+mb_agent_lease_end_ms(mb_agent_t *agent)
+{
+    uint64_t now_us = mb_clock_us(&agent->clock);
+    if (!agent->has_clock || agent->grant_us <= now_us) {
+        return 0;
+    }
+    agent->lease_end_us = MAX(agent->lease_end_us, agent->grant_us);
+    return agent->clock_ms +
+           (agent->grant_us - agent->clock_us) / MB_US_PER_MS;
+}
+
+/* Forgets all runs and ends of an incarnation that is gone. */
+void
+mb_agent_forget_worker(mb_agent_t *agent)
+{
+    (void)g_ptr_array_set_size(agent->runs, 0);
+    for (guint i = 0; i < agent->ends->len; i++) {
+        g_free((char *)g_array_index(agent->ends, mb_report_end_t, i)
+                   .checkpoint.data);
+    }
+    (void)g_array_set_size(agent->ends, 0);
+    agent->generation++;
+    agent->last_end = 0;
+    agent->acknowledged = 0;
+    agent->reported_end = 0;
+    agent->has_clock = false;
+    agent->answered_us = 0;
+    agent->lease_end_us = 0;
+    agent->list_due_us = 0;
+    agent->complete_due = true;
+    mb_pacing_init(&agent->pacing);
+}
+
+/* Drops the ends that the owner has stored. */
+static void
+drop_acknowledged(mb_agent_t *agent)
+{
+    guint count = 0;
+    while (count < agent->ends->len) {
+        mb_report_end_t *end =
+            &g_array_index(agent->ends, mb_report_end_t, count);
+        if (end->number > agent->acknowledged) {
+            break;
+        }
+        g_free((char *)end->checkpoint.data);
+        count++;
+    }
+    if (count > 0) {
+        (void)g_array_remove_range(agent->ends, 0, count);
+    }
+}
+
+/* Takes the ends that are new. */
+static void
+take_ends(mb_agent_t *agent, const GArray *ends)
+{
+    for (guint i = 0; i < ends->len; i++) {
+        mb_report_end_t end = g_array_index(ends, mb_report_end_t, i);
+        if (end.number <= agent->last_end) {
+            continue;
+        }
+        agent->last_end = end.number;
+        mb_agent_run_t *run = mb_agent_find_run(agent, &end.task, end.run);
+        if (run != NULL) {
+            mb_agent_drop_run(agent, run);
+        }
+        end.checkpoint.data =
+            g_memdup2(end.checkpoint.data, end.checkpoint.len);
+        g_array_append_val(agent->ends, end);
+        agent->report_due = true;
+    }
+}
+
+/* Takes the runs that the worker lists. */
+static void
+take_runs(mb_agent_t *agent, const GArray *runs)
+{
+    for (guint i = 0; i < runs->len; i++) {
+        const mb_report_run_t *listed =
+            &g_array_index(runs, mb_report_run_t, i);
+        mb_agent_run_t *run =
+            mb_agent_find_run(agent, &listed->task, listed->run);
+        if (run == NULL) {
+            run = mb_agent_add_run(agent, &listed->task, listed->run);
+            run->state = MB_AGENT_RUN_RUNNING;
+            agent->complete_due = true;
+        }
+        run->listed = true;
+        run->percent = listed->percent;
+        run->value = listed->value;
+        run->seen_us = agent->list_begun_us;
+        mb_buf_set(&run->checkpoint, listed->checkpoint);
+    }
+}
+
+/* Tells whether a run that a list does not name is not at the worker: its
+   start was answered, or its stop confirmed, before the list was asked for. */
+static bool
+is_absent(const mb_agent_t *agent, const mb_agent_run_t *run)
+{
+    uint64_t begun_us = agent->list_begun_us;
+    if (run->seen_us == begun_us) {
+        return false;
+    }
+    if (run->state == MB_AGENT_RUN_RUNNING) {
+        return run->answered_us < begun_us;
+    }
+    return run->state == MB_AGENT_RUN_DOUBTFUL && run->stopped_us != 0 &&
+           run->stopped_us + STOP_SETTLED_US < begun_us;
+}
+
+/* Drops the runs that are not at the worker any more and have no end. */
+static void
+drop_absent(mb_agent_t *agent)
+{
+    for (guint i = 0; i < agent->runs->len;) {
+        mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        if (!is_absent(agent, run)) {
+            i++;
+            continue;
+        }
+        if (run->state == MB_AGENT_RUN_DOUBTFUL) {
+            mb_agent_refuse(agent, &run->task, run->run,
+                            MB_REFUSAL_UNANSWERED);
+        }
+        else {
+            agent->complete_due = true;
+        }
+        mb_agent_drop_run(agent, run);
+    }
+}
+
+/* Sets the pace of filling runs by the services beside them. */
+static void
+pace_runs(mb_agent_t *agent, uint64_t now_us)
+{
+    uint32_t worst = 0;
+    for (guint i = 0; i < agent->runs->len; i++) {
+        const mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        if (run->latency_target_ms > 0 && run->listed) {
+            worst = MAX(worst, run->value * MILLI / run->latency_target_ms);
+        }
+    }
+    uint32_t percent = mb_pacing_update(&agent->pacing, now_us, worst);
+    for (guint i = 0; i < agent->runs->len; i++) {
+        mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        if (run->fills && run->listed && !run->pacing && !run->stop_wanted &&
+            run->percent != percent) {
+            mb_agent_pace(agent, run, percent);
+        }
+    }
+}
+
+/* Notes that another incarnation than the known one answered. Its heartbeat
+   says the rest. */
+static void
+take_incarnation(mb_agent_t *agent, const mb_executor_answer_t *answer)
+{
+    if (answer->born_ms < agent->info.born_ms) {
+        return;
+    }
+    mb_log_notice(&agent->log,
+                  "worker restarted name=%.*s born_ms=%" G_GUINT64_FORMAT
+                  " runs=%u",
+                  MB_STR_ARG(agent->info.name), answer->born_ms,
+                  agent->runs->len);
+    mb_agent_forget_worker(agent);
+    agent->info.incarnation = answer->incarnation;
+    agent->info.born_ms = answer->born_ms;
+    agent->heartbeat = 0;
+}
+
+/* Tells whether two lists of ends differ in what they end with. */
+static bool
+has_news(const mb_agent_t *agent, const mb_executor_answer_t *answer)
+{
+    return answer->ends->len > 0 &&
+           g_array_index(answer->ends, mb_report_end_t,
+                         answer->ends->len - 1)
+                   .number > agent->last_end;
+}
+
+/* Takes a list. */
+static void
+list_done(void *context, const mb_executor_answer_t *answer)
+{
+    mb_agent_t *agent = context;
+    uint64_t now_us = mb_clock_us(&agent->clock);
+    agent->listing = false;
+    agent->open_calls--;
+    if (answer->result != MB_EXECUTOR_OK || agent->info.name.len == 0) {
+        agent->list_due_us = now_us + MB_AGENT_RETRY_MS * MB_US_PER_MS;
+        return;
+    }
+    if (answer->incarnation != agent->info.incarnation) {
+        take_incarnation(agent, answer);
+        return;
+    }
+    bool news = has_news(agent, answer);
+    agent->list_due_us = now_us + MB_AGENT_LIST_GAP_MS *
+                                      (uint64_t)MB_US_PER_MS *
+                                      (news ? 1 : 2);
+    agent->answered_us = now_us;
+    if (answer->has_clock) {
+        agent->has_clock = true;
+        agent->clock_ms = answer->clock_ms;
+        agent->clock_us = now_us;
+    }
+    take_ends(agent, answer->ends);
+    take_runs(agent, answer->runs);
+    drop_absent(agent);
+    pace_runs(agent, now_us);
+}
+
+/* Asks for the lists and extends the lease. The wait is short while ends are
+   not stored, because they would end it at once. */
+static void
+send_list(mb_agent_t *agent, uint64_t now_us)
+{
+    mb_executor_call_t call = mb_agent_call(agent, list_done, agent);
+    bool answers = mb_agent_worker_answers(agent, now_us);
+    uint64_t lease_end_ms = answers ? mb_agent_lease_end_ms(agent) : 0;
+    call.timeout_ms += MB_AGENT_WAIT_MS;
+    agent->list_begun_us = now_us;
+    agent->listing = true;
+    agent->open_calls++;
+    if (!agent->executor.list(agent->executor.context, &call,
+                              agent->acknowledged, lease_end_ms,
+                              answers ? MB_AGENT_WAIT_MS : 0)) {
+        agent->listing = false;
+        agent->open_calls--;
+        agent->list_due_us = now_us + MB_AGENT_RETRY_MS * MB_US_PER_MS;
+    }
+}
+
+/* Gives up the runs of a silent worker when its lease has ended. */
+static void
+check_lease(mb_agent_t *agent, uint64_t now_us)
+{
+    uint64_t end_us = agent->lease_end_us;
+    uint64_t slack_us =
+        (end_us - MIN(end_us, agent->answered_us)) / 50 + 200 * MB_US_PER_MS;
+    if (end_us == 0 || agent->runs->len == 0 ||
+        mb_agent_worker_answers(agent, now_us) || now_us < end_us + slack_us) {
+        return;
+    }
+    mb_log_notice(&agent->log,
+                  "worker silent past its lease name=%.*s runs=%u",
+                  MB_STR_ARG(agent->info.name), agent->runs->len);
+    (void)g_ptr_array_set_size(agent->runs, 0);
+    agent->generation++;
+    agent->complete_due = true;
+}
+
+/* Does what is due with time. */
+void
+mb_agent_worker_tick(mb_agent_t *agent, uint64_t now_us)
+{
+    if (agent->info.name.len == 0) {
+        return;
+    }
+    drop_acknowledged(agent);
+    if (agent->gone && agent->runs->len > 0 &&
+        now_us - agent->gone_us >= MB_AGENT_GONE_MS * (uint64_t)MB_US_PER_MS) {
+        (void)g_ptr_array_set_size(agent->runs, 0);
+        agent->generation++;
+        agent->complete_due = true;
+    }
+    check_lease(agent, now_us);
+    mb_agent_runs_tick(agent, now_us);
+    if (!agent->listing && now_us >= agent->list_due_us) {
+        send_list(agent, now_us);
+    }
+}
--- /dev/null
+++ b/lib/coordination/mb_fleet.c
@@ -0,0 +1,443 @@
+#include "mb_fleet.h"
+
+#include <string.h>
+
+#include "mb_fleet_internal.h"
+
+/* Hashes the address of a worker. */
+static guint
+hash_address(gconstpointer key)
+{
+    return (guint)mb_str_hash(mb_buf_view(key));
+}
+
+/* Tells whether two addresses are the same. */
+static gboolean
+equal_address(gconstpointer a, gconstpointer b)
+{
+    return mb_str_equal(mb_buf_view(a), mb_buf_view(b));
+}
+
+/* Frees a worker. */
+static void
+free_worker(gpointer data)
+{
+    mb_fleet_worker_t *worker = data;
+    mb_buf_finish(&worker->address);
+    mb_buf_finish(&worker->name);
+    mb_buf_finish(&worker->service);
+    mb_buf_finish(&worker->rack);
+    for (uint32_t i = 0; i < MB_WORKER_LABELS_MAX; i++) {
+        mb_buf_finish(&worker->labels[i]);
+    }
+    g_array_unref(worker->runs);
+    mb_order_finish(&worker->pending);
+    g_free(worker);
+}
+
+/* Prepares a fleet without workers that owns nothing. The table stays with
+   the caller and must outlive the fleet. */
+void
+mb_fleet_init(mb_fleet_t *fleet, mb_dag_table_t *table,
+              const mb_fleet_callbacks_t *callbacks, const mb_clock_t *clock,
+              const mb_log_t *log)
+{
+    memset(fleet, 0, sizeof(*fleet));
+    fleet->table = table;
+    fleet->callbacks = *callbacks;
+    fleet->clock = *clock;
+    fleet->log = *log;
+    fleet->workers = g_ptr_array_new_with_free_func(free_worker);
+    fleet->addresses = g_hash_table_new(hash_address, equal_address);
+    fleet->open = g_ptr_array_new();
+    fleet->dirty = g_ptr_array_new();
+    fleet->rows = g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
+}
+
+/* Frees the fleet. */
+void
+mb_fleet_finish(mb_fleet_t *fleet)
+{
+    g_hash_table_destroy(fleet->addresses);
+    g_ptr_array_unref(fleet->workers);
+    g_ptr_array_unref(fleet->open);
+    g_ptr_array_unref(fleet->dirty);
+    g_array_unref(fleet->rows);
+    mb_buf_finish(&fleet->bits);
+}
+
+/* Returns the number of the worker whose agent has this address; adds it if
+   it is not known. UINT32_MAX when there are too many. */
+uint32_t
+mb_fleet_worker(mb_fleet_t *fleet, mb_str_t address)
+{
+    mb_buf_t key = {(char *)address.data, address.len, 0};
+    mb_fleet_worker_t *worker = g_hash_table_lookup(fleet->addresses, &key);
+    if (worker != NULL) {
+        return worker->number;
+    }
+    if (fleet->workers->len == MB_FLEET_WORKERS_MAX) {
+        mb_log_error(&fleet->log, "worker ignored: too many address=%.*s",
+                     MB_STR_ARG(address));
+        return UINT32_MAX;
+    }
+    worker = g_new0(mb_fleet_worker_t, 1);
+    worker->number = fleet->workers->len;
+    mb_buf_set(&worker->address, address);
+    worker->runs = g_array_new(FALSE, FALSE, sizeof(mb_fleet_run_t));
+    mb_health_init(&worker->health);
+    mb_order_init(&worker->pending);
+    g_ptr_array_add(fleet->workers, worker);
+    (void)g_hash_table_insert(fleet->addresses, &worker->address, worker);
+    return worker->number;
+}
+
+/* Forgets what one connection to an agent carried. */
+static void
+reset_connection(mb_fleet_worker_t *worker)
+{
+    worker->connected = false;
+    worker->complete = false;
+    worker->echo = 0;
+    worker->order_due = false;
+    mb_order_clear(&worker->pending);
+    for (guint i = 0; i < worker->runs->len; i++) {
+        mb_fleet_run_t *run = &g_array_index(worker->runs, mb_fleet_run_t, i);
+        /* Orders of the old connection that were not carried out are lost: a
+           complete report on the next one shows which. */
+        run->order = 0;
+        run->stopping = false;
+    }
+}
+
+/* Forgets all runs and what is known of the workers' lists. */
+static void
+reset_workers(mb_fleet_t *fleet, bool suspect)
+{
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, i);
+        while (worker->runs->len > 0) {
+            mb_fleet_remove_run(fleet, worker,
+                                &g_array_index(worker->runs, mb_fleet_run_t,
+                                               worker->runs->len - 1));
+        }
+        bool connected = worker->connected;
+        reset_connection(worker);
+        worker->connected = connected;
+        worker->suspect = suspect;
+        worker->incarnation = 0;
+        worker->state = MB_WORKER_ABSENT;
+        worker->seen = 0;
+        worker->storing = 0;
+        worker->stored = 0;
+        worker->lease_end_us = 0;
+        worker->order_due = true;
+    }
+}
+
+/* Counts the jobs of the table among those with work left. */
+static void
+open_jobs(mb_fleet_t *fleet, bool inherited)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->table->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        mb_dag_job_t *job = value;
+        mb_fleet_job_added(fleet, job);
+        job->inherited = inherited;
+    }
+}
+
+/* Begins to own the fleet under a token. Tasks of the jobs that are known now
+   start only when every worker known now has listed its runs, or after
+   `settle_us` of the clock, when no run of the former owner can be alive. */
+void
+mb_fleet_begin(mb_fleet_t *fleet, uint64_t token, uint64_t settle_us)
+{
+    fleet->owns = true;
+    fleet->token = token;
+    fleet->settle_us = settle_us;
+    fleet->settled = false;
+    fleet->storing = false;
+    (void)g_ptr_array_set_size(fleet->dirty, 0);
+    (void)g_ptr_array_set_size(fleet->open, 0);
+    reset_workers(fleet, true);
+    open_jobs(fleet, true);
+    fleet->startable = true;
+}
+
+/* Ends to own the fleet. What was not stored is lost: the caller reads the
+   table anew. */
+void
+mb_fleet_end(mb_fleet_t *fleet)
+{
+    fleet->owns = false;
+    fleet->acting = false;
+    fleet->storing = false;
+    reset_workers(fleet, false);
+    (void)g_ptr_array_set_size(fleet->dirty, 0);
+    (void)g_ptr_array_set_size(fleet->open, 0);
+}
+
+/* Tells the fleet whether its ownership is certain at present. */
+void
+mb_fleet_set_acting(mb_fleet_t *fleet, bool acting)
+{
+    if (acting != fleet->acting && fleet->owns) {
+        mb_log_notice(&fleet->log, "owner acts=%d token=%" G_GUINT64_FORMAT,
+                      acting, fleet->token);
+    }
+    fleet->startable = fleet->startable || (acting && !fleet->acting);
+    fleet->acting = acting && fleet->owns;
+}
+
+/* Takes a job that was added to the table. */
+void
+mb_fleet_job_added(mb_fleet_t *fleet, mb_dag_job_t *job)
+{
+    uint64_t now_us = mb_clock_us(&fleet->clock);
+    uint64_t now_ms = fleet->callbacks.unix_ms(fleet->callbacks.context);
+    uint64_t age_ms = now_ms - MIN(now_ms, job->spec.submitted_ms);
+    uint64_t age_us = age_ms * MB_US_PER_MS;
+    if (!fleet->owns) {
+        return;
+    }
+    job->outcome = job->cancelled ? MB_DAG_CANCELLED : job->outcome;
+    if (job->outcome != MB_DAG_OPEN) {
+        return;
+    }
+    job->arrived_us = now_us - MIN(now_us, age_us);
+    job->dirty = false;
+    job->inherited = false;
+    job->running = 0;
+    for (uint32_t i = 0; i < job->occurrence_count; i++) {
+        uint64_t due_ms = job->spec.occurrences == 0
+                              ? 0
+                              : job->spec.first_ms + i * job->spec.interval_ms;
+        uint64_t wait_ms = due_ms - MIN(due_ms, now_ms);
+        job->occurrences[i].due_us =
+            wait_ms == 0 ? 0 : now_us + wait_ms * MB_US_PER_MS;
+    }
+    mb_fleet_estimate(fleet, job);
+    g_ptr_array_add(fleet->open, job);
+    fleet->unsorted = true;
+    mb_fleet_wake_job(fleet, job);
+}
+
+/* Takes the cancellation of a job. */
+void
+mb_fleet_job_cancelled(mb_fleet_t *fleet, mb_dag_job_t *job)
+{
+    if (!fleet->owns || job->outcome != MB_DAG_OPEN) {
+        return;
+    }
+    mb_log_info(&fleet->log, "job cancelled job=%.*s runs=%u",
+                MB_STR_ARG(mb_dag_id_view(&job->spec.id)), job->running);
+    job->outcome = MB_DAG_CANCELLED;
+    mb_fleet_stop_job(fleet, job);
+}
+
+/* Tells whether nothing of a job runs or waits to be stored, so that it may
+   be removed from the table. */
+bool
+mb_fleet_job_idle(const mb_dag_job_t *job)
+{
+    return job->running == 0 && !job->dirty;
+}
+
+/* Forgets a job before it is removed from the table. */
+void
+mb_fleet_job_removed(mb_fleet_t *fleet, mb_dag_job_t *job)
+{
+    (void)g_ptr_array_remove_fast(fleet->open, job);
+    (void)g_ptr_array_remove_fast(fleet->dirty, job);
+}
+
+/* Notes that an agent's connection is open. */
+void
+mb_fleet_connected(mb_fleet_t *fleet, uint32_t number)
+{
+    mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, number);
+    reset_connection(worker);
+    worker->connected = true;
+    worker->order = 0;
+    worker->order_due = true;
+}
+
+/* Notes that an agent's connection has ended. Its runs go on under their
+   lease. */
+void
+mb_fleet_disconnected(mb_fleet_t *fleet, uint32_t number)
+{
+    mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, number);
+    if (worker->complete) {
+        mb_log_notice(&fleet->log,
+                      "agent disconnected worker=%.*s address=%.*s runs=%u",
+                      MB_STR_ARG(mb_buf_view(&worker->name)),
+                      MB_STR_ARG(mb_buf_view(&worker->address)),
+                      worker->runs->len);
+    }
+    reset_connection(worker);
+}
+
+/* Takes the answer to a group of stored progress. */
+void
+mb_fleet_stored(mb_fleet_t *fleet, bool ok)
+{
+    fleet->storing = false;
+    if (!fleet->owns || !ok) {
+        return;
+    }
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, i);
+        if (worker->storing > worker->stored) {
+            worker->stored = worker->storing;
+            worker->order_due = true;
+        }
+    }
+}
+
+/* Stores the progress of the jobs that changed, as one group; ends whose
+   effect is in it may be forgotten when it is stored. */
+static void
+store_progress(mb_fleet_t *fleet)
+{
+    if (fleet->storing) {
+        return;
+    }
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, i);
+        worker->storing = worker->seen;
+    }
+    if (fleet->dirty->len == 0) {
+        mb_fleet_stored(fleet, true);
+        return;
+    }
+    fleet->storing = true;
+    for (guint i = 0; i < fleet->dirty->len; i++) {
+        mb_dag_job_t *job = g_ptr_array_index(fleet->dirty, i);
+        mb_dag_progress_t progress = {.rows = fleet->rows};
+        (void)g_array_set_size(fleet->rows, 0);
+        mb_dag_progress_take(job, &fleet->bits, &progress);
+        fleet->callbacks.store(fleet->callbacks.context, &progress);
+        job->dirty = false;
+    }
+    (void)g_ptr_array_set_size(fleet->dirty, 0);
+    fleet->callbacks.store_group_end(fleet->callbacks.context);
+}
+
+/* Gives up the runs of workers whose lease has certainly ended. */
+static void
+check_leases(mb_fleet_t *fleet, uint64_t now_us)
+{
+    bool settled = now_us >= fleet->settle_us;
+    bool all = true;
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, i);
+        all = all && !worker->suspect;
+        if (worker->runs->len > 0 && now_us >= worker->lease_end_us) {
+            mb_fleet_lose_runs(fleet, worker, "lease_expired");
+            /* What it lists when it comes back is news. */
+            worker->complete = false;
+            worker->order_due = true;
+        }
+    }
+    if (!fleet->settled && (settled || all)) {
+        mb_log_notice(&fleet->log,
+                      "fleet settled token=%" G_GUINT64_FORMAT
+                      " all_listed=%d runs=%u",
+                      fleet->token, all, fleet->running);
+        fleet->settled = true;
+        fleet->startable = true;
+    }
+}
+
+/* Takes closed jobs off the list of those with work. */
+static void
+drop_closed(mb_fleet_t *fleet)
+{
+    for (guint i = 0; i < fleet->open->len;) {
+        mb_dag_job_t *job = g_ptr_array_index(fleet->open, i);
+        if (job->outcome == MB_DAG_OPEN) {
+            i++;
+            continue;
+        }
+        (void)g_ptr_array_remove_index_fast(fleet->open, i);
+        fleet->unsorted = true;
+    }
+}
+
+/* Does what is due with time. */
+void
+mb_fleet_tick(mb_fleet_t *fleet)
+{
+    uint64_t now_us = mb_clock_us(&fleet->clock);
+    if (!fleet->owns) {
+        return;
+    }
+    check_leases(fleet, now_us);
+    drop_closed(fleet);
+    /* Pauses and due times may have passed. */
+    fleet->startable = true;
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, i);
+        if (now_us >= worker->ordered_us +
+                          MB_FLEET_ORDER_MS * (uint64_t)MB_US_PER_MS) {
+            worker->order_due = true;
+        }
+    }
+    mb_fleet_flush(fleet);
+}
+
+/* Sends the pending order of a worker. */
+static void
+send_order(mb_fleet_t *fleet, mb_fleet_worker_t *worker)
+{
+    mb_order_t *order = &worker->pending;
+    order->token = fleet->token;
+    order->sequence = ++worker->order;
+    order->echo = worker->echo;
+    order->lease_ms = MB_FLEET_LEASE_MS;
+    order->incarnation = worker->incarnation;
+    order->acknowledged = worker->stored;
+    worker->order_due = false;
+    worker->ordered_us = mb_clock_us(&fleet->clock);
+    fleet->callbacks.send(fleet->callbacks.context, worker->number, order);
+    mb_order_clear(order);
+}
+
+/* Starts what can be started, stores what changed and sends what is due. */
+void
+mb_fleet_flush(mb_fleet_t *fleet)
+{
+    if (!fleet->owns) {
+        return;
+    }
+    if (fleet->acting && fleet->startable) {
+        fleet->startable = false;
+        mb_fleet_schedule(fleet);
+    }
+    store_progress(fleet);
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, i);
+        if (fleet->acting && worker->connected && worker->order_due) {
+            send_order(fleet, worker);
+        }
+    }
+}
+
+/* Forgets a worker whose agent is gone for good: it is not waited for. */
+void
+mb_fleet_worker_removed(mb_fleet_t *fleet, uint32_t number)
+{
+    mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, number);
+    worker->suspect = false;
+}
+
+/* Tells whether this process owns the fleet. */
+bool
+mb_fleet_owns(const mb_fleet_t *fleet)
+{
+    return fleet->owns;
+}
--- /dev/null
+++ b/lib/coordination/mb_fleet.h
@@ -0,0 +1,159 @@
+/* The owner of the fleet: decides which tasks of the replicated jobs run on
+   which worker, follows what the agents report, and stores progress before
+   an end may be forgotten. Starts are not stored: a new owner learns what
+   runs from the agents. Used on one thread; the clock, the agents and the
+   log are callbacks. */
+#ifndef MB_FLEET_H
+#define MB_FLEET_H
+
+#include "mb_clock.h"
+#include "mb_dag.h"
+#include "mb_health.h"
+#include "mb_log.h"
+#include "mb_order.h"
+
+/* Most workers of a fleet; more are ignored with a log line. */
+#define MB_FLEET_WORKERS_MAX 32768u
+/* Lease of a worker, in milliseconds: longer than the kill or freeze of a
+   single process with the time to reconnect. */
+#define MB_FLEET_LEASE_MS 4500u
+/* Part by which a worker's clock may be slow, as 1 / 50. */
+#define MB_FLEET_DRIFT_DIVISOR 50u
+/* Margin after a lease for messages on their way, in milliseconds. */
+#define MB_FLEET_MARGIN_MS 300u
+/* How often an agent gets an order even if nothing is to be done, in
+   milliseconds. */
+#define MB_FLEET_ORDER_MS 300u
+/* A worker without a report for this long gets no starts, in milliseconds. */
+#define MB_FLEET_SILENT_MS 1000u
+/* Pause before a task is started again after a failure, in milliseconds. */
+#define MB_FLEET_RETRY_MS 100u
+
+typedef struct mb_fleet_callbacks {
+    /* Sends an order; one that can't be sent is dropped, and the connection
+       begins anew. */
+    void (*send)(void *context, uint32_t worker, const mb_order_t *order);
+    /* Stores the progress of a job; after the last one of a group
+       mb_fleet_stored is called. */
+    void (*store)(void *context, const mb_dag_progress_t *progress);
+    void (*store_group_end)(void *context);
+    /* Unix time in milliseconds, for jobs with a time. */
+    uint64_t (*unix_ms)(void *context);
+    void *context;
+} mb_fleet_callbacks_t;
+
+/* Figures for metrics. */
+typedef struct mb_fleet_counts {
+    uint64_t starts;
+    uint64_t ends[MB_RUN_END_COUNT];
+    uint64_t refusals[MB_REFUSAL_COUNT];
+    uint64_t lost_runs;
+    uint64_t passes;
+} mb_fleet_counts_t;
+
+/* One run that holds a worker's resources. */
+typedef struct mb_fleet_run {
+    mb_dag_job_t *job;
+    uint32_t occurrence;
+    uint32_t step;
+    uint32_t index; /* in the step */
+    uint64_t number;
+    uint64_t order;      /* sequence of the order with its start */
+    uint64_t started_us; /* when it was chosen or adopted */
+    bool listed;         /* the agent has reported it */
+    bool stopping;
+} mb_fleet_run_t;
+
+/* One worker and the connection to its agent. Text is owned. */
+typedef struct mb_fleet_worker {
+    uint32_t number;
+    mb_buf_t address; /* of the agent */
+    bool connected;
+    bool complete; /* all its runs were reported under this token */
+    bool suspect;  /* may hold runs of the former owner */
+    bool leaving;  /* the agent stops */
+    mb_worker_state_t state;
+    uint64_t incarnation;
+    mb_buf_t name;
+    mb_buf_t service;
+    mb_buf_t rack;
+    mb_buf_t labels[MB_WORKER_LABELS_MAX];
+    uint32_t label_count;
+    mb_size_t capacity;
+    GArray *runs;      /* mb_fleet_run_t */
+    mb_size_t used;    /* of runs that do not fill */
+    mb_size_t filling; /* of runs that fill */
+    mb_health_t health;
+    uint64_t reported_us; /* latest report */
+    uint64_t echo;        /* its sequence */
+    uint64_t lease_end_us; /* no run outlives it without a further order */
+    uint64_t order;        /* sequence of the latest order */
+    uint64_t ordered_us;
+    uint64_t seen;    /* ends up to this number are in the table */
+    uint64_t storing; /* likewise, of the group that is being stored */
+    uint64_t stored;  /* ends up to this number may be forgotten */
+    bool order_due;
+    mb_order_t pending;
+} mb_fleet_worker_t;
+
+typedef struct mb_fleet {
+    mb_dag_table_t *table;
+    mb_fleet_callbacks_t callbacks;
+    mb_clock_t clock;
+    mb_log_t log;
+    bool owns;
+    bool acting;
+    uint64_t token;
+    uint64_t settle_us; /* no run of the former owner is alive after that */
+    bool settled;
+    GPtrArray *workers;    /* mb_fleet_worker_t by number */
+    GHashTable *addresses; /* mb_buf_t of a worker -> mb_fleet_worker_t */
+    GPtrArray *open;       /* mb_dag_job_t with work left */
+    bool unsorted;
+    uint64_t sorted_us;
+    bool startable; /* something may have become startable */
+    bool storing;   /* a group is being stored */
+    GPtrArray *dirty;
+    mb_buf_t bits;  /* scratch memory of a group */
+    GArray *rows;
+    uint32_t running;
+    mb_fleet_counts_t counts;
+} mb_fleet_t;
+
+void mb_fleet_init(mb_fleet_t *fleet, mb_dag_table_t *table,
+                   const mb_fleet_callbacks_t *callbacks,
+                   const mb_clock_t *clock, const mb_log_t *log);
+void mb_fleet_finish(mb_fleet_t *fleet);
+
+/* Ownership. */
+void mb_fleet_begin(mb_fleet_t *fleet, uint64_t token, uint64_t settle_us);
+void mb_fleet_end(mb_fleet_t *fleet);
+void mb_fleet_set_acting(mb_fleet_t *fleet, bool acting);
+bool mb_fleet_owns(const mb_fleet_t *fleet);
+
+/* Jobs of the table. */
+void mb_fleet_job_added(mb_fleet_t *fleet, mb_dag_job_t *job);
+void mb_fleet_job_cancelled(mb_fleet_t *fleet, mb_dag_job_t *job);
+bool mb_fleet_job_idle(const mb_dag_job_t *job);
+void mb_fleet_job_removed(mb_fleet_t *fleet, mb_dag_job_t *job);
+void mb_fleet_stored(mb_fleet_t *fleet, bool ok);
+
+/* Agents. */
+uint32_t mb_fleet_worker(mb_fleet_t *fleet, mb_str_t address);
+void mb_fleet_connected(mb_fleet_t *fleet, uint32_t worker);
+void mb_fleet_disconnected(mb_fleet_t *fleet, uint32_t worker);
+void mb_fleet_report(mb_fleet_t *fleet, uint32_t worker,
+                     const mb_report_t *report);
+void mb_fleet_worker_removed(mb_fleet_t *fleet, uint32_t worker);
+
+/* Time: does what is due. Called several times a second, and after events. */
+void mb_fleet_tick(mb_fleet_t *fleet);
+/* Starts what can be started and sends the orders of the events at hand. */
+void mb_fleet_flush(mb_fleet_t *fleet);
+
+/* Observation. */
+uint64_t mb_fleet_lease_us(void);
+mb_fleet_worker_t *mb_fleet_worker_at(const mb_fleet_t *fleet,
+                                      uint32_t worker);
+
+#endif
--- /dev/null
+++ b/lib/coordination/mb_fleet_internal.h
@@ -0,0 +1,38 @@
+/* Parts of the fleet's owner that its files share. Calls go one way:
+   mb_fleet.c (ownership, time) uses mb_fleet_report.c (what agents say) and
+   mb_fleet_schedule.c (what to start); all use mb_fleet_state.c. */
+#ifndef MB_FLEET_INTERNAL_H
+#define MB_FLEET_INTERNAL_H
+
+#include "mb_fleet.h"
+
+/* mb_fleet_state.c */
+mb_dag_task_t *mb_fleet_run_task(const mb_fleet_run_t *run);
+mb_dag_task_id_t mb_fleet_run_id(const mb_fleet_run_t *run);
+mb_fleet_run_t *mb_fleet_find_run(const mb_fleet_worker_t *worker,
+                                  const mb_dag_task_id_t *task,
+                                  uint64_t number);
+mb_fleet_run_t *mb_fleet_add_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                                 const mb_fleet_run_t *run);
+void mb_fleet_remove_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                         mb_fleet_run_t *run);
+void mb_fleet_stop_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                       mb_fleet_run_t *run);
+void mb_fleet_stop_job(mb_fleet_t *fleet, mb_dag_job_t *job);
+void mb_fleet_stop_copies(mb_fleet_t *fleet, const mb_fleet_run_t *but);
+void mb_fleet_stop_gang(mb_fleet_t *fleet, const mb_fleet_run_t *member);
+void mb_fleet_mark_dirty(mb_fleet_t *fleet, mb_dag_job_t *job);
+void mb_fleet_close_job(mb_fleet_t *fleet, mb_dag_job_t *job,
+                        mb_dag_outcome_t outcome);
+void mb_fleet_wake_job(mb_fleet_t *fleet, mb_dag_job_t *job);
+bool mb_fleet_task_runs(const mb_dag_task_t *task);
+
+/* mb_fleet_report.c */
+void mb_fleet_lose_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                        const char *why);
+
+/* mb_fleet_schedule.c */
+void mb_fleet_schedule(mb_fleet_t *fleet);
+void mb_fleet_estimate(mb_fleet_t *fleet, mb_dag_job_t *job);
+
+#endif
--- /dev/null
+++ b/lib/coordination/mb_fleet_state.c
@@ -0,0 +1,234 @@
+/* What the owner of the fleet knows: runs, and what they mean for jobs. */
+#include <string.h>
+
+#include "mb_assert.h"
+#include "mb_fleet_internal.h"
+
+/* Returns the longest time that a lease granted now may last on a worker
+   whose clock is slow, in microseconds. */
+uint64_t
+mb_fleet_lease_us(void)
+{
+    uint32_t lease_ms = MB_FLEET_LEASE_MS;
+    return (lease_ms + lease_ms / MB_FLEET_DRIFT_DIVISOR +
+            MB_FLEET_MARGIN_MS) *
+           (uint64_t)MB_US_PER_MS;
+}
+
+/* Returns the task of a run. */
+mb_dag_task_t *
+mb_fleet_run_task(const mb_fleet_run_t *run)
+{
+    return mb_dag_task(run->job, run->occurrence, run->step, run->index);
+}
+
+/* Returns the name of a run's task. */
+mb_dag_task_id_t
+mb_fleet_run_id(const mb_fleet_run_t *run)
+{
+    return (mb_dag_task_id_t){run->job->spec.id, run->occurrence, run->step,
+                              run->index};
+}
+
+/* Returns the worker of a number. */
+mb_fleet_worker_t *
+mb_fleet_worker_at(const mb_fleet_t *fleet, uint32_t worker)
+{
+    return g_ptr_array_index(fleet->workers, worker);
+}
+
+/* Returns a run of a worker, or NULL; valid until the worker's runs change. */
+mb_fleet_run_t *
+mb_fleet_find_run(const mb_fleet_worker_t *worker,
+                  const mb_dag_task_id_t *task, uint64_t number)
+{
+    for (guint i = 0; i < worker->runs->len; i++) {
+        mb_fleet_run_t *run = &g_array_index(worker->runs, mb_fleet_run_t, i);
+        mb_dag_task_id_t id = mb_fleet_run_id(run);
+        if (run->number == number && mb_dag_task_id_equal(&id, task)) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+/* Adds the size of a run to a worker's use, or takes it off. */
+static void
+account(mb_fleet_worker_t *worker, const mb_fleet_run_t *run, bool add)
+{
+    const mb_dag_step_t *step = &run->job->steps[run->step];
+    mb_size_t *size = step->fills ? &worker->filling : &worker->used;
+    uint32_t sign = add ? 1 : UINT32_MAX;
+    size->cpu_milli += sign * step->size.cpu_milli;
+    size->memory_mb += sign * step->size.memory_mb;
+    size->accelerators += sign * step->size.accelerators;
+}
+
+/* Tells whether a task has a run. */
+bool
+mb_fleet_task_runs(const mb_dag_task_t *task)
+{
+    for (uint32_t i = 0; i < MB_DAG_COPIES_MAX; i++) {
+        if (task->runs[i].number != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Takes a place among the copies of a task. */
+static void
+add_copy(const mb_fleet_run_t *run, uint32_t worker)
+{
+    mb_dag_task_t *task = mb_fleet_run_task(run);
+    uint32_t slot = 0;
+    while (slot < MB_DAG_COPIES_MAX && task->runs[slot].number != 0) {
+        slot++;
+    }
+    bool copies = run->job->steps[run->step].speculative;
+    MB_INVARIANT(slot < (copies ? MB_DAG_COPIES_MAX : 1u),
+                 "one run of a task");
+    task->runs[slot] = (mb_dag_run_t){run->number, worker};
+    task->last_run = MAX(task->last_run, run->number);
+}
+
+/* Adds a run to a worker and to its task. */
+mb_fleet_run_t *
+mb_fleet_add_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                 const mb_fleet_run_t *run)
+{
+    add_copy(run, worker->number);
+    account(worker, run, true);
+    run->job->running++;
+    fleet->running++;
+    g_array_append_val(worker->runs, *run);
+    return &g_array_index(worker->runs, mb_fleet_run_t, worker->runs->len - 1);
+}
+
+/* Removes a run from its worker and its task. */
+void
+mb_fleet_remove_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                    mb_fleet_run_t *run)
+{
+    mb_dag_task_t *task = mb_fleet_run_task(run);
+    for (uint32_t i = 0; i < MB_DAG_COPIES_MAX; i++) {
+        if (task->runs[i].number == run->number &&
+            task->runs[i].worker == worker->number) {
+            task->runs[i].number = 0;
+        }
+    }
+    account(worker, run, false);
+    run->job->running--;
+    fleet->running--;
+    fleet->startable = true;
+    guint at = (guint)(run - (mb_fleet_run_t *)(void *)worker->runs->data);
+    (void)g_array_remove_index_fast(worker->runs, at);
+}
+
+/* Orders a run to stop; it holds its worker until its end is reported. */
+void
+mb_fleet_stop_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                  mb_fleet_run_t *run)
+{
+    mb_order_stop_t stop = {mb_fleet_run_id(run), run->number};
+    (void)fleet;
+    if (run->stopping) {
+        return;
+    }
+    run->stopping = true;
+    worker->order_due = true;
+    g_array_append_val(worker->pending.stops, stop);
+}
+
+/* Stops all runs of a job. */
+void
+mb_fleet_stop_job(mb_fleet_t *fleet, mb_dag_job_t *job)
+{
+    for (guint w = 0; w < fleet->workers->len && job->running > 0; w++) {
+        mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, w);
+        for (guint i = 0; i < worker->runs->len; i++) {
+            mb_fleet_run_t *run =
+                &g_array_index(worker->runs, mb_fleet_run_t, i);
+            if (run->job == job) {
+                mb_fleet_stop_run(fleet, worker, run);
+            }
+        }
+    }
+}
+
+/* Stops the other runs of a run's task. */
+void
+mb_fleet_stop_copies(mb_fleet_t *fleet, const mb_fleet_run_t *but)
+{
+    mb_dag_task_t *task = mb_fleet_run_task(but);
+    mb_dag_task_id_t id = mb_fleet_run_id(but);
+    for (uint32_t i = 0; i < MB_DAG_COPIES_MAX; i++) {
+        const mb_dag_run_t *copy = &task->runs[i];
+        if (copy->number == 0 || copy->number == but->number) {
+            continue;
+        }
+        mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, copy->worker);
+        mb_fleet_run_t *run = mb_fleet_find_run(worker, &id, copy->number);
+        if (run != NULL) {
+            mb_fleet_stop_run(fleet, worker, run);
+        }
+    }
+}
+
+/* Stops all runs of the gang that a run belongs to. */
+void
+mb_fleet_stop_gang(mb_fleet_t *fleet, const mb_fleet_run_t *member)
+{
+    mb_fleet_run_t other = *member;
+    for (other.index = 0; other.index < member->job->steps[member->step].count;
+         other.index++) {
+        mb_dag_task_t *task = mb_fleet_run_task(&other);
+        mb_dag_task_id_t id = mb_fleet_run_id(&other);
+        if (task->runs[0].number != member->number) {
+            continue;
+        }
+        mb_fleet_worker_t *worker =
+            mb_fleet_worker_at(fleet, task->runs[0].worker);
+        mb_fleet_run_t *run = mb_fleet_find_run(worker, &id, member->number);
+        if (run != NULL) {
+            mb_fleet_stop_run(fleet, worker, run);
+        }
+    }
+}
+
+/* Has the progress of a job stored with the next group. */
+void
+mb_fleet_mark_dirty(mb_fleet_t *fleet, mb_dag_job_t *job)
+{
+    if (!job->dirty) {
+        job->dirty = true;
+        g_ptr_array_add(fleet->dirty, job);
+    }
+}
+
+/* Ends a job; nothing of it is started any more. */
+void
+mb_fleet_close_job(mb_fleet_t *fleet, mb_dag_job_t *job,
+                   mb_dag_outcome_t outcome)
+{
+    if (job->outcome != MB_DAG_OPEN) {
+        return;
+    }
+    job->outcome = outcome;
+    mb_fleet_mark_dirty(fleet, job);
+    mb_fleet_stop_job(fleet, job);
+    mb_log_info(&fleet->log,
+                "job decided job=%.*s outcome=%d age_ms=%" G_GUINT64_FORMAT
+                " objective_ms=%" G_GUINT64_FORMAT,
+                MB_STR_ARG(mb_dag_id_view(&job->spec.id)), (int)outcome,
+                (mb_clock_us(&fleet->clock) - job->arrived_us) / MB_US_PER_MS,
+                job->objective_us / MB_US_PER_MS);
+}
+
+/* Looks at the tasks of a job in the next pass. */
+void
+mb_fleet_wake_job(mb_fleet_t *fleet, mb_dag_job_t *job)
+{
+    job->waits = true;
+    fleet->startable = true;
+}
--- a/lib/coordination/mb_health.c
+++ b/lib/coordination/mb_health.c
@@ -34,6 +34,15 @@
     return now_us - oldest_us >= wait_us;
 }
 
+/* Tells whether failures in a row keep starts away; see the header. */
+bool
+mb_health_suspended(const mb_health_t *health, uint64_t now_us)
+{
+    return health->state == MB_HEALTH_PROBING ||
+           (health->state == MB_HEALTH_SUSPENDED &&
+            now_us < health->probe_us);
+}
+
 /* Drops the oldest unproven starts. */
 static void
 forget(mb_health_t *health, uint32_t count)
--- a/lib/coordination/mb_health.h
+++ b/lib/coordination/mb_health.h
@@ -43,6 +43,10 @@
 void mb_health_init(mb_health_t *health);
 /* Whether a start may go there now. */
 bool mb_health_allows(const mb_health_t *health, uint64_t now_us);
+/* Whether failures in a row keep starts away now, apart from a probe that is
+   due. Unlike mb_health_allows it does not bound the unproven starts, for
+   workers that hold many short tasks at a time. */
+bool mb_health_suspended(const mb_health_t *health, uint64_t now_us);
 void mb_health_started(mb_health_t *health, uint64_t now_us);
 /* `started_us` is the time given to mb_health_started. */
 void mb_health_succeeded(mb_health_t *health, uint64_t started_us);
--- /dev/null
+++ b/lib/coordination/mb_journal.c
@@ -0,0 +1,316 @@
+#include "mb_journal.h"
+
+#include <string.h>
+
+/* One record that waits or is being appended. */
+typedef struct entry {
+    mb_buf_t key;
+    mb_buf_t value;
+    uint64_t give_up_us; /* not sent for the first time after that */
+    mb_journal_done_t done;
+    void *context;
+} entry_t;
+
+/* Frees a record. */
+static void
+free_entry(entry_t *entry)
+{
+    mb_buf_finish(&entry->key);
+    mb_buf_finish(&entry->value);
+    g_free(entry);
+}
+
+/* Reports the result of a record and frees it. */
+static void
+end_entry(entry_t *entry, mb_keyed_result_t result)
+{
+    if (entry->done != NULL) {
+        entry->done(entry->context, result);
+    }
+    free_entry(entry);
+}
+
+/* Prepares a journal that has nothing to append. */
+void
+mb_journal_init(mb_journal_t *journal, const mb_journal_config_t *config,
+                const mb_keyed_log_t *log, const mb_clock_t *clock,
+                const mb_log_t *logger)
+{
+    memset(journal, 0, sizeof(*journal));
+    journal->config = *config;
+    journal->log = *log;
+    journal->clock = *clock;
+    journal->logger = *logger;
+    journal->sequence = config->sequence;
+    g_queue_init(&journal->queue);
+    journal->batch = g_ptr_array_new();
+}
+
+/* Frees the journal; records that are not appended are dropped without a
+   report. No append is in progress. */
+void
+mb_journal_finish(mb_journal_t *journal)
+{
+    entry_t *entry;
+    while ((entry = g_queue_pop_head(&journal->queue)) != NULL) {
+        free_entry(entry);
+    }
+    for (guint i = 0; i < journal->batch->len; i++) {
+        free_entry(g_ptr_array_index(journal->batch, i));
+    }
+    g_ptr_array_unref(journal->batch);
+}
+
+/* Ends everything that waits, after another epoch has taken over. */
+static void
+fail_all(mb_journal_t *journal, mb_keyed_result_t result)
+{
+    g_autoptr(GPtrArray) ended = g_ptr_array_new();
+    entry_t *entry;
+    while (journal->batch->len > 0) {
+        g_ptr_array_add(ended, g_ptr_array_steal_index(journal->batch, 0));
+    }
+    while ((entry = g_queue_pop_head(&journal->queue)) != NULL) {
+        g_ptr_array_add(ended, entry);
+    }
+    for (guint i = 0; i < ended->len; i++) {
+        end_entry(g_ptr_array_index(ended, i), result);
+    }
+}
+
+/* Ends the current append. */
+static void
+finish_batch(mb_journal_t *journal, mb_keyed_result_t result)
+{
+    g_autoptr(GPtrArray) ended = journal->batch;
+    journal->batch = g_ptr_array_new();
+    journal->doubtful = false;
+    for (guint i = 0; i < ended->len; i++) {
+        end_entry(g_ptr_array_index(ended, i), result);
+    }
+}
+
+/* Notes a failed try and when to try again. */
+static void
+note_failure(mb_journal_t *journal, mb_keyed_result_t result)
+{
+    uint64_t now_us = mb_clock_us(&journal->clock);
+    if (journal->failing_since_us == 0) {
+        journal->failing_since_us = now_us;
+        mb_log_warning(&journal->logger,
+                       "append failed producer=%.*s sequence=%" G_GUINT64_FORMAT
+                       " records=%u result=%s; repeating it",
+                       MB_STR_ARG(journal->config.producer), journal->sequence,
+                       journal->batch->len, mb_keyed_result_name(result));
+    }
+    journal->retry_us = now_us + MB_JOURNAL_PAUSE_MS * MB_US_PER_MS;
+}
+
+/* Notes a success after failures. */
+static void
+note_success(mb_journal_t *journal)
+{
+    if (journal->failing_since_us != 0) {
+        uint64_t now_us = mb_clock_us(&journal->clock);
+        mb_log_notice(&journal->logger,
+                      "append succeeded again producer=%.*s after_ms=%"
+                      G_GUINT64_FORMAT,
+                      MB_STR_ARG(journal->config.producer),
+                      (now_us - journal->failing_since_us) / MB_US_PER_MS);
+    }
+    journal->failing_since_us = 0;
+}
+
+/* Takes the result of the current append. */
+static void
+append_done(void *context, mb_keyed_result_t result)
+{
+    mb_journal_t *journal = context;
+    journal->sending = false;
+    if (result == MB_KEYED_OUT_OF_ORDER && journal->config.contested) {
+        result = MB_KEYED_FENCED;
+    }
+    switch (result) {
+    case MB_KEYED_OK:
+        note_success(journal);
+        journal->sequence++;
+        finish_batch(journal, MB_KEYED_OK);
+        break;
+    case MB_KEYED_FENCED:
+        journal->fenced = true;
+        mb_log_notice(&journal->logger,
+                      "append rejected: newer epoch producer=%.*s epoch=%"
+                      G_GUINT64_FORMAT,
+                      MB_STR_ARG(journal->config.producer),
+                      journal->config.epoch);
+        fail_all(journal, MB_KEYED_FENCED);
+        break;
+    case MB_KEYED_OUT_OF_ORDER:
+    case MB_KEYED_INVALID:
+    case MB_KEYED_TRIMMED:
+        mb_log_error(&journal->logger,
+                     "append rejected producer=%.*s sequence=%" G_GUINT64_FORMAT
+                     " result=%s; records have an unknown outcome",
+                     MB_STR_ARG(journal->config.producer), journal->sequence,
+                     mb_keyed_result_name(result));
+        /* A new epoch may begin at any sequence number. */
+        journal->config.epoch++;
+        finish_batch(journal, MB_KEYED_UNKNOWN);
+        break;
+    case MB_KEYED_UNKNOWN:
+        journal->doubtful = true;
+        note_failure(journal, result);
+        break;
+    case MB_KEYED_NOT_DONE:
+    case MB_KEYED_RESULT_COUNT:
+        note_failure(journal, result);
+        break;
+    }
+    mb_journal_run(journal);
+}
+
+/* Moves waiting records into the next append, up to its bounds. */
+static void
+fill_batch(mb_journal_t *journal)
+{
+    size_t bytes = 0;
+    while (journal->batch->len < journal->config.batch_records_max) {
+        entry_t *entry = g_queue_peek_head(&journal->queue);
+        if (entry == NULL) {
+            return;
+        }
+        bytes += entry->key.len + entry->value.len;
+        if (journal->batch->len > 0 &&
+            bytes > journal->config.batch_bytes_max) {
+            return;
+        }
+        g_ptr_array_add(journal->batch, g_queue_pop_head(&journal->queue));
+    }
+}
+
+/* Ends the records whose time has passed without any of them having been
+   sent with an unknown result: they are not in the log. */
+static void
+drop_overdue(mb_journal_t *journal)
+{
+    uint64_t now_us = mb_clock_us(&journal->clock);
+    g_autoptr(GPtrArray) ended = g_ptr_array_new();
+    for (guint i = 0; !journal->doubtful && i < journal->batch->len;) {
+        entry_t *entry = g_ptr_array_index(journal->batch, i);
+        if (entry->give_up_us <= now_us) {
+            g_ptr_array_add(ended, g_ptr_array_steal_index(journal->batch, i));
+        }
+        else {
+            i++;
+        }
+    }
+    GList *at = journal->queue.head;
+    while (at != NULL) {
+        GList *next = at->next;
+        entry_t *entry = at->data;
+        if (entry->give_up_us <= now_us) {
+            g_ptr_array_add(ended, entry);
+            g_queue_delete_link(&journal->queue, at);
+        }
+        at = next;
+    }
+    for (guint i = 0; i < ended->len; i++) {
+        end_entry(g_ptr_array_index(ended, i), MB_KEYED_NOT_DONE);
+    }
+}
+
+/* Sends the current append. */
+static void
+send_batch(mb_journal_t *journal)
+{
+    g_autofree mb_keyed_record_t *records =
+        g_new(mb_keyed_record_t, journal->batch->len);
+    for (guint i = 0; i < journal->batch->len; i++) {
+        entry_t *entry = g_ptr_array_index(journal->batch, i);
+        records[i].key = mb_buf_view(&entry->key);
+        records[i].value = mb_buf_view(&entry->value);
+    }
+    mb_keyed_append_t append = {.stream = journal->config.stream,
+                                .producer = journal->config.producer,
+                                .epoch = journal->config.epoch,
+                                .sequence = journal->sequence,
+                                .records = records,
+                                .count = journal->batch->len,
+                                .timeout_ms = MB_JOURNAL_TIMEOUT_MS,
+                                .done = append_done,
+                                .context = journal};
+    journal->sending = true;
+    journal->appends++;
+    if (!journal->log.append(journal->log.context, &append)) {
+        journal->sending = false;
+        note_failure(journal, MB_KEYED_NOT_DONE);
+    }
+}
+
+/* Does what is due: sends the next append, repeats one that failed, ends
+   records that are overdue. Called after mb_journal_add and from time to
+   time. */
+void
+mb_journal_run(mb_journal_t *journal)
+{
+    if (journal->sending || journal->fenced) {
+        return;
+    }
+    drop_overdue(journal);
+    if (journal->failing_since_us != 0 &&
+        mb_clock_us(&journal->clock) < journal->retry_us) {
+        return;
+    }
+    if (!journal->doubtful) {
+        fill_batch(journal);
+    }
+    if (journal->batch->len > 0) {
+        send_batch(journal);
+    }
+}
+
+/* Sends nothing any more; what is under way still gets its result. */
+void
+mb_journal_close(mb_journal_t *journal)
+{
+    journal->fenced = true;
+}
+
+/* Queues a record; an empty value removes the key. After `give_up_us` it is
+   reported as not done, unless a try may have taken effect. `done` may be
+   NULL. False when too much waits or a newer epoch is in force. */
+bool
+mb_journal_add(mb_journal_t *journal, mb_str_t key, mb_str_t value,
+               uint64_t give_up_us, mb_journal_done_t done, void *context)
+{
+    if (journal->fenced ||
+        g_queue_get_length(&journal->queue) >= MB_JOURNAL_QUEUE_MAX) {
+        return false;
+    }
+    entry_t *entry = g_new0(entry_t, 1);
+    mb_buf_set(&entry->key, key);
+    mb_buf_set(&entry->value, value);
+    entry->give_up_us = give_up_us;
+    entry->done = done;
+    entry->context = context;
+    g_queue_push_tail(&journal->queue, entry);
+    return true;
+}
+
+/* Tells whether the log does not take appends at present. */
+bool
+mb_journal_stalled(const mb_journal_t *journal)
+{
+    return journal->fenced ||
+           (journal->failing_since_us != 0 &&
+            mb_clock_us(&journal->clock) - journal->failing_since_us >=
+                MB_JOURNAL_STALLED_MS * MB_US_PER_MS);
+}
+
+/* Tells whether every record has its result. */
+bool
+mb_journal_idle(const mb_journal_t *journal)
+{
+    return !journal->sending && journal->batch->len == 0 &&
+           journal->queue.length == 0;
+}
--- a/lib/coordination/mb_message.h
+++ b/lib/coordination/mb_message.h
@@ -56,6 +56,8 @@
     MB_MESSAGE_DRAIN,
     MB_MESSAGE_PING,
     MB_MESSAGE_PONG,
+    MB_MESSAGE_ORDER,
+    MB_MESSAGE_REPORT,
     MB_MESSAGE_TYPE_COUNT
 } mb_message_type_t;
 
@@ -137,6 +139,7 @@
         mb_outcome_t outcome;
         mb_request_id_t cancel;
         uint64_t sequence; /* of PING and PONG */
+        mb_str_t packed;   /* of ORDER and REPORT, see mb_order_codec.h */
     } body;
 } mb_message_t;
 
--- /dev/null
+++ b/lib/coordination/mb_ownership.c
@@ -0,0 +1,140 @@
+#include "mb_ownership.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Draws the delay of the next claim. */
+static void
+draw_jitter(mb_ownership_t *ownership)
+{
+    ownership->jitter_us =
+        mb_rng_below(&ownership->rng, MB_OWNERSHIP_JITTER_MS * MB_US_PER_MS);
+}
+
+/* Prepares a process that knows of no owner. `self` tells it from its earlier
+   incarnations. */
+void
+mb_ownership_init(mb_ownership_t *ownership, const mb_clock_t *clock,
+                  const mb_rng_t *rng, uint64_t self)
+{
+    memset(ownership, 0, sizeof(*ownership));
+    ownership->clock = *clock;
+    ownership->rng = *rng;
+    ownership->self = self;
+    draw_jitter(ownership);
+}
+
+/* Takes a record of the owner from the log; `fresh` when it was read in
+   order. See the header for the result. */
+bool
+mb_ownership_apply(mb_ownership_t *ownership,
+                   const mb_ownership_record_t *record, bool fresh)
+{
+    bool owned = ownership->state == MB_OWNERSHIP_OWNS;
+    if (record->token < ownership->latest.token) {
+        return false;
+    }
+    ownership->latest = *record;
+    if (fresh) {
+        ownership->heard_us = mb_clock_us(&ownership->clock);
+    }
+    bool owns = record->holder == ownership->self && !record->resigned;
+    if (!owns && ownership->state != MB_OWNERSHIP_FOLLOWS) {
+        draw_jitter(ownership);
+    }
+    ownership->state = owns ? MB_OWNERSHIP_OWNS : MB_OWNERSHIP_FOLLOWS;
+    return owned != owns;
+}
+
+/* Notes that everything was read that the log held at `since_us`. */
+void
+mb_ownership_current(mb_ownership_t *ownership, uint64_t since_us)
+{
+    ownership->current_us = since_us;
+    ownership->contact_us = mb_clock_us(&ownership->clock);
+    if (ownership->served_since_us == 0) {
+        ownership->served_since_us = ownership->contact_us;
+    }
+}
+
+/* Tells whether the log answered lately. */
+bool
+mb_ownership_in_contact(const mb_ownership_t *ownership)
+{
+    return ownership->served_since_us != 0 &&
+           mb_clock_us(&ownership->clock) - ownership->contact_us <
+               MB_OWNERSHIP_CONTACT_MS * MB_US_PER_MS;
+}
+
+/* Returns how long the owner must have been silent before a claim. */
+static uint64_t
+silence_us(const mb_ownership_t *ownership)
+{
+    bool vacant =
+        ownership->latest.token == 0 || ownership->latest.resigned;
+    uint64_t silence =
+        vacant ? 0 : MB_OWNERSHIP_SILENCE_MS * (uint64_t)MB_US_PER_MS;
+    return silence + ownership->jitter_us;
+}
+
+/* Tells whether the owner has been silent for long enough, while the log
+   answered. */
+static bool
+may_claim(const mb_ownership_t *ownership, uint64_t now_us)
+{
+    uint64_t since_us =
+        MAX(ownership->heard_us, ownership->served_since_us);
+    return !ownership->withdrawn && mb_ownership_in_contact(ownership) &&
+           now_us >= since_us + silence_us(ownership);
+}
+
+/* Tells what is due now. A claim carries the token after the latest one. */
+mb_ownership_action_t
+mb_ownership_tick(mb_ownership_t *ownership)
+{
+    uint64_t now_us = mb_clock_us(&ownership->clock);
+    uint64_t waited_us = now_us - ownership->acted_us;
+    if (!mb_ownership_in_contact(ownership)) {
+        ownership->served_since_us = 0;
+    }
+    if (ownership->state == MB_OWNERSHIP_OWNS) {
+        if (waited_us < MB_OWNERSHIP_HEARTBEAT_MS * MB_US_PER_MS) {
+            return MB_OWNERSHIP_NOTHING;
+        }
+        ownership->acted_us = now_us;
+        return MB_OWNERSHIP_HEARTBEAT;
+    }
+    if (ownership->state == MB_OWNERSHIP_FOLLOWS &&
+        may_claim(ownership, now_us)) {
+        ownership->state = MB_OWNERSHIP_CLAIMS;
+        ownership->acted_us = now_us;
+        return MB_OWNERSHIP_CLAIM;
+    }
+    return MB_OWNERSHIP_NOTHING;
+}
+
+/* Goes back to following after a claim that was not taken. */
+void
+mb_ownership_claim_failed(mb_ownership_t *ownership)
+{
+    if (ownership->state == MB_OWNERSHIP_CLAIMS) {
+        ownership->state = MB_OWNERSHIP_FOLLOWS;
+        draw_jitter(ownership);
+    }
+}
+
+/* Claims nothing any more, because the process stops. */
+void
+mb_ownership_withdraw(mb_ownership_t *ownership)
+{
+    ownership->withdrawn = true;
+}
+
+/* Tells whether this process owns the fleet and may act now. */
+bool
+mb_ownership_acts(const mb_ownership_t *ownership)
+{
+    return ownership->state == MB_OWNERSHIP_OWNS &&
+           mb_clock_us(&ownership->clock) <
+               ownership->current_us + MB_OWNERSHIP_ACT_MS * MB_US_PER_MS;
+}
--- /dev/null
+++ b/lib/coordination/mb_ownership.h
@@ -0,0 +1,76 @@
+/* Which process owns the fleet. The order of the log decides: a claim is the
+   first record of the next token, and the log takes only one. The owner
+   writes heartbeats into the log; a candidate that reads the log without gaps
+   and sees none claims. Used on one thread. */
+#ifndef MB_OWNERSHIP_H
+#define MB_OWNERSHIP_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "mb_clock.h"
+#include "mb_rng.h"
+
+/* How often the owner writes a heartbeat, in milliseconds. */
+#define MB_OWNERSHIP_HEARTBEAT_MS 500u
+/* Silence of the owner after which others claim, in milliseconds: three
+   heartbeats and the time-out of one append. */
+#define MB_OWNERSHIP_SILENCE_MS 2000u
+/* Longest random delay of a claim, in milliseconds, so that candidates rarely
+   claim together. */
+#define MB_OWNERSHIP_JITTER_MS 300u
+/* How long the owner acts after the latest read that showed no newer claim,
+   in milliseconds: longer than usual outages of the log. */
+#define MB_OWNERSHIP_ACT_MS 10000u
+/* A reader without an answer for this long has lost the log, in
+   milliseconds. */
+#define MB_OWNERSHIP_CONTACT_MS 1500u
+
+typedef enum mb_ownership_state {
+    MB_OWNERSHIP_FOLLOWS,
+    MB_OWNERSHIP_CLAIMS, /* its claim is on the way to the log */
+    MB_OWNERSHIP_OWNS
+} mb_ownership_state_t;
+
+/* What the log says of the owner. */
+typedef struct mb_ownership_record {
+    uint64_t token;
+    uint64_t holder; /* incarnation of the process */
+    bool resigned;
+} mb_ownership_record_t;
+
+typedef enum mb_ownership_action {
+    MB_OWNERSHIP_NOTHING,
+    MB_OWNERSHIP_CLAIM,
+    MB_OWNERSHIP_HEARTBEAT
+} mb_ownership_action_t;
+
+typedef struct mb_ownership {
+    mb_clock_t clock;
+    mb_rng_t rng;
+    uint64_t self;
+    mb_ownership_state_t state;
+    mb_ownership_record_t latest;
+    uint64_t heard_us;   /* latest record of the owner read in order */
+    uint64_t current_us; /* start of the latest read that was complete */
+    uint64_t contact_us; /* when that read ended */
+    uint64_t served_since_us; /* reads succeed since; 0: they do not */
+    uint64_t jitter_us;
+    uint64_t acted_us; /* latest claim or heartbeat */
+    bool withdrawn;    /* claims nothing any more */
+} mb_ownership_t;
+
+void mb_ownership_init(mb_ownership_t *ownership, const mb_clock_t *clock,
+                       const mb_rng_t *rng, uint64_t self);
+/* Returns true when the record makes this process the owner, or ends that it
+   is; the state tells which. */
+bool mb_ownership_apply(mb_ownership_t *ownership,
+                        const mb_ownership_record_t *record, bool fresh);
+void mb_ownership_current(mb_ownership_t *ownership, uint64_t since_us);
+mb_ownership_action_t mb_ownership_tick(mb_ownership_t *ownership);
+void mb_ownership_claim_failed(mb_ownership_t *ownership);
+void mb_ownership_withdraw(mb_ownership_t *ownership);
+bool mb_ownership_acts(const mb_ownership_t *ownership);
+bool mb_ownership_in_contact(const mb_ownership_t *ownership);
+
+#endif
--- /dev/null
+++ b/lib/protocol/mb_dag_record.c
@@ -0,0 +1,348 @@
+#include "mb_dag_record.h"
+
+#include <string.h>
+
+#include "mb_pack.h"
+
+/* First size of the decoder's memory, in bytes. */
+#define ZONE_BYTES 4096
+/* Most msgpack objects in one record. */
+#define OBJECTS_MAX (1u << 19)
+/* Longest name of a queue, a service, a label or an image, in bytes. */
+#define TEXT_MAX 255u
+/* Version of the records; another one is refused. */
+#define RECORD_VERSION 1u
+
+/* Letter of each kind at the start of a key. */
+static const char letters[MB_DAG_RECORD_KIND_COUNT] = {'j', 'c', 's', 'w',
+                                                       'o'};
+
+/* Prepares the memory for decoding; false when there is none. */
+bool
+mb_dag_record_decoder_init(mb_dag_record_decoder_t *decoder)
+{
+    decoder->rows = g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
+    return msgpack_zone_init(&decoder->zone, ZONE_BYTES);
+}
+
+/* Frees the memory. */
+void
+mb_dag_record_decoder_finish(mb_dag_record_decoder_t *decoder)
+{
+    msgpack_zone_destroy(&decoder->zone);
+    g_array_unref(decoder->rows);
+}
+
+/* Appends the key of a record. */
+void
+mb_dag_record_key(mb_buf_t *out, mb_dag_record_kind_t kind, mb_str_t name)
+{
+    mb_buf_append_byte(out, letters[kind]);
+    mb_buf_append(out, name);
+}
+
+/* Packs one step. */
+static void
+pack_step(msgpack_packer *packer, const mb_dag_step_t *step)
+{
+    (void)msgpack_pack_array(packer, 18);
+    (void)msgpack_pack_uint32(packer, step->count);
+    (void)msgpack_pack_uint32(packer, step->size.cpu_milli);
+    (void)msgpack_pack_uint32(packer, step->size.memory_mb);
+    (void)msgpack_pack_uint32(packer, step->size.accelerators);
+    (void)msgpack_pack_uint32(packer, step->estimate_ms);
+    (void)msgpack_pack_uint64(packer, step->depends_on);
+    mb_pack_bool(packer, step->checkpoints);
+    mb_pack_bool(packer, step->gang);
+    mb_pack_bool(packer, step->rack_local);
+    mb_pack_bool(packer, step->speculative);
+    mb_pack_bool(packer, step->long_running);
+    mb_pack_bool(packer, step->fills);
+    (void)msgpack_pack_uint32(packer, step->per_worker_max);
+    (void)msgpack_pack_uint32(packer, step->latency_target_ms);
+    (void)msgpack_pack_uint32(packer, step->unavailable_max);
+    mb_pack_str(packer, step->label);
+    mb_pack_str(packer, step->rack);
+    mb_pack_str(packer, step->image);
+}
+
+/* Reads one step. */
+static void
+unpack_step(mb_unpack_t *outer, mb_dag_step_t *step)
+{
+    mb_unpack_t reader = mb_unpack_next_array(outer);
+    step->count = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    step->size.cpu_milli = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    step->size.memory_mb = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    step->size.accelerators = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    step->estimate_ms = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    step->depends_on = mb_unpack_u64(&reader, UINT64_MAX);
+    step->checkpoints = mb_unpack_bool(&reader);
+    step->gang = mb_unpack_bool(&reader);
+    step->rack_local = mb_unpack_bool(&reader);
+    step->speculative = mb_unpack_bool(&reader);
+    step->long_running = mb_unpack_bool(&reader);
+    step->fills = mb_unpack_bool(&reader);
+    step->per_worker_max = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    step->latency_target_ms = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    step->unavailable_max = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    step->label = mb_unpack_bytes(&reader, TEXT_MAX);
+    step->rack = mb_unpack_bytes(&reader, TEXT_MAX);
+    step->image = mb_unpack_bytes(&reader, TEXT_MAX);
+    outer->failed = outer->failed || !mb_unpack_done(&reader);
+}
+
+/* Packs the policy of a job's queue. */
+static void
+pack_policy(msgpack_packer *packer, const mb_dag_policy_t *policy)
+{
+    (void)msgpack_pack_array(packer, 7);
+    mb_pack_str(packer, policy->queue);
+    mb_pack_str(packer, policy->service);
+    (void)msgpack_pack_uint32(packer, policy->priority);
+    (void)msgpack_pack_uint32(packer, policy->max_attempts);
+    (void)msgpack_pack_uint32(packer, policy->latency_objective_ms);
+    (void)msgpack_pack_uint32(packer, policy->stretch_milli);
+    mb_pack_bool(packer, policy->needs_advice);
+}
+
+/* Reads the policy of a job's queue. */
+static void
+unpack_policy(mb_unpack_t *outer, mb_dag_policy_t *policy)
+{
+    mb_unpack_t reader = mb_unpack_next_array(outer);
+    policy->queue = mb_unpack_bytes(&reader, TEXT_MAX);
+    policy->service = mb_unpack_bytes(&reader, TEXT_MAX);
+    policy->priority = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    policy->max_attempts = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    policy->latency_objective_ms =
+        (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    policy->stretch_milli = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    policy->needs_advice = mb_unpack_bool(&reader);
+    outer->failed = outer->failed || !mb_unpack_done(&reader);
+}
+
+/* Appends the value of a job's record. */
+void
+mb_dag_record_encode_job(mb_buf_t *out, const mb_dag_spec_t *spec)
+{
+    msgpack_packer packer;
+    mb_pack_init(&packer, out);
+    (void)msgpack_pack_array(&packer, 8);
+    (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
+    pack_policy(&packer, &spec->policy);
+    mb_pack_bin(&packer, spec->payload);
+    (void)msgpack_pack_array(&packer, spec->step_count);
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        pack_step(&packer, &spec->steps[i]);
+    }
+    (void)msgpack_pack_uint32(&packer, spec->occurrences);
+    (void)msgpack_pack_uint64(&packer, spec->first_ms);
+    (void)msgpack_pack_uint64(&packer, spec->interval_ms);
+    (void)msgpack_pack_uint64(&packer, spec->submitted_ms);
+}
+
+/* Reads the value of a job's record. */
+static void
+unpack_job(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader,
+           mb_dag_record_t *record)
+{
+    mb_dag_spec_t *spec = &record->body.job;
+    spec->id = record->id;
+    unpack_policy(reader, &spec->policy);
+    spec->payload = mb_unpack_bytes(reader, MB_DAG_PAYLOAD_MAX);
+    mb_unpack_t steps = mb_unpack_next_array(reader);
+    spec->step_count = 0;
+    spec->steps = decoder->steps;
+    if (steps.left > MB_DAG_STEPS_MAX) {
+        reader->failed = true;
+        return;
+    }
+    while (steps.left > 0 && !steps.failed) {
+        unpack_step(&steps, &decoder->steps[spec->step_count++]);
+    }
+    reader->failed = reader->failed || steps.failed;
+    spec->occurrences = (uint32_t)mb_unpack_u64(reader, UINT32_MAX);
+    spec->first_ms = mb_unpack_u64(reader, UINT64_MAX);
+    spec->interval_ms = mb_unpack_u64(reader, UINT64_MAX);
+    spec->submitted_ms = mb_unpack_u64(reader, UINT64_MAX);
+    const char *reason;
+    reader->failed = reader->failed || !mb_dag_spec_valid(spec, &reason);
+}
+
+/* Appends the value of a cancellation's record. */
+void
+mb_dag_record_encode_cancel(mb_buf_t *out)
+{
+    msgpack_packer packer;
+    mb_pack_init(&packer, out);
+    (void)msgpack_pack_array(&packer, 1);
+    (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
+}
+
+/* Appends the value of a progress record. */
+void
+mb_dag_record_encode_progress(mb_buf_t *out, const mb_dag_progress_t *progress)
+{
+    msgpack_packer packer;
+    mb_pack_init(&packer, out);
+    (void)msgpack_pack_array(&packer, 5);
+    (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
+    (void)msgpack_pack_uint32(&packer, (uint32_t)progress->outcome);
+    mb_pack_bool(&packer, progress->started);
+    mb_pack_bin(&packer, progress->done);
+    (void)msgpack_pack_array(&packer, (size_t)progress->rows->len * 5);
+    for (guint i = 0; i < progress->rows->len; i++) {
+        const mb_dag_progress_row_t *row =
+            &g_array_index(progress->rows, mb_dag_progress_row_t, i);
+        (void)msgpack_pack_uint32(&packer, row->occurrence);
+        (void)msgpack_pack_uint32(&packer, row->task);
+        (void)msgpack_pack_uint32(&packer, row->failures);
+        (void)msgpack_pack_uint64(&packer, row->failed_run);
+        mb_pack_bin(&packer, row->checkpoint);
+    }
+}
+
+/* Reads the value of a progress record. */
+static void
+unpack_progress(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader,
+                mb_dag_record_t *record)
+{
+    mb_dag_progress_t *progress = &record->body.progress;
+    progress->id = record->id;
+    progress->rows = decoder->rows;
+    progress->outcome =
+        (mb_dag_outcome_t)mb_unpack_u64(reader, MB_DAG_OUTCOME_COUNT - 1);
+    progress->started = mb_unpack_bool(reader);
+    progress->done = mb_unpack_bytes(reader, MB_DAG_TASKS_MAX);
+    mb_unpack_t rows = mb_unpack_next_array(reader);
+    (void)g_array_set_size(decoder->rows, 0);
+    while (rows.left > 0 && !rows.failed) {
+        mb_dag_progress_row_t row = {0};
+        row.occurrence = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
+        row.task = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
+        row.failures = (uint16_t)mb_unpack_u64(&rows, UINT16_MAX);
+        row.failed_run = mb_unpack_u64(&rows, UINT64_MAX);
+        row.checkpoint = mb_unpack_bytes(&rows, MB_DAG_CHECKPOINT_MAX);
+        g_array_append_val(decoder->rows, row);
+    }
+    reader->failed = reader->failed || rows.failed;
+}
+
+/* Appends the value of an agent's record. */
+void
+mb_dag_record_encode_agent(mb_buf_t *out, const mb_dag_agent_record_t *agent)
+{
+    msgpack_packer packer;
+    mb_pack_init(&packer, out);
+    (void)msgpack_pack_array(&packer, 2);
+    (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
+    (void)msgpack_pack_uint64(&packer, agent->incarnation);
+}
+
+/* Appends the value of the owner's record. */
+void
+mb_dag_record_encode_owner(mb_buf_t *out, const mb_ownership_record_t *owner)
+{
+    msgpack_packer packer;
+    mb_pack_init(&packer, out);
+    (void)msgpack_pack_array(&packer, 4);
+    (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
+    (void)msgpack_pack_uint64(&packer, owner->token);
+    (void)msgpack_pack_uint64(&packer, owner->holder);
+    mb_pack_bool(&packer, owner->resigned);
+}
+
+/* Reads the value of the owner's record. */
+static void
+unpack_owner(mb_unpack_t *reader, mb_dag_record_t *record)
+{
+    record->body.owner.token = mb_unpack_u64(reader, UINT64_MAX);
+    record->body.owner.holder = mb_unpack_u64(reader, UINT64_MAX);
+    record->body.owner.resigned = mb_unpack_bool(reader);
+}
+
+/* Reads the fields of a record's value. */
+static void
+unpack_body(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader,
+            mb_dag_record_t *record)
+{
+    if (mb_unpack_u64(reader, UINT32_MAX) != RECORD_VERSION) {
+        reader->failed = true;
+        return;
+    }
+    switch (record->kind) {
+    case MB_DAG_RECORD_JOB:
+        unpack_job(decoder, reader, record);
+        break;
+    case MB_DAG_RECORD_PROGRESS:
+        unpack_progress(decoder, reader, record);
+        break;
+    case MB_DAG_RECORD_AGENT:
+        record->body.agent.incarnation = mb_unpack_u64(reader, UINT64_MAX);
+        break;
+    case MB_DAG_RECORD_OWNER:
+        unpack_owner(reader, record);
+        break;
+    case MB_DAG_RECORD_CANCEL:
+    case MB_DAG_RECORD_KIND_COUNT:
+        break;
+    }
+}
+
+/* Reads the kind and the name of a key. */
+static bool
+decode_key(mb_str_t key, mb_dag_record_t *record)
+{
+    int kind = 0;
+    mb_str_t name = {key.data + 1, key.len - 1};
+    while (kind < MB_DAG_RECORD_KIND_COUNT &&
+           (key.len == 0 || key.data[0] != letters[kind])) {
+        kind++;
+    }
+    if (kind == MB_DAG_RECORD_KIND_COUNT) {
+        return false;
+    }
+    record->kind = (mb_dag_record_kind_t)kind;
+    if (record->kind == MB_DAG_RECORD_AGENT) {
+        record->body.agent.address = name;
+    }
+    return record->kind == MB_DAG_RECORD_AGENT ||
+           record->kind == MB_DAG_RECORD_OWNER ||
+           mb_dag_id_parse(name, &record->id);
+}
+
+/* Decodes a record. False, with the error set, for one that can't be read or
+   is of another version; it changes nothing then. */
+bool
+mb_dag_record_decode(mb_dag_record_decoder_t *decoder, mb_str_t key,
+                     mb_str_t value, mb_dag_record_t *record, GError **error)
+{
+    msgpack_object object;
+    size_t offset = 0;
+    mb_unpack_t reader;
+    memset(record, 0, sizeof(*record));
+    if (!decode_key(key, record)) {
+        mb_error_set(error, MB_KIND_PROTOCOL, "record has an unknown key");
+        return false;
+    }
+    record->removed = value.len == 0;
+    if (record->removed) {
+        return true;
+    }
+    msgpack_zone_clear(&decoder->zone);
+    if (!mb_pack_check(value, OBJECTS_MAX) ||
+        msgpack_unpack(value.data, value.len, &offset, &decoder->zone,
+                       &object) != MSGPACK_UNPACK_SUCCESS ||
+        !mb_unpack_array(&reader, &object)) {
+        mb_error_set(error, MB_KIND_PROTOCOL, "record is not valid msgpack");
+        return false;
+    }
+    unpack_body(decoder, &reader, record);
+    if (!mb_unpack_done(&reader)) {
+        mb_error_set(error, MB_KIND_PROTOCOL,
+                     "record has other fields than expected");
+        return false;
+    }
+    return true;
+}
--- a/lib/protocol/mb_frame.c
+++ b/lib/protocol/mb_frame.c
@@ -287,6 +287,20 @@
     message->body.sequence = mb_unpack_u64(reader, UINT64_MAX);
 }
 
+/* Packs ORDER and REPORT, which have a codec of their own. */
+static void
+pack_packed(msgpack_packer *packer, const mb_message_t *message)
+{
+    mb_pack_bin(packer, message->body.packed);
+}
+
+/* Reads what pack_packed writes. */
+static void
+unpack_packed(mb_unpack_t *reader, mb_message_t *message)
+{
+    message->body.packed = mb_unpack_bytes(reader, MB_FRAME_MAX);
+}
+
 /* Codec of each message type; `elements` counts those after the type. */
 static const struct {
     uint32_t elements;
@@ -304,6 +318,8 @@
     [MB_MESSAGE_DRAIN] = {0, pack_nothing, unpack_nothing},
     [MB_MESSAGE_PING] = {1, pack_sequence, unpack_sequence},
     [MB_MESSAGE_PONG] = {1, pack_sequence, unpack_sequence},
+    [MB_MESSAGE_ORDER] = {1, pack_packed, unpack_packed},
+    [MB_MESSAGE_REPORT] = {1, pack_packed, unpack_packed},
 };
 
 /* Reads a big-endian length field. */
--- /dev/null
+++ b/lib/state/mb_dag.c
@@ -0,0 +1,401 @@
+#include "mb_dag.h"
+
+#include <string.h>
+
+/* Hashes an id. */
+guint
+mb_dag_id_hash(gconstpointer key)
+{
+    const mb_dag_id_t *id = key;
+    return (guint)mb_str_hash(mb_dag_id_view(id));
+}
+
+/* Tells whether two ids are the same. */
+gboolean
+mb_dag_id_equal(gconstpointer a, gconstpointer b)
+{
+    return memcmp(a, b, sizeof(mb_dag_id_t)) == 0;
+}
+
+/* Returns an owned copy of a text. */
+static mb_str_t
+copy_text(mb_str_t text)
+{
+    if (text.len == 0) {
+        return MB_STR_EMPTY;
+    }
+    return (mb_str_t){g_memdup2(text.data, text.len), text.len};
+}
+
+/* Frees a copy made by copy_text. */
+static void
+free_text(mb_str_t text)
+{
+    if (text.len > 0) {
+        g_free((char *)text.data);
+    }
+}
+
+/* Frees the tasks of one occurrence. */
+static void
+finish_occurrence(const mb_dag_job_t *job, mb_dag_occurrence_t *occurrence)
+{
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        g_free(occurrence->tasks[i].checkpoint);
+    }
+    g_free(occurrence->tasks);
+    g_free(occurrence->left);
+}
+
+/* Frees a job. */
+static void
+free_job(gpointer data)
+{
+    mb_dag_job_t *job = data;
+    for (uint32_t i = 0; i < job->occurrence_count; i++) {
+        finish_occurrence(job, &job->occurrences[i]);
+    }
+    for (uint32_t i = 0; i < job->spec.step_count; i++) {
+        free_text(job->steps[i].label);
+        free_text(job->steps[i].rack);
+        free_text(job->steps[i].image);
+    }
+    free_text(job->spec.payload);
+    free_text(job->spec.policy.queue);
+    free_text(job->spec.policy.service);
+    g_free(job->occurrences);
+    g_free(job->first_task);
+    g_free(job->steps);
+    g_free(job);
+}
+
+/* Prepares an empty table. */
+void
+mb_dag_table_init(mb_dag_table_t *table)
+{
+    table->jobs = g_hash_table_new_full(mb_dag_id_hash, mb_dag_id_equal, NULL, free_job);
+}
+
+/* Frees the table and its jobs. */
+void
+mb_dag_table_finish(mb_dag_table_t *table)
+{
+    g_hash_table_destroy(table->jobs);
+}
+
+/* Forgets all jobs. */
+void
+mb_dag_table_clear(mb_dag_table_t *table)
+{
+    g_hash_table_remove_all(table->jobs);
+}
+
+/* Returns the job of an id, or NULL. */
+mb_dag_job_t *
+mb_dag_find(const mb_dag_table_t *table, mb_dag_id_t id)
+{
+    return g_hash_table_lookup(table->jobs, &id);
+}
+
+/* Forgets a job. */
+void
+mb_dag_remove(mb_dag_table_t *table, mb_dag_id_t id)
+{
+    (void)g_hash_table_remove(table->jobs, &id);
+}
+
+/* Reads an id of hexadecimal digits; false for any other text. */
+bool
+mb_dag_id_parse(mb_str_t text, mb_dag_id_t *id)
+{
+    if (text.len != MB_DAG_ID_LEN) {
+        return false;
+    }
+    for (size_t i = 0; i < text.len; i++) {
+        if (!g_ascii_isxdigit(text.data[i])) {
+            return false;
+        }
+    }
+    memcpy(id->text, text.data, MB_DAG_ID_LEN);
+    return true;
+}
+
+/* Returns the text of an id; valid as long as the id. */
+mb_str_t
+mb_dag_id_view(const mb_dag_id_t *id)
+{
+    return (mb_str_t){id->text, MB_DAG_ID_LEN};
+}
+
+/* Tells whether a step may depend on the steps that it names, and has a
+   sensible number of tasks. */
+static bool
+step_valid(const mb_dag_step_t *step, uint32_t number, const char **reason)
+{
+    uint64_t earlier = (UINT64_C(1) << number) - 1;
+    if (step->count == 0 || step->count > MB_DAG_TASKS_MAX) {
+        *reason = "a step needs 1 to 65536 tasks";
+        return false;
+    }
+    if ((step->depends_on & ~earlier) != 0) {
+        *reason = "a step may only depend on earlier steps";
+        return false;
+    }
+    return true;
+}
+
+/* Tells whether a specification is within its bounds; if not, *reason is a
+   text for the client. */
+bool
+mb_dag_spec_valid(const mb_dag_spec_t *spec, const char **reason)
+{
+    uint64_t tasks = 0;
+    if (spec->step_count == 0 || spec->step_count > MB_DAG_STEPS_MAX) {
+        *reason = "a job needs 1 to 64 steps";
+        return false;
+    }
+    if (spec->payload.len > MB_DAG_PAYLOAD_MAX) {
+        *reason = "the text for the tasks is longer than 4096 bytes";
+        return false;
+    }
+    if (spec->occurrences > MB_DAG_OCCURRENCES_MAX) {
+        *reason = "a job has at most 65536 occurrences";
+        return false;
+    }
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        if (!step_valid(&spec->steps[i], i, reason)) {
+            return false;
+        }
+        tasks += spec->steps[i].count;
+    }
+    if (tasks * MAX(1u, spec->occurrences) > MB_DAG_TASKS_MAX) {
+        *reason = "a job has at most 65536 tasks in all occurrences";
+        return false;
+    }
+    return true;
+}
+
+/* Copies the steps and numbers the tasks. */
+static void
+copy_steps(mb_dag_job_t *job, const mb_dag_spec_t *spec)
+{
+    job->steps =
+        g_memdup2(spec->steps, spec->step_count * sizeof(mb_dag_step_t));
+    job->first_task = g_new(uint32_t, spec->step_count);
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        mb_dag_step_t *step = &job->steps[i];
+        step->label = copy_text(step->label);
+        step->rack = copy_text(step->rack);
+        step->image = copy_text(step->image);
+        job->first_task[i] = job->task_count;
+        job->task_count += step->count;
+    }
+    job->spec.steps = job->steps;
+}
+
+/* Prepares the tasks of one occurrence. */
+static void
+init_occurrence(const mb_dag_job_t *job, mb_dag_occurrence_t *occurrence)
+{
+    occurrence->tasks = g_new0(mb_dag_task_t, job->task_count);
+    occurrence->left = g_new(uint32_t, job->spec.step_count);
+    for (uint32_t i = 0; i < job->spec.step_count; i++) {
+        occurrence->left[i] = job->steps[i].count;
+    }
+}
+
+/* Adds a job with a valid specification; the text is copied. Returns NULL,
+   and changes nothing, when the id is known already. */
+mb_dag_job_t *
+mb_dag_add(mb_dag_table_t *table, const mb_dag_spec_t *spec)
+{
+    if (mb_dag_find(table, spec->id) != NULL) {
+        return NULL;
+    }
+    mb_dag_job_t *job = g_new0(mb_dag_job_t, 1);
+    job->spec = *spec;
+    job->spec.payload = copy_text(spec->payload);
+    job->spec.policy.queue = copy_text(spec->policy.queue);
+    job->spec.policy.service = copy_text(spec->policy.service);
+    copy_steps(job, spec);
+    job->occurrence_count = MAX(1u, spec->occurrences);
+    job->occurrences = g_new0(mb_dag_occurrence_t, job->occurrence_count);
+    for (uint32_t i = 0; i < job->occurrence_count; i++) {
+        init_occurrence(job, &job->occurrences[i]);
+    }
+    (void)g_hash_table_insert(table->jobs, &job->spec.id, job);
+    return job;
+}
+
+/* Returns a task, or NULL when the job has none of these numbers. */
+mb_dag_task_t *
+mb_dag_task(const mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
+            uint32_t index)
+{
+    if (occurrence >= job->occurrence_count || step >= job->spec.step_count ||
+        index >= job->steps[step].count) {
+        return NULL;
+    }
+    return &job->occurrences[occurrence].tasks[job->first_task[step] + index];
+}
+
+/* Returns the step that a task of an occurrence belongs to. */
+uint32_t
+mb_dag_step_of(const mb_dag_job_t *job, uint32_t task)
+{
+    uint32_t step = job->spec.step_count - 1;
+    while (step > 0 && job->first_task[step] > task) {
+        step--;
+    }
+    return step;
+}
+
+/* Replaces the checkpoint of a task; an empty one is kept out, because it
+   would lose work that an earlier one has saved. */
+void
+mb_dag_set_checkpoint(mb_dag_task_t *task, mb_str_t checkpoint)
+{
+    if (checkpoint.len == 0 || checkpoint.len > MB_DAG_CHECKPOINT_MAX) {
+        return;
+    }
+    g_free(task->checkpoint);
+    task->checkpoint = g_memdup2(checkpoint.data, checkpoint.len);
+    task->checkpoint_len = (uint16_t)checkpoint.len;
+}
+
+/* Marks a task as done; once it is, nothing changes it. */
+void
+mb_dag_set_done(mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
+                mb_dag_task_t *task)
+{
+    mb_dag_occurrence_t *at = &job->occurrences[occurrence];
+    if (task->done) {
+        return;
+    }
+    task->done = true;
+    at->left[step]--;
+    if (at->left[step] == 0) {
+        at->finished_steps |= UINT64_C(1) << step;
+    }
+}
+
+/* Tells whether all steps that a step depends on are done. */
+bool
+mb_dag_step_ready(const mb_dag_job_t *job, uint32_t occurrence, uint32_t step)
+{
+    uint64_t needed = job->steps[step].depends_on;
+    return (job->occurrences[occurrence].finished_steps & needed) == needed;
+}
+
+/* Tells whether every task of every occurrence is done. */
+bool
+mb_dag_all_done(const mb_dag_job_t *job)
+{
+    for (uint32_t i = 0; i < job->occurrence_count; i++) {
+        for (uint32_t step = 0; step < job->spec.step_count; step++) {
+            if (job->occurrences[i].left[step] > 0) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+/* Returns the bytes that the done bits of one occurrence take. */
+static size_t
+occurrence_bytes(const mb_dag_job_t *job)
+{
+    return (job->task_count + 7u) / 8u;
+}
+
+/* Returns the bytes that the done bits of a job take. */
+size_t
+mb_dag_done_bytes(const mb_dag_job_t *job)
+{
+    return occurrence_bytes(job) * job->occurrence_count;
+}
+
+/* Adds a row for a task with more to say than whether it is done. */
+static void
+take_row(const mb_dag_task_t *task, uint32_t occurrence, uint32_t number,
+         mb_dag_progress_t *progress)
+{
+    mb_dag_progress_row_t row = {
+        .occurrence = occurrence,
+        .task = number,
+        .failures = task->failures,
+        .failed_run = task->failed_run,
+        .checkpoint = {task->checkpoint, task->checkpoint_len}};
+    if (!task->done && (task->failures > 0 || task->checkpoint_len > 0)) {
+        (void)g_array_append_val(progress->rows, row);
+    }
+}
+
+/* Fills in the progress of a job to store. `bits` keeps the done bits; the
+   rows' views point into the job. `progress->rows` must be an empty array. */
+void
+mb_dag_progress_take(const mb_dag_job_t *job, mb_buf_t *bits,
+                     mb_dag_progress_t *progress)
+{
+    size_t bytes = occurrence_bytes(job);
+    size_t all = mb_dag_done_bytes(job);
+    mb_buf_clear(bits);
+    mb_buf_reserve(bits, all);
+    memset(bits->data, 0, all);
+    bits->len = all;
+    for (uint32_t i = 0; i < job->occurrence_count; i++) {
+        const mb_dag_task_t *tasks = job->occurrences[i].tasks;
+        for (uint32_t t = 0; t < job->task_count; t++) {
+            if (tasks[t].done) {
+                bits->data[bytes * i + t / 8] |= (char)(1 << (t % 8));
+            }
+            take_row(&tasks[t], i, t, progress);
+        }
+    }
+    progress->id = job->spec.id;
+    progress->outcome = job->outcome;
+    progress->started = job->begun;
+    progress->done = mb_buf_view(bits);
+}
+
+/* Takes the done bits of one occurrence. */
+static void
+apply_bits(mb_dag_job_t *job, uint32_t occurrence, mb_str_t bits)
+{
+    mb_dag_occurrence_t *at = &job->occurrences[occurrence];
+    for (uint32_t t = 0; t < job->task_count; t++) {
+        if (bits.data[t / 8] & (1 << (t % 8))) {
+            mb_dag_set_done(job, occurrence, mb_dag_step_of(job, t),
+                            &at->tasks[t]);
+        }
+    }
+}
+
+/* Takes stored progress; progress of another shape than the job's is left
+   out. */
+void
+mb_dag_progress_apply(mb_dag_job_t *job, const mb_dag_progress_t *progress)
+{
+    size_t bytes = occurrence_bytes(job);
+    if (progress->done.len != mb_dag_done_bytes(job)) {
+        return;
+    }
+    for (uint32_t i = 0; i < job->occurrence_count; i++) {
+        apply_bits(job, i,
+                   (mb_str_t){progress->done.data + bytes * i, bytes});
+    }
+    for (guint i = 0; i < progress->rows->len; i++) {
+        const mb_dag_progress_row_t *row =
+            &g_array_index(progress->rows, mb_dag_progress_row_t, i);
+        if (row->occurrence < job->occurrence_count &&
+            row->task < job->task_count) {
+            mb_dag_task_t *task =
+                &job->occurrences[row->occurrence].tasks[row->task];
+            task->failures = row->failures;
+            task->failed_run = row->failed_run;
+            mb_dag_set_checkpoint(task, row->checkpoint);
+        }
+    }
+    job->outcome = progress->outcome;
+    job->begun = job->begun || progress->started;
+}
--- /dev/null
+++ b/lib/state/mb_queue_table.h
@@ -0,0 +1,57 @@
+/* The queues that clients submit jobs to and the services that run them, as
+   operators configured them. Readers use it inside an epoch section; one
+   writer replaces the whole table. */
+#ifndef MB_QUEUE_TABLE_H
+#define MB_QUEUE_TABLE_H
+
+#include "mb_epoch.h"
+#include "mb_str.h"
+
+/* One queue; text is owned by its table. */
+typedef struct mb_queue {
+    mb_str_t name;
+    mb_str_t host;   /* without a port */
+    mb_str_t prefix; /* of the path, up to the job's id */
+    mb_str_t service;
+    uint32_t priority; /* 0 comes first */
+    uint32_t max_attempts;
+    uint32_t stretch_milli;
+    uint32_t latency_objective_ms;
+    bool needs_advice;
+} mb_queue_t;
+
+/* One service: a pool of workers. */
+typedef struct mb_pool {
+    mb_str_t name;
+    bool guards;  /* its workers reject what does not fit */
+    bool standby; /* its instances are off */
+} mb_pool_t;
+
+/* One version of the configuration. */
+typedef struct mb_queue_version {
+    uint64_t version;
+    uint32_t queue_count;
+    mb_queue_t *queues; /* sorted by host, longest prefix first */
+    uint32_t pool_count;
+    mb_pool_t *pools;
+    size_t body_max; /* bytes of a request */
+} mb_queue_version_t;
+
+typedef struct mb_queue_table {
+    mb_epoch_t *epoch;
+    void *current; /* mb_queue_version_t, or NULL */
+} mb_queue_table_t;
+
+void mb_queue_table_init(mb_queue_table_t *table, mb_epoch_t *epoch);
+void mb_queue_table_finish(mb_queue_table_t *table);
+bool mb_queue_table_publish(mb_queue_table_t *table,
+                            const mb_queue_version_t *next);
+const mb_queue_version_t *mb_queue_table_load(const mb_queue_table_t *table);
+const mb_queue_t *mb_queue_match(const mb_queue_version_t *version,
+                                 mb_str_t host, mb_str_t path);
+const mb_queue_t *mb_queue_named(const mb_queue_version_t *version,
+                                 mb_str_t name);
+const mb_pool_t *mb_pool_named(const mb_queue_version_t *version,
+                               mb_str_t name);
+
+#endif
--- /dev/null
+++ b/lib/transport/mb_agent_node.c
@@ -0,0 +1,422 @@
+#include "mb_agent_node.h"
+
+#include <string.h>
+#include <time.h>
+
+#include "mb_cleanup.h"
+#include "mb_prometheus.h"
+
+/* How often things are looked at that come due with time, in milliseconds. */
+#define TICK_MS 25
+/* Requests that may wait for the agent's thread. */
+#define MAILBOX_CAPACITY 1024
+/* Most connections of processes that say they own the fleet. */
+#define OWNERS_MAX 32u
+/* Connections of the worker, and to the metrics address. */
+#define CONNECTIONS_MAX 32u
+#define IDLE_TIMEOUT_S 60u
+/* Time without an order after which the agent announces its address again, in
+   milliseconds. */
+#define ANNOUNCE_MS 3000u
+/* How long a stopping agent goes on, so that its last report and the lease it
+   carries arrive, in milliseconds. */
+#define DRAIN_MS 150u
+
+static const mb_str_t stream_jobs = {"jobs", 4};
+
+/* Has the work done that the events at hand have led to. */
+static void
+wake(mb_agent_node_t *node)
+{
+    mb_loop_defer(&node->loop, &node->flush);
+}
+
+/* Does that work. */
+static void
+run_flush(void *context)
+{
+    mb_agent_node_t *node = context;
+    mb_agent_run(&node->agent);
+    mb_journal_run(&node->journal);
+}
+
+/* Sends a report to the owner that is obeyed. */
+static void
+send_report(void *context, const mb_report_t *report)
+{
+    mb_agent_node_t *node = context;
+    MB_AUTO_BUF mb_buf_t bytes = {0};
+    if (node->owner == NULL) {
+        return;
+    }
+    mb_report_encode(&bytes, report);
+    mb_message_t message = {.type = MB_MESSAGE_REPORT,
+                            .body.packed = mb_buf_view(&bytes)};
+    if (!mb_link_send(&node->owner->link, &message)) {
+        mb_link_fail(&node->owner->link);
+    }
+}
+
+/* Frees a connection. */
+static void
+drop_owner(mb_agent_owner_t *owner)
+{
+    mb_agent_node_t *node = owner->node;
+    if (node->owner == owner) {
+        node->owner = NULL;
+        mb_agent_disconnected(&node->agent);
+    }
+    mb_link_finish(&owner->link);
+    (void)g_ptr_array_remove_fast(node->owners, owner);
+    g_free(owner);
+}
+
+/* The connection has failed or its process closed it. */
+static void
+owner_closed(void *context, mb_link_t *link)
+{
+    (void)link;
+    drop_owner(context);
+}
+
+/* Obeys the process behind a connection from now on, if its token is not
+   older than one that was seen. */
+static bool
+obey(mb_agent_owner_t *owner, uint64_t token)
+{
+    mb_agent_node_t *node = owner->node;
+    if (owner->obeyed) {
+        return owner == node->owner && token == node->agent.token;
+    }
+    if (!mb_agent_connected(&node->agent, token)) {
+        return false;
+    }
+    if (node->owner != NULL) {
+        mb_link_fail(&node->owner->link);
+    }
+    owner->obeyed = true;
+    node->owner = owner;
+    return true;
+}
+
+/* Takes a message of a process that says it is the owner. */
+static void
+owner_message(void *context, mb_link_t *link, const mb_message_t *message)
+{
+    mb_agent_owner_t *owner = context;
+    mb_agent_node_t *node = owner->node;
+    g_autoptr(GError) error = NULL;
+    if (message->type != MB_MESSAGE_ORDER) {
+        return;
+    }
+    if (!mb_order_decode(&node->decoder, message->body.packed, &error)) {
+        mb_log_warning(&node->log, "order dropped: %s", error->message);
+        mb_link_fail(link);
+        return;
+    }
+    if (!obey(owner, node->decoder.order.token)) {
+        mb_link_fail(link);
+        return;
+    }
+    node->owner_ms = mb_clock_ms(&node->clock);
+    mb_agent_order(&node->agent, &node->decoder.order);
+    wake(node);
+}
+
+/* Accepts connections of owners. */
+static void
+accept_owners(void *context, uint32_t events)
+{
+    mb_agent_node_t *node = context;
+    int fd;
+    (void)events;
+    while ((fd = mb_tcp_accept(node->listener.fd)) >= 0) {
+        if (node->owners->len >= OWNERS_MAX) {
+            (void)close(fd);
+            continue;
+        }
+        mb_agent_owner_t *owner = g_new0(mb_agent_owner_t, 1);
+        mb_link_callbacks_t callbacks = {owner_message, owner_closed, owner};
+        owner->node = node;
+        if (!mb_link_init(&owner->link, &node->loop, fd, false, &callbacks)) {
+            g_free(owner);
+            continue;
+        }
+        g_ptr_array_add(node->owners, owner);
+    }
+}
+
+/* Takes the result of an announcement. */
+static void
+announced(void *context, mb_keyed_result_t result)
+{
+    mb_agent_node_t *node = context;
+    node->announcing = false;
+    if (result != MB_KEYED_OK) {
+        mb_log_warning(&node->log, "announcement failed result=%s",
+                       mb_keyed_result_name(result));
+    }
+}
+
+/* Writes the address of this agent into the job log, when it begins and when
+   no owner has found it for a while. */
+static void
+announce(mb_agent_node_t *node)
+{
+    uint64_t now_ms = mb_clock_ms(&node->clock);
+    MB_AUTO_BUF mb_buf_t key = {0};
+    MB_AUTO_BUF mb_buf_t value = {0};
+    mb_dag_agent_record_t record = {node->config.link_address,
+                                    node->config.incarnation};
+    uint64_t since_ms = MAX(node->announced_ms, node->owner_ms);
+    if (node->announcing || (node->announced_ms != 0 &&
+                             now_ms < since_ms + ANNOUNCE_MS)) {
+        return;
+    }
+    mb_dag_record_key(&key, MB_DAG_RECORD_AGENT, node->config.link_address);
+    mb_dag_record_encode_agent(&value, &record);
+    node->announcing = mb_journal_add(&node->journal, mb_buf_view(&key),
+                                      mb_buf_view(&value), UINT64_MAX,
+                                      announced, node);
+    node->announced_ms = now_ms;
+}
+
+/* Closes silent connections. */
+static void
+check_owners(mb_agent_node_t *node)
+{
+    uint64_t now_ms = mb_clock_ms(&node->clock);
+    for (guint i = 0; i < node->owners->len; i++) {
+        mb_agent_owner_t *owner = g_ptr_array_index(node->owners, i);
+        if (mb_link_is_suspect(&owner->link, now_ms)) {
+            mb_link_fail(&owner->link);
+        }
+    }
+}
+
+/* Looks after everything that comes due with time. */
+static void
+tick(void *context)
+{
+    mb_agent_node_t *node = context;
+    check_owners(node);
+    announce(node);
+    run_flush(node);
+    mb_gauge_set(node->runs_metric, node->agent.runs->len);
+    mb_gauge_set(node->pace_metric, node->agent.pacing.percent);
+}
+
+/* A request of the worker on its way to the agent's thread. */
+typedef struct registration_task {
+    mb_loop_task_t task;
+    mb_agent_node_t *node;
+    mb_http_exchange_t *exchange;
+} registration_task_t;
+
+/* Takes what the worker says of itself. */
+static void
+take_registration(void *context, const mb_registration_t *registration)
+{
+    mb_agent_node_t *node = context;
+    if (registration->kind == MB_REGISTRATION_LEAVE) {
+        mb_agent_deregister(&node->agent, registration->worker.name);
+    }
+    else {
+        mb_agent_heartbeat(&node->agent, &registration->worker,
+                           registration->sequence);
+    }
+    wake(node);
+}
+
+/* Handles a request of the worker on the agent's thread. */
+static void
+run_registration(mb_loop_task_t *task)
+{
+    g_autofree registration_task_t *request = (registration_task_t *)task;
+    mb_agent_node_t *node = request->node;
+    mb_http_exchange_t *exchange = request->exchange;
+    g_autoptr(GError) error = NULL;
+    if (node->front.read(node->front.context, mb_http_method(exchange),
+                         mb_http_uri(exchange), mb_http_body(exchange),
+                         take_registration, node, &error)) {
+        mb_headers_t headers = {.count = 1};
+        headers.items[0] = (mb_header_t){MB_STR_LIT("Content-Type"),
+                                         MB_STR_LIT("application/json")};
+        mb_http_answer(exchange, 200, &headers, MB_STR_LIT("{}"));
+        return;
+    }
+    mb_log_warning(&node->log, "registration refused: %s", error->message);
+    mb_http_answer_error(exchange, mb_error_kind(error),
+                         mb_str_from_cstr(error->message));
+}
+
+/* Takes a request on the HTTP thread. */
+static void
+handle_registration(void *context, mb_http_exchange_t *exchange)
+{
+    mb_agent_node_t *node = context;
+    registration_task_t *request = g_new0(registration_task_t, 1);
+    request->task.run = run_registration;
+    request->node = node;
+    request->exchange = exchange;
+    if (!mb_loop_post(&node->loop, &request->task)) {
+        g_free(request);
+        mb_http_answer_error(exchange, MB_KIND_OVERLOAD,
+                             MB_STR_LIT("too many requests wait"));
+    }
+}
+
+/* Answers with the metrics. */
+static void
+handle_metrics(void *context, mb_http_exchange_t *exchange)
+{
+    mb_agent_node_t *node = context;
+    MB_AUTO_BUF mb_buf_t body = {0};
+    mb_prometheus_write(node->counters, &body);
+    mb_http_answer(exchange, 200, NULL, mb_buf_view(&body));
+}
+
+/* Prepares the node without starting anything. Its loop may be used for the
+   clients of the log and of the worker. */
+bool
+mb_agent_node_init(mb_agent_node_t *node, const mb_agent_config_t *config,
+                   mb_counters_t *counters, const mb_log_t *log,
+                   GError **error)
+{
+    memset(node, 0, sizeof(*node));
+    node->config = *config;
+    node->counters = counters;
+    node->clock = mb_clock_monotonic();
+    node->log = mb_log_for(log, "agent");
+    node->flush = (mb_loop_deferred_t){run_flush, node, NULL, false};
+    node->owners = g_ptr_array_new();
+    node->runs_metric = mb_counters_add(counters, MB_METRIC_GAUGE, "runs",
+                                        "Runs at the worker");
+    node->pace_metric =
+        mb_counters_add(counters, MB_METRIC_GAUGE, "filling_pace_percent",
+                        "Pace of the filling runs");
+    mb_buf_printf(&node->producer, "%.*s-%016" G_GINT64_MODIFIER "x",
+                  MB_STR_ARG(config->name), config->incarnation);
+    return mb_order_decoder_init(&node->decoder) &&
+           mb_loop_init(&node->loop, MAILBOX_CAPACITY, error);
+}
+
+/* Starts one HTTP server. */
+static bool
+start_front(mb_agent_node_t *node, mb_http_front_t *front, uint32_t ip,
+            uint16_t port,
+            void (*handle)(void *context, mb_http_exchange_t *exchange),
+            GError **error)
+{
+    mb_http_front_config_t config = {.ip = ip,
+                                     .port = port,
+                                     .threads = 1,
+                                     .max_connections = CONNECTIONS_MAX,
+                                     .idle_timeout_s = IDLE_TIMEOUT_S,
+                                     .handle = handle,
+                                     .context = node};
+    return mb_http_front_init(front, &config, error);
+}
+
+/* Opens the address where the owner connects. */
+static bool
+start_listener(mb_agent_node_t *node, GError **error)
+{
+    int fd = mb_tcp_listen(node->config.link_ip, node->config.link_port,
+                           error);
+    if (fd < 0) {
+        return false;
+    }
+    node->listener = (mb_loop_source_t){fd, accept_owners, node};
+    return mb_loop_add(&node->loop, &node->listener, EPOLLIN);
+}
+
+/* Starts to serve. The callback tables must outlive the node. */
+bool
+mb_agent_node_start(mb_agent_node_t *node,
+                    const mb_registration_front_t *front,
+                    const mb_executor_t *executor,
+                    const mb_keyed_log_t *keyed_log, GError **error)
+{
+    const mb_agent_config_t *config = &node->config;
+    mb_agent_callbacks_t callbacks = {send_report, node};
+    mb_journal_config_t journal = {.stream = stream_jobs,
+                                   .producer = mb_buf_view(&node->producer),
+                                   .epoch = 1,
+                                   .sequence = 1,
+                                   .batch_records_max = 1,
+                                   .batch_bytes_max = 4096};
+    node->front = *front;
+    mb_agent_init(&node->agent, &callbacks, executor, &node->clock,
+                  &node->log);
+    mb_journal_init(&node->journal, &journal, keyed_log, &node->clock,
+                    &node->log);
+    mb_loop_set_tick(&node->loop, TICK_MS, tick, node);
+    return start_front(node, &node->registration, config->registration_ip,
+                       config->registration_port, handle_registration,
+                       error) &&
+           (config->metrics_ip == 0 ||
+            start_front(node, &node->metrics_front, config->metrics_ip,
+                        config->metrics_port, handle_metrics, error)) &&
+           start_listener(node, error) && mb_loop_start(&node->loop, error);
+}
+
+/* A departure on its way to the agent's thread. */
+typedef struct departure {
+    mb_loop_task_t task;
+    mb_agent_node_t *node;
+} departure_t;
+
+/* Tells the owner that the agent stops, on its thread. */
+static void
+depart(mb_loop_task_t *task)
+{
+    mb_agent_node_t *node = ((departure_t *)task)->node;
+    mb_agent_leave(&node->agent);
+    wake(node);
+    g_free(task);
+}
+
+/* Takes no more starts. What runs goes on under its lease, for the next agent
+   to find. */
+void
+mb_agent_node_drain(mb_agent_node_t *node)
+{
+    struct timespec pause = {0, DRAIN_MS * 1000000L};
+    departure_t *task = g_new0(departure_t, 1);
+    task->task.run = depart;
+    task->node = node;
+    if (!mb_loop_post(&node->loop, &task->task)) {
+        g_free(task);
+    }
+    (void)nanosleep(&pause, NULL);
+}
+
+/* Stops the threads; after mb_agent_node_drain. */
+void
+mb_agent_node_stop(mb_agent_node_t *node)
+{
+    mb_loop_stop(&node->loop);
+    mb_http_front_finish(&node->registration);
+    if (node->config.metrics_ip != 0) {
+        mb_http_front_finish(&node->metrics_front);
+    }
+}
+
+/* Frees the node after it has stopped and the clients of the log and of the
+   worker are closed. */
+void
+mb_agent_node_finish(mb_agent_node_t *node)
+{
+    while (node->owners->len > 0) {
+        drop_owner(g_ptr_array_index(node->owners, 0));
+    }
+    mb_loop_remove(&node->loop, &node->listener);
+    (void)close(node->listener.fd);
+    g_ptr_array_unref(node->owners);
+    mb_agent_finish(&node->agent);
+    mb_journal_finish(&node->journal);
+    mb_order_decoder_finish(&node->decoder);
+    mb_buf_finish(&node->producer);
+    mb_loop_finish(&node->loop);
+}
--- /dev/null
+++ b/lib/transport/mb_scheduler_agents.c
@@ -0,0 +1,191 @@
+/* The owner's connections to the agents. */
+#include "mb_atomic.h"
+#include "mb_cleanup.h"
+#include "mb_scheduler_internal.h"
+#include "mb_settings.h"
+
+/* Pause before a connection is tried again, in milliseconds. */
+#define RETRY_MS 200u
+/* An agent that can't be reached for this long is taken off the log, in
+   milliseconds; one that is alive announces itself again. */
+#define FORGET_MS 20000u
+
+/* Ends the connection to an agent. */
+static void
+close_agent(mb_scheduler_agent_t *agent, uint64_t now_ms)
+{
+    if (!agent->open) {
+        return;
+    }
+    agent->open = false;
+    agent->retry_ms = now_ms + RETRY_MS;
+    mb_link_finish(&agent->link);
+    mb_fleet_disconnected(&agent->node->fleet, agent->worker);
+}
+
+/* Takes a message of an agent. */
+static void
+agent_message(void *context, mb_link_t *link, const mb_message_t *message)
+{
+    mb_scheduler_agent_t *agent = context;
+    mb_scheduler_node_t *node = agent->node;
+    g_autoptr(GError) error = NULL;
+    if (message->type != MB_MESSAGE_REPORT) {
+        return;
+    }
+    if (!mb_report_decode(&node->orders, message->body.packed, &error)) {
+        mb_log_warning(&node->log, "report dropped: %s", error->message);
+        mb_link_fail(link);
+        return;
+    }
+    agent->lost_ms = 0;
+    mb_fleet_report(&node->fleet, agent->worker, &node->orders.report);
+    mb_scheduler_wake(node);
+}
+
+/* The connection has failed. */
+static void
+agent_closed(void *context, mb_link_t *link)
+{
+    mb_scheduler_agent_t *agent = context;
+    (void)link;
+    close_agent(agent, mb_clock_ms(&agent->node->clock));
+}
+
+/* Begins to connect to an agent. */
+static void
+open_agent(mb_scheduler_agent_t *agent, uint64_t now_ms)
+{
+    mb_link_callbacks_t callbacks = {agent_message, agent_closed, agent};
+    g_autoptr(GError) error = NULL;
+    int fd = mb_tcp_connect(agent->ip, agent->port, &error);
+    agent->retry_ms = now_ms + RETRY_MS;
+    if (fd < 0 || !mb_link_init(&agent->link, &agent->node->loop, fd, true,
+                                &callbacks)) {
+        return;
+    }
+    agent->open = true;
+    agent->opened_ms = now_ms;
+    mb_fleet_connected(&agent->node->fleet, agent->worker);
+}
+
+/* Takes the address of an agent from the log. */
+void
+mb_scheduler_agent_known(mb_scheduler_node_t *node, mb_str_t address)
+{
+    uint32_t ip;
+    uint16_t port;
+    if (!mb_address_parse(address, &ip, &port)) {
+        mb_log_warning(&node->log, "agent ignored: bad address=%.*s",
+                       MB_STR_ARG(address));
+        return;
+    }
+    uint32_t worker = mb_fleet_worker(&node->fleet, address);
+    if (worker == UINT32_MAX) {
+        return;
+    }
+    if (worker == node->agents->len) {
+        mb_scheduler_agent_t *agent = g_new0(mb_scheduler_agent_t, 1);
+        *agent = (mb_scheduler_agent_t){
+            .node = node, .worker = worker, .ip = ip, .port = port};
+        g_ptr_array_add(node->agents, agent);
+    }
+    mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, worker);
+    agent->removed = false;
+    agent->retry_ms = 0;
+    agent->lost_ms = 0;
+}
+
+/* Takes the removal of an agent from the log. */
+void
+mb_scheduler_agent_removed(mb_scheduler_node_t *node, mb_str_t address)
+{
+    uint32_t worker = mb_fleet_worker(&node->fleet, address);
+    if (worker < node->agents->len) {
+        mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, worker);
+        agent->removed = true;
+        close_agent(agent, mb_clock_ms(&node->clock));
+        mb_fleet_worker_removed(&node->fleet, worker);
+    }
+}
+
+/* Takes an agent that can't be reached for long off the log. */
+static void
+forget_agent(mb_scheduler_node_t *node, mb_scheduler_agent_t *agent)
+{
+    mb_fleet_worker_t *worker =
+        mb_fleet_worker_at(&node->fleet, agent->worker);
+    mb_log_notice(&node->log, "agent removed: unreachable address=%.*s",
+                  MB_STR_ARG(mb_buf_view(&worker->address)));
+    mb_buf_clear(&node->key);
+    mb_dag_record_key(&node->key, MB_DAG_RECORD_AGENT,
+                      mb_buf_view(&worker->address));
+    (void)mb_journal_add(node->owner_journal, mb_buf_view(&node->key),
+                         MB_STR_EMPTY, UINT64_MAX, NULL, NULL);
+    agent->removed = true;
+}
+
+/* Looks after one agent. */
+static void
+agent_tick(mb_scheduler_node_t *node, mb_scheduler_agent_t *agent,
+           uint64_t now_ms)
+{
+    if (agent->open && mb_link_is_suspect(&agent->link, now_ms)) {
+        close_agent(agent, now_ms);
+    }
+    if (!agent->open && agent->lost_ms == 0) {
+        agent->lost_ms = now_ms;
+    }
+    if (!agent->open && now_ms >= agent->retry_ms) {
+        open_agent(agent, now_ms);
+    }
+    if (agent->lost_ms != 0 && now_ms >= agent->lost_ms + FORGET_MS &&
+        node->owner_journal != NULL) {
+        forget_agent(node, agent);
+    }
+}
+
+/* Opens and looks after the connections, while this process owns the
+   fleet. */
+void
+mb_scheduler_agents_tick(mb_scheduler_node_t *node)
+{
+    uint64_t now_ms = mb_clock_ms(&node->clock);
+    for (guint i = 0; i < node->agents->len; i++) {
+        mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, i);
+        if (!agent->removed && mb_fleet_owns(&node->fleet)) {
+            agent_tick(node, agent, now_ms);
+        }
+    }
+}
+
+/* Closes all connections. */
+void
+mb_scheduler_agents_close(mb_scheduler_node_t *node)
+{
+    uint64_t now_ms = mb_clock_ms(&node->clock);
+    for (guint i = 0; i < node->agents->len; i++) {
+        mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, i);
+        close_agent(agent, now_ms);
+        agent->retry_ms = 0;
+        agent->lost_ms = 0;
+    }
+}
+
+/* Sends an order; when it can't be sent, the connection begins anew. */
+void
+mb_scheduler_send(void *context, uint32_t worker, const mb_order_t *order)
+{
+    mb_scheduler_node_t *node = context;
+    mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, worker);
+    MB_AUTO_BUF mb_buf_t bytes = {0};
+    if (!agent->open) {
+        return;
+    }
+    mb_order_encode(&bytes, order);
+    mb_message_t message = {.type = MB_MESSAGE_ORDER,
+                            .body.packed = mb_buf_view(&bytes)};
+    if (!mb_link_send(&agent->link, &message)) {
+        mb_link_fail(&agent->link);
+    }
+}
--- /dev/null
+++ b/programs/magnoliabarrowd/job_roles.c
@@ -0,0 +1,199 @@
+#include "job_roles.h"
+
+#include "mb_agent_node.h"
+#include "mb_scheduler_node.h"
+#include "mbp_executor.h"
+#include "mbp_jobs.h"
+#include "mbp_registration.h"
+#include "mbp_store.h"
+
+/* Calls to the log, and to the worker, at a time. */
+#define LOG_CALLS_MAX 16u
+#define WORKER_CALLS_MAX 256u
+/* Largest response, in bytes. */
+#define RESPONSE_MAX (4u * 1024u * 1024u)
+
+/* The role scheduler and its adapter. */
+typedef struct scheduler_role {
+    mb_scheduler_node_t node;
+    mb_http_client_t http;
+    mbp_store_t store;
+} scheduler_role_t;
+
+/* The role agent and its adapter. */
+typedef struct agent_role {
+    mb_agent_node_t node;
+    mb_http_client_t log_http;
+    mb_http_client_t worker_http;
+    mbp_store_t store;
+    mbp_executor_t executor;
+    mbp_registration_t registration;
+} agent_role_t;
+
+/* Returns a text setting. */
+static mb_str_t
+text(const mb_daemon_t *daemon, const char *section, const char *key)
+{
+    return mb_settings_text(&daemon->settings, section, key);
+}
+
+/* Returns a number setting that fits 32 bits. */
+static uint32_t
+number(const mb_daemon_t *daemon, const char *section, const char *key)
+{
+    return (uint32_t)mb_settings_number(&daemon->settings, section, key);
+}
+
+/* Reads an address setting; an empty one leaves 0. */
+static void
+address(const mb_daemon_t *daemon, const char *section, const char *key,
+        uint32_t *ip, uint16_t *port)
+{
+    mb_str_t value = text(daemon, section, key);
+    if (value.len == 0 || !mb_address_parse(value, ip, port)) {
+        *ip = 0;
+        *port = 0;
+    }
+}
+
+/* Checks an address that may be left out. */
+static bool
+check_optional(const mb_settings_t *settings, const char *section,
+               GError **error)
+{
+    uint32_t ip;
+    uint16_t port;
+    mb_str_t value = mb_settings_text(settings, section, "metrics_address");
+    if (value.len > 0 && !mb_address_parse(value, &ip, &port)) {
+        mb_error_set(error, MB_KIND_CONFIG,
+                     "[%s] metrics_address: must be IPv4:port", section);
+        return false;
+    }
+    return true;
+}
+
+/* Checks what the ranges of the single options can't express. */
+bool
+check_job_role(const mb_settings_t *settings, GError **error)
+{
+    return check_optional(settings, "scheduler", error) &&
+           check_optional(settings, "agent", error);
+}
+
+/* There is nothing to show beyond settings and metrics. */
+bool
+dump_job_role(void *node, mb_buf_t *out)
+{
+    (void)node;
+    (void)out;
+    return false;
+}
+
+/* Starts the role scheduler. */
+void *
+start_scheduler(mb_daemon_t *daemon, GError **error)
+{
+    mb_scheduler_config_t config = {
+        .http_threads = number(daemon, "scheduler", "http_threads"),
+        .max_connections = number(daemon, "scheduler", "max_connections"),
+        .default_deadline_ms =
+            number(daemon, "scheduler", "default_deadline_ms"),
+        .retention_ms = number(daemon, "scheduler", "retention_ms"),
+        .name = text(daemon, "daemon", "name"),
+        .incarnation = daemon->incarnation};
+    address(daemon, "scheduler", "client_address", &config.client_ip,
+            &config.client_port);
+    address(daemon, "scheduler", "ready_address", &config.ready_ip,
+            &config.ready_port);
+    address(daemon, "scheduler", "metrics_address", &config.metrics_ip,
+            &config.metrics_port);
+    scheduler_role_t *role = g_new0(scheduler_role_t, 1);
+    mb_job_front_t front = mbp_jobs_front();
+    if (!mb_scheduler_node_init(&role->node, &config, &daemon->epoch,
+                                &daemon->counters, &daemon->log, error) ||
+        !mb_http_client_init(&role->http, &role->node.loop, LOG_CALLS_MAX,
+                             RESPONSE_MAX, error)) {
+        return NULL;
+    }
+    mbp_store_init(&role->store, &role->http,
+                   text(daemon, "job_log", "address"), &daemon->log);
+    mb_keyed_log_t keyed_log = mbp_store_log(&role->store);
+    if (!mb_scheduler_node_start(&role->node, &front, &keyed_log, error)) {
+        /* Threads of a partial start may still use the node; the process
+           ends after this failure. */
+        return NULL;
+    }
+    mb_log_notice(&daemon->log, "scheduler serves clients port=%u ready=%u",
+                  config.client_port, config.ready_port);
+    return role;
+}
+
+/* Drains the role scheduler. */
+void
+drain_scheduler(void *node)
+{
+    mb_scheduler_node_drain(&((scheduler_role_t *)node)->node);
+}
+
+/* Ends the role scheduler. Calls to the log may still be open: what they
+   belong to lives as long as the process. */
+void
+finish_scheduler(void *node)
+{
+    mb_scheduler_node_stop(&((scheduler_role_t *)node)->node);
+}
+
+/* Starts the role agent. */
+void *
+start_agent(mb_daemon_t *daemon, GError **error)
+{
+    mb_agent_config_t config = {
+        .link_address = text(daemon, "agent", "link_address"),
+        .name = text(daemon, "daemon", "name"),
+        .incarnation = daemon->incarnation};
+    address(daemon, "agent", "registration_address", &config.registration_ip,
+            &config.registration_port);
+    address(daemon, "agent", "link_address", &config.link_ip,
+            &config.link_port);
+    address(daemon, "agent", "metrics_address", &config.metrics_ip,
+            &config.metrics_port);
+    agent_role_t *role = g_new0(agent_role_t, 1);
+    if (!mb_agent_node_init(&role->node, &config, &daemon->counters,
+                            &daemon->log, error) ||
+        !mb_http_client_init(&role->log_http, &role->node.loop, LOG_CALLS_MAX,
+                             RESPONSE_MAX, error) ||
+        !mb_http_client_init(&role->worker_http, &role->node.loop,
+                             WORKER_CALLS_MAX, RESPONSE_MAX, error)) {
+        return NULL;
+    }
+    mbp_store_init(&role->store, &role->log_http,
+                   text(daemon, "job_log", "address"), &daemon->log);
+    mbp_executor_init(&role->executor, &role->worker_http,
+                      text(daemon, "agent", "worker_address"), &daemon->log);
+    role->registration.service = text(daemon, "agent", "service");
+    mb_keyed_log_t keyed_log = mbp_store_log(&role->store);
+    mb_executor_t executor = mbp_executor_calls(&role->executor);
+    mb_registration_front_t front =
+        mbp_registration_front(&role->registration);
+    if (!mb_agent_node_start(&role->node, &front, &executor, &keyed_log,
+                             error)) {
+        return NULL;
+    }
+    mb_log_notice(&daemon->log, "agent waits for its worker port=%u links=%u",
+                  config.registration_port, config.link_port);
+    return role;
+}
+
+/* Drains the role agent. */
+void
+drain_agent(void *node)
+{
+    mb_agent_node_drain(&((agent_role_t *)node)->node);
+}
+
+/* Ends the role agent; as for the scheduler. */
+void
+finish_agent(void *node)
+{
+    mb_agent_node_stop(&((agent_role_t *)node)->node);
+}
--- a/programs/magnoliabarrowd/main.c
+++ b/programs/magnoliabarrowd/main.c
@@ -14,8 +14,19 @@
     struct arg_lit *verbose;
     struct arg_lit *quiet;
     struct arg_file *settings;
+    struct arg_str *variable; /* of the environment, with the file's path */
 } command_line_t;
 
+/* Returns the path of the settings file, or NULL when none is named. */
+static const char *
+settings_path(const command_line_t *line)
+{
+    if (line->settings->count > 0) {
+        return line->settings->filename[0];
+    }
+    return line->variable->count > 0 ? getenv(line->variable->sval[0]) : NULL;
+}
+
 /* Prints an error and returns its exit code. */
 static int
 report(const GError *error)
@@ -30,7 +41,7 @@
 {
     static mb_daemon_t daemon;
     g_autoptr(GError) error = NULL;
-    if (!mb_daemon_init(&daemon, line->settings->filename[0], &error)) {
+    if (!mb_daemon_init(&daemon, settings_path(line), &error)) {
         return report(error);
     }
     if (line->verbose->count > 0) {
@@ -66,10 +77,12 @@
         arg_lit0("v", "verbose", "log debug lines too"),
         arg_lit0("q", "quiet", "log errors only"),
         arg_file0("c", "config", "FILE", "settings file (INI)"),
+        arg_str0("e", "config-env", "VARIABLE",
+                 "environment variable with the path of the settings file"),
     };
     struct arg_end *end = arg_end(8);
     void *table[] = {line.help,  line.version,  line.check, line.verbose,
-                     line.quiet, line.settings, end};
+                     line.quiet, line.settings, line.variable, end};
     int errors = arg_parse(argc, argv, table);
     int code = EXIT_SUCCESS;
     if (line.help->count > 0) {
@@ -78,10 +91,11 @@
     else if (line.version->count > 0) {
         (void)printf("magnoliabarrowd %s\n", MB_VERSION);
     }
-    else if (errors > 0 || line.settings->count == 0) {
+    else if (errors > 0 || settings_path(&line) == NULL) {
         arg_print_errors(stderr, end, "magnoliabarrowd");
         (void)fprintf(stderr,
-                      "magnoliabarrowd: --config FILE is needed, see -h\n");
+                      "magnoliabarrowd: --config FILE, or --config-env VARIABLE "
+                      "with its path, is needed, see -h\n");
         code = mb_kind_answer(MB_KIND_INVALID)->exit_code;
     }
     else {
--- a/programs/magnoliabarrowd/roles.c
+++ b/programs/magnoliabarrowd/roles.c
@@ -1,6 +1,7 @@
 #include "roles.h"
 
 #include "control.h"
+#include "job_roles.h"
 #include "mb_entry_node.h"
 #include "mb_sidecar_node.h"
 
@@ -244,6 +245,10 @@
     {"entry", check_entry, start_entry, drain_entry, finish_entry, dump_entry},
     {"sidecar", check_sidecar, start_sidecar, drain_sidecar, finish_sidecar,
      dump_sidecar},
+    {"scheduler", check_job_role, start_scheduler, drain_scheduler,
+     finish_scheduler, dump_job_role},
+    {"agent", check_job_role, start_agent, drain_agent, finish_agent,
+     dump_job_role},
 };
 
 /* Finds a role; NULL for a name outside the choices of [daemon] role. */
