--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -33,6 +33,7 @@
     g_ptr_array_unref(agent->runs);
     g_array_unref(agent->ends);
     mb_report_finish(&agent->report);
+    mb_pacing_finish(&agent->pacing);
     for (size_t i = 0; i < G_N_ELEMENTS(agent->text); i++) {
         mb_buf_finish(&agent->text[i]);
     }
@@ -232,7 +233,8 @@
                                .run = run->run,
                                .confirmed = run->listed,
                                .described = run->described,
-                               .percent = run->percent,
+                               .pace = run->pace,
+                               .progress = run->progress,
                                .value = run->value,
                                .checkpoint = mb_buf_view(&run->checkpoint)};
         g_array_append_val(agent->report.runs, row);
--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -6,6 +6,9 @@
 
 #include "mb_agent.h"
 
+/* Pace of a run that was not slowed down, in percent. */
+#define MB_AGENT_FULL_PACE 100u
+
 typedef enum mb_agent_run_state {
     MB_AGENT_RUN_STARTING,   /* its start has no answer yet */
     MB_AGENT_RUN_RUNNING,    /* the worker has taken it */
@@ -26,8 +29,11 @@
     bool stopping;         /* a stop has no answer yet */
     uint64_t stop_due_us;  /* when to send the next stop */
     uint64_t stopped_us;   /* when a stop was confirmed; 0: not yet */
+    bool pace_lost;        /* the latest change got no answer */
     bool pacing;           /* a change of pace has no answer yet */
-    uint32_t percent;      /* pace that the worker lists */
+    uint32_t pace;         /* that was set last, in percent */
+    uint64_t kind;         /* of its image */
+    uint32_t progress;     /* that the worker lists, in percent */
     uint32_t value;
     uint64_t seen_us; /* begin of the list that named it last */
     mb_buf_t checkpoint;
--- a/lib/coordination/mb_agent_runs.c
+++ b/lib/coordination/mb_agent_runs.c
@@ -42,7 +42,7 @@
     mb_agent_run_t *run = g_new0(mb_agent_run_t, 1);
     run->task = *task;
     run->run = number;
-    run->percent = 100;
+    run->pace = MB_AGENT_FULL_PACE;
     g_ptr_array_add(agent->runs, run);
     return run;
 }
@@ -156,6 +156,7 @@
     }
     run->described = true;
     run->fills = start->fills;
+    run->kind = mb_str_hash(start->image);
     run->latency_target_ms = start->latency_target_ms;
     if (known) {
         return;
@@ -236,16 +237,16 @@
     }
 }
 
-/* Takes the answer to a change of pace; the next list shows the effect. */
+/* Takes the answer to a change of pace; one without an answer is set again. */
 static void
 pace_done(void *context, const mb_executor_answer_t *answer)
 {
     g_autofree run_call_t *call = context;
     mb_agent_run_t *run = run_of_call(call);
     call->agent->open_calls--;
-    (void)answer;
     if (run != NULL) {
         run->pacing = false;
+        run->pace_lost = answer->result == MB_EXECUTOR_UNANSWERED;
     }
 }
 
@@ -257,6 +258,8 @@
     mb_executor_call_t call = mb_agent_call(agent, pace_done, context);
     mb_executor_run_t which = {run->task, run->run};
     run->pacing = true;
+    run->pace = percent;
+    agent->complete_due = true;
     if (!agent->executor.pace(agent->executor.context, &call, &which,
                               percent)) {
         agent->open_calls--;
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -51,7 +51,7 @@
     agent->lease_end_us = 0;
     agent->list_due_us = 0;
     agent->complete_due = true;
-    mb_pacing_init(&agent->pacing);
+    mb_pacing_reset(&agent->pacing);
 }
 
 /* Drops the ends that the owner has stored. */
@@ -109,7 +109,7 @@
             agent->complete_due = true;
         }
         run->listed = true;
-        run->percent = listed->percent;
+        run->progress = listed->progress;
         run->value = listed->value;
         run->seen_us = agent->list_begun_us;
         mb_buf_set(&run->checkpoint, listed->checkpoint);
@@ -153,22 +153,71 @@
     }
 }
 
+/* Sums up the filling work at work, by kind. */
+static uint32_t
+collect_loads(const mb_agent_t *agent, mb_contention_load_t *loads)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < agent->runs->len; i++) {
+        const mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        uint32_t at = 0;
+        if (!run->fills || !run->listed || run->pace == 0) {
+            continue;
+        }
+        while (at < count && loads[at].kind != run->kind) {
+            at++;
+        }
+        if (at == MB_CONTENTION_LOADS_MAX) {
+            continue;
+        }
+        if (at == count) {
+            loads[count++] = (mb_contention_load_t){run->kind, 0};
+        }
+        loads[at].cpu_milli += run->value;
+    }
+    return count;
+}
+
+/* Tells the owner which filling work a service does not bear. */
+static void
+report_blame(mb_agent_t *agent, const mb_agent_run_t *service,
+             const mb_contention_load_t *load)
+{
+    mb_report_blame_t blame = {service->kind, load->kind, load->cpu_milli};
+    mb_log_info(&agent->log,
+                "latency over target service=%016" G_GINT64_MODIFIER
+                "x value_ms=%u target_ms=%u blamed=%016" G_GINT64_MODIFIER
+                "x cpu_milli=%u",
+                service->kind, service->value, service->latency_target_ms,
+                load->kind, load->cpu_milli);
+    g_array_append_val(agent->report.blames, blame);
+    agent->report_due = true;
+}
+
 /* Sets the pace of filling runs by the services beside them. */
 static void
 pace_runs(mb_agent_t *agent, uint64_t now_us)
 {
-    uint32_t worst = 0;
+    mb_contention_load_t loads[MB_CONTENTION_LOADS_MAX];
+    uint32_t count = collect_loads(agent, loads);
     for (guint i = 0; i < agent->runs->len; i++) {
         const mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
         if (run->latency_target_ms > 0 && run->listed) {
-            worst = MAX(worst, run->value * MILLI / run->latency_target_ms);
+            uint32_t suspect = mb_pacing_observe(
+                &agent->pacing, run->kind,
+                run->value * MILLI / run->latency_target_ms, loads, count,
+                now_us);
+            if (suspect < count) {
+                report_blame(agent, run, &loads[suspect]);
+            }
         }
     }
-    uint32_t percent = mb_pacing_update(&agent->pacing, now_us, worst);
+    mb_pacing_relax(&agent->pacing, now_us);
     for (guint i = 0; i < agent->runs->len; i++) {
         mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        uint32_t percent = mb_pacing_percent(&agent->pacing, run->kind);
         if (run->fills && run->listed && !run->pacing && !run->stop_wanted &&
-            run->percent != percent) {
+            (run->pace != percent || run->pace_lost)) {
             mb_agent_pace(agent, run, percent);
         }
     }
--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -51,6 +51,7 @@
     fleet->addresses = g_hash_table_new(hash_address, equal_address);
     fleet->open = g_ptr_array_new();
     fleet->dirty = g_ptr_array_new();
+    mb_contention_init(&fleet->contention);
     fleet->rows = g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
 }
 
@@ -63,6 +64,7 @@
     g_ptr_array_unref(fleet->open);
     g_ptr_array_unref(fleet->dirty);
     g_array_unref(fleet->rows);
+    mb_contention_finish(&fleet->contention);
     mb_buf_finish(&fleet->bits);
 }
 
@@ -160,6 +162,7 @@
     fleet->settle_us = settle_us;
     fleet->settled = false;
     fleet->storing = false;
+    fleet->refused = false;
     (void)g_ptr_array_set_size(fleet->dirty, 0);
     (void)g_ptr_array_set_size(fleet->open, 0);
     reset_workers(fleet, true);
@@ -189,7 +192,7 @@
                       acting, fleet->token);
     }
     fleet->startable = fleet->startable || (acting && !fleet->acting);
-    fleet->acting = acting && fleet->owns;
+    fleet->acting = acting && fleet->owns && !fleet->refused;
 }
 
 /* Takes a job that was added to the table. */
@@ -281,12 +284,22 @@
     reset_connection(worker);
 }
 
-/* Takes the answer to a group of stored progress. */
+/* Takes the answer to a group of stored progress. After a group that was not
+   stored, no end may be acknowledged and nothing started any more: another
+   process owns the fleet, and does not know of this progress. */
 void
 mb_fleet_stored(mb_fleet_t *fleet, bool ok)
 {
     fleet->storing = false;
-    if (!fleet->owns || !ok) {
+    if (fleet->owns && !ok) {
+        mb_log_warning(&fleet->log,
+                       "progress refused by the log; nothing is started any "
+                       "more token=%" G_GUINT64_FORMAT,
+                       fleet->token);
+        fleet->refused = true;
+        fleet->acting = false;
+    }
+    if (!fleet->owns || fleet->refused) {
         return;
     }
     for (guint i = 0; i < fleet->workers->len; i++) {
@@ -303,7 +316,7 @@
 static void
 store_progress(mb_fleet_t *fleet)
 {
-    if (fleet->storing) {
+    if (fleet->storing || fleet->refused) {
         return;
     }
     for (guint i = 0; i < fleet->workers->len; i++) {
@@ -416,6 +429,7 @@
     }
     if (fleet->acting && fleet->startable) {
         fleet->startable = false;
+        mb_fleet_move_slowed(fleet);
         mb_fleet_schedule(fleet);
     }
     store_progress(fleet);
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -7,6 +7,7 @@
 #define MB_FLEET_H
 
 #include "mb_clock.h"
+#include "mb_contention.h"
 #include "mb_dag.h"
 #include "mb_health.h"
 #include "mb_log.h"
@@ -48,6 +49,7 @@
     uint64_t ends[MB_RUN_END_COUNT];
     uint64_t refusals[MB_REFUSAL_COUNT];
     uint64_t lost_runs;
+    uint64_t moves; /* runs stopped to go on where nothing slows them down */
     uint64_t passes;
 } mb_fleet_counts_t;
 
@@ -62,6 +64,9 @@
     uint64_t started_us; /* when it was chosen or adopted */
     bool listed;         /* the agent has reported it */
     bool stopping;
+    uint64_t kind;       /* of its image, for contention */
+    uint64_t slowed_us;  /* since then the agent slows it down; 0: it does
+                            not */
 } mb_fleet_run_t;
 
 /* One worker and the connection to its agent. Text is owned. */
@@ -83,6 +88,7 @@
     GArray *runs;      /* mb_fleet_run_t */
     mb_size_t used;    /* of runs that do not fill */
     mb_size_t filling; /* of runs that fill */
+    uint64_t mixed_us; /* when its filling runs last changed */
     mb_health_t health;
     uint64_t reported_us; /* latest report */
     uint64_t echo;        /* its sequence */
@@ -113,10 +119,12 @@
     uint64_t sorted_us;
     bool startable; /* something may have become startable */
     bool storing;   /* a group is being stored */
+    bool refused;   /* a group could not be stored: nothing may follow it */
     GPtrArray *dirty;
     mb_buf_t bits;  /* scratch memory of a group */
     GArray *rows;
     uint32_t running;
+    mb_contention_t contention;
     mb_fleet_counts_t counts;
 } mb_fleet_t;
 
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -13,7 +13,7 @@
                                   const mb_dag_task_id_t *task,
                                   uint64_t number);
 mb_fleet_run_t *mb_fleet_add_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
-                                 const mb_fleet_run_t *run);
+                                 mb_fleet_run_t *run);
 void mb_fleet_remove_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                          mb_fleet_run_t *run);
 void mb_fleet_stop_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
@@ -33,6 +33,7 @@
 
 /* mb_fleet_schedule.c */
 void mb_fleet_schedule(mb_fleet_t *fleet);
+void mb_fleet_move_slowed(mb_fleet_t *fleet);
 void mb_fleet_estimate(mb_fleet_t *fleet, mb_dag_job_t *job);
 
 #endif
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -3,6 +3,13 @@
 
 #include "mb_fleet_internal.h"
 
+/* Pace at or below which a run counts as slowed down, in percent. */
+#define SLOW_PERCENT 35u
+/* Age of a worker's mix of filling work from which its latencies tell of it,
+   in microseconds. */
+#define MIX_SETTLED_US UINT64_C(600000)
+#define MILLI 1000u
+
 /* Gang members share their fate: the failures of a gang are counted at its
    first task. */
 static mb_dag_task_t *
@@ -156,6 +163,13 @@
         }
         worker->seen = end->number;
         fleet->counts.ends[end->how]++;
+        mb_log_info(&fleet->log,
+                    "end job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
+                    " worker=%.*s number=%" G_GUINT64_FORMAT " how=%s",
+                    MB_STR_ARG(mb_dag_id_view(&end->task.job)),
+                    end->task.occurrence, end->task.step, end->task.index,
+                    end->run, MB_STR_ARG(mb_buf_view(&worker->name)),
+                    end->number, mb_run_end_name(end->how));
         mb_fleet_run_t *run =
             mb_fleet_find_run(worker, &end->task, end->run);
         if (run != NULL) {
@@ -284,6 +298,7 @@
     mb_order_start_t start = {.task = mb_fleet_run_id(run),
                               .run = run->number,
                               .payload = run->job->spec.payload,
+                              .image = step->image,
                               .latency_target_ms = step->latency_target_ms,
                               .fills = step->fills};
     if (step->fills || step->latency_target_ms > 0) {
@@ -292,6 +307,75 @@
     }
 }
 
+/* Notes since when the agent slows a run down. */
+static void
+note_pace(const mb_fleet_t *fleet, mb_fleet_run_t *run, uint32_t pace)
+{
+    if (pace > SLOW_PERCENT) {
+        run->slowed_us = 0;
+    }
+    else if (run->slowed_us == 0) {
+        run->slowed_us = mb_clock_us(&fleet->clock);
+    }
+}
+
+/* Sums up the filling work at work on a worker, by kind. */
+static uint32_t
+collect_loads(const mb_fleet_worker_t *worker, const mb_report_t *report,
+              mb_contention_load_t *loads)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < report->runs->len; i++) {
+        const mb_report_run_t *listed =
+            &g_array_index(report->runs, mb_report_run_t, i);
+        const mb_fleet_run_t *run =
+            mb_fleet_find_run(worker, &listed->task, listed->run);
+        uint32_t at = 0;
+        if (run == NULL || !run->job->steps[run->step].fills ||
+            listed->pace == 0) {
+            continue;
+        }
+        while (at < count && loads[at].kind != run->kind) {
+            at++;
+        }
+        if (at == MB_CONTENTION_LOADS_MAX) {
+            continue;
+        }
+        if (at == count) {
+            loads[count++] = (mb_contention_load_t){run->kind, 0};
+        }
+        loads[at].cpu_milli += listed->value;
+    }
+    return count;
+}
+
+/* Learns from a complete report which filling work disturbs which services.
+   Figures cover the last half second, so the mix must be older. */
+static void
+learn_contention(mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
+                 const mb_report_t *report)
+{
+    mb_contention_load_t loads[MB_CONTENTION_LOADS_MAX];
+    uint64_t now_us = mb_clock_us(&fleet->clock);
+    if (now_us - worker->mixed_us < MIX_SETTLED_US) {
+        return;
+    }
+    uint32_t count = collect_loads(worker, report, loads);
+    for (guint i = 0; i < report->runs->len && count > 0; i++) {
+        const mb_report_run_t *listed =
+            &g_array_index(report->runs, mb_report_run_t, i);
+        const mb_fleet_run_t *run =
+            mb_fleet_find_run(worker, &listed->task, listed->run);
+        uint32_t target_ms =
+            run == NULL ? 0 : run->job->steps[run->step].latency_target_ms;
+        if (target_ms > 0 && listed->confirmed) {
+            (void)mb_contention_observe(&fleet->contention, run->kind,
+                                        listed->value * MILLI / target_ms,
+                                        loads, count, now_us);
+        }
+    }
+}
+
 /* Takes the listed runs: confirms known ones, keeps their checkpoints, and
    adopts or stops the others. */
 static void
@@ -313,6 +397,7 @@
             describe_run(worker, run);
         }
         run->listed = run->listed || listed->confirmed;
+        note_pace(fleet, run, listed->pace);
         if (run->job->steps[run->step].checkpoints) {
             mb_dag_set_checkpoint(mb_fleet_run_task(run), listed->checkpoint);
         }
@@ -430,7 +515,15 @@
     take_ends(fleet, worker, report);
     take_refusals(fleet, worker, report);
     take_runs(fleet, worker, report);
+    for (guint i = 0; i < report->blames->len; i++) {
+        const mb_report_blame_t *blame =
+            &g_array_index(report->blames, mb_report_blame_t, i);
+        mb_contention_blame(&fleet->contention, blame->service, blame->kind,
+                            blame->cpu_milli, now_us);
+        fleet->startable = true;
+    }
     if (report->complete) {
+        learn_contention(fleet, worker, report);
         drop_missing(fleet, worker, report);
         if (!worker->complete) {
             mb_log_info(&fleet->log,
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -19,16 +19,25 @@
    thousandths; filling work gets the rest. */
 #define SERVICE_USE_MILLI 600u
 /* What a placement costs beside the load of the worker, in thousandths of its
-   capacity: another rack than the data's, a service that may be disturbed,
-   each recent failure, the worker where the task failed before. */
+   capacity: another rack than the data's, filling work beside services that
+   it is known not to disturb, may disturb, or is known to disturb, a service on a worker without any, which filling work could
+   use alone, other work on such a worker, each recent failure, the worker
+   where the task failed before. */
 #define COST_OTHER_RACK 400u
-#define COST_SERVICE 150u
+#define COST_PROVEN 50u
+#define COST_DISTURBS 500u
+#define COST_HARMS 20000u
+#define COST_FIRST_SERVICE 1500u
+#define COST_TAKES_FILLING_ROOM 500u
 #define COST_FAILURE 500u
 #define COST_FAILED_HERE 3000u
 #define COST_NONE UINT64_MAX
 /* Weight of filling work in the load that an urgent task meets, in
    thousandths. */
 #define FILLING_WEIGHT_MILLI 300u
+/* Time for which a run must have been slowed down before it is moved, in
+   microseconds. */
+#define SLOWED_US UINT64_C(500000)
 #define MILLI 1000u
 
 /* Estimates the time within which a job should be completed: the stretch of
@@ -210,6 +219,68 @@
     return used > capacity && !alone ? COST_NONE : used * MILLI / capacity;
 }
 
+/* Returns how much filling work of a kind a worker runs, in thousandths of a
+   processor. */
+static uint32_t
+filling_of_kind(const mb_fleet_worker_t *worker, uint64_t kind)
+{
+    uint32_t cpu_milli = 0;
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const mb_fleet_run_t *run =
+            &g_array_index(worker->runs, mb_fleet_run_t, i);
+        const mb_dag_step_t *step = &run->job->steps[run->step];
+        if (step->fills && run->kind == kind) {
+            cpu_milli += step->size.cpu_milli;
+        }
+    }
+    return cpu_milli;
+}
+
+/* Returns what an amount of filling work of a kind costs the services on a
+   worker, as far as is known. */
+static uint64_t
+cost_for_services(const pass_t *pass, const mb_fleet_worker_t *worker,
+                  uint64_t kind, uint32_t amount)
+{
+    const mb_contention_t *contention = &pass->fleet->contention;
+    uint64_t cost = 0;
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const mb_fleet_run_t *run =
+            &g_array_index(worker->runs, mb_fleet_run_t, i);
+        if (run->job->steps[run->step].latency_target_ms == 0) {
+            continue;
+        }
+        if (amount > mb_contention_limit(contention, run->kind, kind,
+                                         pass->now_us)) {
+            return COST_HARMS;
+        }
+        uint32_t proven = mb_contention_proven(contention, run->kind, kind,
+                                               pass->now_us);
+        cost = MAX(cost, proven >= amount ? COST_PROVEN : COST_DISTURBS);
+    }
+    return cost;
+}
+
+/* Returns what a task costs beside what else the worker runs. Services and
+   filling work are kept on different workers as far as the fleet allows. */
+static uint64_t
+cost_beside(const pass_t *pass, const mb_fleet_worker_t *worker,
+            const mb_dag_step_t *step)
+{
+    bool serves = has_service(worker);
+    if (step->fills) {
+        uint64_t kind = mb_str_hash(step->image);
+        uint32_t amount =
+            filling_of_kind(worker, kind) + step->size.cpu_milli;
+        return cost_for_services(pass, worker, kind, amount);
+    }
+    if (serves) {
+        return 0;
+    }
+    return step->latency_target_ms > 0 ? COST_FIRST_SERVICE
+                                       : COST_TAKES_FILLING_ROOM;
+}
+
 /* Returns what it costs to place a run on a worker; COST_NONE when it may not
    go there. */
 static uint64_t
@@ -235,9 +306,7 @@
         !mb_str_equal(mb_buf_view(&worker->rack), step->rack)) {
         cost += COST_OTHER_RACK;
     }
-    if (step->fills && has_service(worker)) {
-        cost += COST_SERVICE;
-    }
+    cost += cost_beside(pass, worker, step);
     if (task->failed_on == worker->number + 1) {
         cost += COST_FAILED_HERE;
     }
@@ -265,6 +334,62 @@
     return best;
 }
 
+/* Stops a run that its agent has slowed down for a while, if another worker
+   takes it without harm; it goes on there from its checkpoint. */
+static void
+move_run(const pass_t *pass, mb_fleet_worker_t *worker, mb_fleet_run_t *run)
+{
+    mb_fleet_run_t moved = *run;
+    for (guint i = 0; i < pass->fleet->workers->len; i++) {
+        mb_fleet_worker_t *other = mb_fleet_worker_at(pass->fleet, i);
+        if (other != worker && cost_on(pass, other, &moved) < COST_HARMS) {
+            mb_log_info(&pass->fleet->log,
+                        "moving a slowed run job=%.*s task=%u.%u.%u from=%.*s",
+                        MB_STR_ARG(mb_dag_id_view(&run->job->spec.id)),
+                        run->occurrence, run->step, run->index,
+                        MB_STR_ARG(mb_buf_view(&worker->name)));
+            pass->fleet->counts.moves++;
+            mb_fleet_stop_run(pass->fleet, worker, run);
+            return;
+        }
+    }
+}
+
+/* Tells whether a filling run is slowed down, or has to be. */
+static bool
+is_misplaced(const pass_t *pass, const mb_fleet_worker_t *worker,
+             const mb_fleet_run_t *run)
+{
+    if (!run->job->steps[run->step].fills) {
+        return false;
+    }
+    if (run->slowed_us != 0 && pass->now_us - run->slowed_us >= SLOWED_US) {
+        return true;
+    }
+    return pass->now_us - run->started_us >= SLOWED_US &&
+           cost_for_services(pass, worker, run->kind,
+                             filling_of_kind(worker, run->kind)) ==
+               COST_HARMS;
+}
+
+/* Moves the runs that services keep from working. */
+void
+mb_fleet_move_slowed(mb_fleet_t *fleet)
+{
+    pass_t pass = {fleet, mb_clock_us(&fleet->clock), 0};
+    for (guint w = 0; w < fleet->workers->len; w++) {
+        mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, w);
+        for (guint i = 0; i < worker->runs->len; i++) {
+            mb_fleet_run_t *run =
+                &g_array_index(worker->runs, mb_fleet_run_t, i);
+            if (!run->stopping && run->job->steps[run->step].checkpoints &&
+                is_misplaced(&pass, worker, run)) {
+                move_run(&pass, worker, run);
+            }
+        }
+    }
+}
+
 /* Returns the number of the next run of a task. Tokens give each owner a
    range of its own, so that a later owner's runs are newer. */
 static uint64_t
@@ -290,6 +415,7 @@
         .payload = job->spec.payload,
         .checkpoint = {task->checkpoint, task->checkpoint_len},
         .approval = MB_STR_EMPTY,
+        .image = step->image,
         .latency_target_ms = step->latency_target_ms,
         .fills = step->fills};
     (void)mb_fleet_add_run(pass->fleet, worker, run);
@@ -297,6 +423,13 @@
     g_array_append_val(worker->pending.starts, start);
     worker->order_due = true;
     pass->fleet->counts.starts++;
+    mb_log_info(&pass->fleet->log,
+                "start job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
+                " worker=%.*s age_ms=%" G_GUINT64_FORMAT,
+                MB_STR_ARG(mb_dag_id_view(&job->spec.id)), run->occurrence,
+                run->step, run->index, run->number,
+                MB_STR_ARG(mb_buf_view(&worker->name)),
+                (pass->now_us - job->arrived_us) / MB_US_PER_MS);
     if (!job->begun) {
         job->begun = true;
         mb_fleet_mark_dirty(pass->fleet, job);
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -95,10 +95,12 @@
 /* Adds a run to a worker and to its task. */
 mb_fleet_run_t *
 mb_fleet_add_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
-                 const mb_fleet_run_t *run)
+                 mb_fleet_run_t *run)
 {
     add_copy(run, worker->number);
     account(worker, run, true);
+    worker->mixed_us = mb_clock_us(&fleet->clock);
+    run->kind = mb_str_hash(run->job->steps[run->step].image);
     run->job->running++;
     fleet->running++;
     g_array_append_val(worker->runs, *run);
@@ -118,6 +120,7 @@
         }
     }
     account(worker, run, false);
+    worker->mixed_us = mb_clock_us(&fleet->clock);
     run->job->running--;
     fleet->running--;
     fleet->startable = true;
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -55,6 +55,7 @@
     mb_str_t payload;
     mb_str_t checkpoint;
     mb_str_t approval; /* empty: none needed */
+    mb_str_t image;             /* tasks of one image behave alike */
     uint32_t latency_target_ms; /* 0: the task serves nobody */
     bool fills;
 } mb_order_start_t;
@@ -81,8 +82,9 @@
     uint64_t run;
     bool confirmed; /* the worker lists it */
     bool described; /* the agent knows what it needs for pacing */
-    uint32_t percent; /* pace, 0 to 100 */
-    uint32_t value; /* latency in milliseconds, or thousandths of a processor
+    uint32_t pace;     /* that the agent has set, in percent */
+    uint32_t progress; /* that the worker lists, in percent */
+    uint32_t value;    /* latency in milliseconds, or thousandths of a processor
                        in use; see the step */
     mb_str_t checkpoint;
 } mb_report_run_t;
@@ -101,6 +103,14 @@
     mb_refusal_t reason;
 } mb_report_refusal_t;
 
+/* A service that was disturbed, and the filling work that is blamed; both as
+   hashes of their images. */
+typedef struct mb_report_blame {
+    uint64_t service;
+    uint64_t kind;
+    uint32_t cpu_milli; /* of that filling work */
+} mb_report_blame_t;
+
 /* What a worker says of itself. */
 typedef struct mb_worker_info {
     mb_worker_state_t state;
@@ -125,6 +135,7 @@
     GArray *runs;     /* mb_report_run_t */
     GArray *ends;     /* mb_report_end_t */
     GArray *refusals; /* mb_report_refusal_t */
+    GArray *blames;   /* mb_report_blame_t */
 } mb_report_t;
 
 const char *mb_run_end_name(mb_run_end_t how);
--- a/lib/coordination/mb_pacing.c
+++ b/lib/coordination/mb_pacing.c
@@ -1,65 +1,150 @@
 #include "mb_pacing.h"
 
+#include <string.h>
+
 #define FULL_PERCENT 100u
 
 /* Begins at full pace. */
 void
 mb_pacing_init(mb_pacing_t *pacing)
 {
-    *pacing = (mb_pacing_t){.percent = FULL_PERCENT};
+    memset(pacing, 0, sizeof(*pacing));
+    mb_contention_init(&pacing->contention);
+}
+
+/* Frees what was learned. */
+void
+mb_pacing_finish(mb_pacing_t *pacing)
+{
+    mb_contention_finish(&pacing->contention);
+}
+
+/* Goes back to full pace; what was learned of pairs stays. */
+void
+mb_pacing_reset(mb_pacing_t *pacing)
+{
+    pacing->count = 0;
+    pacing->fallen_us = 0;
+    pacing->blind_us = 0;
+    pacing->cleared_us = 0;
 }
 
-/* Sets a new pace. */
+/* Returns the entry of a kind, which is added if it is new; NULL when there
+   are too many. */
+static mb_pacing_kind_t *
+reach(mb_pacing_t *pacing, uint64_t kind)
+{
+    for (uint32_t i = 0; i < pacing->count; i++) {
+        if (pacing->kinds[i].kind == kind) {
+            return &pacing->kinds[i];
+        }
+    }
+    if (pacing->count == MB_CONTENTION_LOADS_MAX) {
+        return NULL;
+    }
+    mb_pacing_kind_t *entry = &pacing->kinds[pacing->count++];
+    *entry = (mb_pacing_kind_t){kind, FULL_PERCENT, 0};
+    return entry;
+}
+
+/* Slows a kind down. */
 static void
-change(mb_pacing_t *pacing, uint64_t now_us, uint32_t percent)
+fall(mb_pacing_t *pacing, uint64_t kind, uint64_t now_us)
 {
-    pacing->percent = percent;
-    pacing->changed_us = now_us;
+    mb_pacing_kind_t *entry = reach(pacing, kind);
+    if (entry == NULL) {
+        return;
+    }
+    entry->percent = 0;
+    entry->changed_us = now_us;
+    pacing->fallen_us = now_us;
 }
 
-/* Lowers the pace, or clears the filling tasks of blame when the target is
-   missed without them. */
+/* Notes a miss that no filling work at work can have caused. After a while
+   all of it is cleared of blame. */
 static void
-fall(mb_pacing_t *pacing, uint64_t now_us, uint64_t waited_us)
+miss_without_work(mb_pacing_t *pacing, uint64_t now_us)
 {
-    if (now_us < pacing->cleared_us) {
+    if (pacing->blind_us == 0) {
+        pacing->blind_us = now_us;
         return;
     }
-    if (pacing->percent == 0) {
-        if (waited_us >= MB_PACING_TRIAL_US) {
-            pacing->cleared_us = now_us + MB_PACING_CLEARED_US;
-            change(pacing, now_us, MB_PACING_CLEARED_PERCENT);
-        }
+    if (now_us - pacing->blind_us < MB_PACING_TRIAL_US) {
         return;
     }
-    if (waited_us >= MB_PACING_FALL_US) {
-        uint32_t half = pacing->percent / 2;
-        change(pacing, now_us, half < MB_PACING_LEAST_PERCENT ? 0 : half);
+    pacing->blind_us = 0;
+    pacing->cleared_us = now_us + MB_PACING_CLEARED_US;
+    for (uint32_t i = 0; i < pacing->count; i++) {
+        mb_pacing_kind_t *entry = &pacing->kinds[i];
+        entry->percent = MAX(entry->percent, MB_PACING_CLEARED_PERCENT);
+        entry->changed_us = now_us;
     }
 }
 
-/* Raises the pace. */
-static void
-rise(mb_pacing_t *pacing, uint64_t now_us, uint64_t waited_us)
+/* Takes one observation; see the header. */
+uint32_t
+mb_pacing_observe(mb_pacing_t *pacing, uint64_t service,
+                  uint32_t latency_milli, const mb_contention_load_t *loads,
+                  uint32_t count, uint64_t now_us)
 {
-    uint32_t next = pacing->percent + MB_PACING_RISE_PERCENT;
-    pacing->cleared_us = 0;
-    if (pacing->percent < FULL_PERCENT && waited_us >= MB_PACING_RISE_US) {
-        change(pacing, now_us, next > FULL_PERCENT ? FULL_PERCENT : next);
+    if (latency_milli < MB_CONTENTION_OVER_MILLI) {
+        (void)mb_contention_observe(&pacing->contention, service,
+                                    latency_milli, loads, count, now_us);
+        return count;
+    }
+    if (now_us < pacing->cleared_us ||
+        now_us - pacing->fallen_us < MB_PACING_FALL_US) {
+        return count;
+    }
+    uint32_t suspect = mb_contention_observe(
+        &pacing->contention, service, latency_milli, loads, count, now_us);
+    if (suspect < count) {
+        pacing->blind_us = 0;
+        fall(pacing, loads[suspect].kind, now_us);
     }
+    else if (pacing->count > 0) {
+        miss_without_work(pacing, now_us);
+    }
+    return suspect;
 }
 
-/* Takes the latency of the service that is worst off, in thousandths of its
-   target (0: there is none), and returns the pace in percent. */
+/* Speeds up what was not blamed for a while. */
+void
+mb_pacing_relax(mb_pacing_t *pacing, uint64_t now_us)
+{
+    if (now_us - pacing->fallen_us < MB_PACING_RISE_US) {
+        return;
+    }
+    for (uint32_t i = 0; i < pacing->count; i++) {
+        mb_pacing_kind_t *entry = &pacing->kinds[i];
+        if (entry->percent < FULL_PERCENT &&
+            now_us - entry->changed_us >= MB_PACING_RISE_US) {
+            entry->percent =
+                MIN(entry->percent + MB_PACING_RISE_PERCENT, FULL_PERCENT);
+            entry->changed_us = now_us;
+        }
+    }
+}
+
+/* Returns the pace of a kind. */
 uint32_t
-mb_pacing_update(mb_pacing_t *pacing, uint64_t now_us, uint32_t worst_milli)
+mb_pacing_percent(const mb_pacing_t *pacing, uint64_t kind)
 {
-    uint64_t waited_us = now_us - pacing->changed_us;
-    if (worst_milli > MB_PACING_HIGH_MILLI) {
-        fall(pacing, now_us, waited_us);
+    for (uint32_t i = 0; i < pacing->count; i++) {
+        if (pacing->kinds[i].kind == kind) {
+            return pacing->kinds[i].percent;
+        }
     }
-    else if (worst_milli < MB_PACING_LOW_MILLI) {
-        rise(pacing, now_us, waited_us);
+    return FULL_PERCENT;
+}
+
+/* Returns the lowest pace. */
+uint32_t
+mb_pacing_lowest(const mb_pacing_t *pacing)
+{
+    uint32_t lowest = FULL_PERCENT;
+    for (uint32_t i = 0; i < pacing->count; i++) {
+        lowest = MIN(lowest, pacing->kinds[i].percent);
     }
-    return pacing->percent;
+    return lowest;
 }
--- a/lib/protocol/mb_order_codec.c
+++ b/lib/protocol/mb_order_codec.c
@@ -52,11 +52,12 @@
 
 /* Elements of one row of each list. */
 enum {
-    START_ELEMENTS = 10,
+    START_ELEMENTS = 11,
     STOP_ELEMENTS = 5,
-    RUN_ELEMENTS = 10,
+    RUN_ELEMENTS = 11,
     END_ELEMENTS = 8,
-    REFUSAL_ELEMENTS = 6
+    REFUSAL_ELEMENTS = 6,
+    BLAME_ELEMENTS = 3
 };
 
 /* Begins to read a list of rows; false when its shape is wrong. */
@@ -84,6 +85,7 @@
         mb_pack_bin(packer, start->payload);
         mb_pack_bin(packer, start->checkpoint);
         mb_pack_bin(packer, start->approval);
+        mb_pack_str(packer, start->image);
         (void)msgpack_pack_uint32(packer, start->latency_target_ms);
         mb_pack_bool(packer, start->fills);
     }
@@ -100,6 +102,7 @@
         start.payload = mb_unpack_bytes(&rows, MB_DAG_PAYLOAD_MAX);
         start.checkpoint = mb_unpack_bytes(&rows, MB_DAG_CHECKPOINT_MAX);
         start.approval = mb_unpack_bytes(&rows, APPROVAL_MAX);
+        start.image = mb_unpack_bytes(&rows, MB_ORDER_TEXT_MAX);
         start.latency_target_ms = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
         start.fills = mb_unpack_bool(&rows);
         g_array_append_val(starts, start);
@@ -206,7 +209,8 @@
         pack_run(packer, &run->task, run->run);
         mb_pack_bool(packer, run->confirmed);
         mb_pack_bool(packer, run->described);
-        (void)msgpack_pack_uint32(packer, run->percent);
+        (void)msgpack_pack_uint32(packer, run->pace);
+        (void)msgpack_pack_uint32(packer, run->progress);
         (void)msgpack_pack_uint32(packer, run->value);
         mb_pack_bin(packer, run->checkpoint);
     }
@@ -222,7 +226,8 @@
         unpack_run(&rows, &run.task, &run.run);
         run.confirmed = mb_unpack_bool(&rows);
         run.described = mb_unpack_bool(&rows);
-        run.percent = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
+        run.pace = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
+        run.progress = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
         run.value = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
         run.checkpoint = mb_unpack_bytes(&rows, MB_DAG_CHECKPOINT_MAX);
         g_array_append_val(runs, run);
@@ -288,14 +293,44 @@
     reader->failed = reader->failed || rows.failed;
 }
 
+/* Packs the blames of a report. */
+static void
+pack_blames(msgpack_packer *packer, const GArray *blames)
+{
+    (void)msgpack_pack_array(packer, (size_t)blames->len * BLAME_ELEMENTS);
+    for (guint i = 0; i < blames->len; i++) {
+        const mb_report_blame_t *blame =
+            &g_array_index(blames, mb_report_blame_t, i);
+        (void)msgpack_pack_uint64(packer, blame->service);
+        (void)msgpack_pack_uint64(packer, blame->kind);
+        (void)msgpack_pack_uint32(packer, blame->cpu_milli);
+    }
+}
+
+/* Reads the blames of a report. */
+static void
+unpack_blames(mb_unpack_t *reader, GArray *blames)
+{
+    mb_unpack_t rows = unpack_rows(reader, BLAME_ELEMENTS);
+    while (rows.left > 0 && !rows.failed) {
+        mb_report_blame_t blame = {0};
+        blame.service = mb_unpack_u64(&rows, UINT64_MAX);
+        blame.kind = mb_unpack_u64(&rows, UINT64_MAX);
+        blame.cpu_milli = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
+        g_array_append_val(blames, blame);
+    }
+    reader->failed = reader->failed || rows.failed;
+}
+
 /* Appends a report: token, sequence, order that was read, whether it is
-   complete, whether the agent leaves, the worker, runs, ends, refusals. */
+   complete, whether the agent leaves, the worker, runs, ends, refusals,
+   blames. */
 void
 mb_report_encode(mb_buf_t *out, const mb_report_t *report)
 {
     msgpack_packer packer;
     mb_pack_init(&packer, out);
-    (void)msgpack_pack_array(&packer, 9);
+    (void)msgpack_pack_array(&packer, 10);
     (void)msgpack_pack_uint64(&packer, report->token);
     (void)msgpack_pack_uint64(&packer, report->sequence);
     (void)msgpack_pack_uint64(&packer, report->processed);
@@ -305,6 +340,7 @@
     pack_runs(&packer, report->runs);
     pack_ends(&packer, report->ends);
     pack_refusals(&packer, report->refusals);
+    pack_blames(&packer, report->blames);
 }
 
 /* Unpacks the array of a message. */
@@ -367,6 +403,7 @@
     unpack_runs(&reader, report->runs);
     unpack_ends(&reader, report->ends);
     unpack_refusals(&reader, report->refusals);
+    unpack_blames(&reader, report->blames);
     if (!mb_unpack_done(&reader)) {
         mb_error_set(error, MB_KIND_PROTOCOL, "report has wrong fields");
         return false;
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -523,8 +523,7 @@
         claim_fleet(node);
         break;
     case MB_OWNERSHIP_HEARTBEAT:
-        if (node->owner_journal != NULL &&
-            mb_journal_idle(node->owner_journal)) {
+        if (node->owner_journal != NULL) {
             (void)add_owner_record(node, node->ownership.latest.token, false,
                                    NULL, NULL);
         }
