Count each failed run once, whichever worker reports first

The owner was cut off from the log, so a failure was neither stored nor acknowledged; the next owner adopted a newer run of the task from another worker before the first worker reported the failure, and left it out because it was older. Ruled out: a lost progress record (the store held it as written).

--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -73,16 +73,36 @@
     }
 }
 
-/* Takes the ends that are new. */
+/* Returns the number of the latest end by an expired lease; 0 when there is
+   none. */
+static uint64_t
+latest_expiry(const GArray *ends)
+{
+    uint64_t number = 0;
+    for (guint i = 0; i < ends->len; i++) {
+        const mb_report_end_t *end = &g_array_index(ends, mb_report_end_t, i);
+        if (end->how == MB_RUN_LEASE_EXPIRED) {
+            number = MAX(number, end->number);
+        }
+    }
+    return number;
+}
+
+/* Takes the ends that are new. A verdict from before the lease expired came
+   too late to count: the task may be running elsewhere. */
 static void
 take_ends(mb_agent_t *agent, const GArray *ends)
 {
+    uint64_t expired = latest_expiry(ends);
     for (guint i = 0; i < ends->len; i++) {
         mb_report_end_t end = g_array_index(ends, mb_report_end_t, i);
         if (end.number <= agent->last_end) {
             continue;
         }
         agent->last_end = end.number;
+        if (end.number < expired) {
+            end.how = MB_RUN_LEASE_EXPIRED;
+        }
         mb_agent_run_t *run = mb_agent_find_run(agent, &end.task, end.run);
         if (run != NULL) {
             mb_agent_drop_run(agent, run);
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -82,11 +82,9 @@
                 job->spec.policy.max_attempts);
     /* A failure that the former owner has stored may be listed again. */
     if (job->steps[run->step].long_running || task->done ||
-        run->number <= counter->failed_run) {
+        !mb_dag_add_failure(counter, run->number)) {
         return;
     }
-    counter->failures++;
-    counter->failed_run = run->number;
     mb_fleet_mark_dirty(fleet, job);
     if (counter->failures >= MAX(1u, job->spec.policy.max_attempts)) {
         mb_fleet_close_job(fleet, job, MB_DAG_FAILED);
@@ -122,8 +120,28 @@
     }
 }
 
+/* Counts the failure of a run that a newer one has followed: an attempt of
+   the former owner, which could not store it. */
+static void
+count_old_failure(mb_fleet_t *fleet, mb_dag_job_t *job,
+                  const mb_report_end_t *end)
+{
+    const mb_dag_step_t *step = &job->steps[end->task.step];
+    uint32_t index = step->gang ? 0 : end->task.index;
+    mb_dag_task_t *counter =
+        mb_dag_task(job, end->task.occurrence, end->task.step, index);
+    if (end->how != MB_RUN_FAILED || step->long_running || counter->done ||
+        !mb_dag_add_failure(counter, end->run)) {
+        return;
+    }
+    mb_fleet_mark_dirty(fleet, job);
+    if (counter->failures >= MAX(1u, job->spec.policy.max_attempts)) {
+        mb_fleet_close_job(fleet, job, MB_DAG_FAILED);
+    }
+}
+
 /* Takes the end of a run that this owner did not know: one of the former
-   owner, or of a worker that was given up. Its verdict counts unless the task
+   owner, or of a worker that was given up. Its success counts unless the task
    has a newer run; then the lease of the ended one had expired before. */
 static void
 unknown_run_ended(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
@@ -134,8 +152,11 @@
         job == NULL ? NULL
                     : mb_dag_task(job, end->task.occurrence, end->task.step,
                                   end->task.index);
-    if (task == NULL || job->outcome != MB_DAG_OPEN ||
-        mb_fleet_task_runs(task) || end->run < task->last_run) {
+    if (task == NULL || job->outcome != MB_DAG_OPEN) {
+        return;
+    }
+    if (mb_fleet_task_runs(task) || end->run < task->last_run) {
+        count_old_failure(fleet, job, end);
         return;
     }
     mb_fleet_run_t run = {.job = job,
--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -191,18 +191,43 @@
     (void)msgpack_pack_uint32(&packer, (uint32_t)progress->outcome);
     mb_pack_bool(&packer, progress->started);
     mb_pack_bin(&packer, progress->done);
-    (void)msgpack_pack_array(&packer, (size_t)progress->rows->len * 5);
+    (void)msgpack_pack_array(&packer, (size_t)progress->rows->len * 4);
     for (guint i = 0; i < progress->rows->len; i++) {
         const mb_dag_progress_row_t *row =
             &g_array_index(progress->rows, mb_dag_progress_row_t, i);
         (void)msgpack_pack_uint32(&packer, row->occurrence);
         (void)msgpack_pack_uint32(&packer, row->task);
-        (void)msgpack_pack_uint32(&packer, row->failures);
-        (void)msgpack_pack_uint64(&packer, row->failed_run);
+        (void)msgpack_pack_array(&packer, row->failures);
+        for (uint16_t k = 0; k < row->failures; k++) {
+            (void)msgpack_pack_uint64(&packer, row->failed_runs[k]);
+        }
         mb_pack_bin(&packer, row->checkpoint);
     }
 }
 
+/* Reads the runs of a task that failed, into memory of the decoder. */
+static void
+unpack_failures(mb_dag_record_decoder_t *decoder, mb_unpack_t *outer,
+                mb_dag_progress_row_t *row)
+{
+    mb_unpack_t runs = mb_unpack_next_array(outer);
+    if (runs.left > MB_DAG_FAILURES_MAX) {
+        outer->failed = true;
+        return;
+    }
+    uint64_t *numbers = msgpack_zone_malloc(
+        &decoder->zone, (runs.left + 1) * sizeof(uint64_t));
+    if (numbers == NULL) {
+        outer->failed = true;
+        return;
+    }
+    while (runs.left > 0 && !runs.failed) {
+        numbers[row->failures++] = mb_unpack_u64(&runs, UINT64_MAX);
+    }
+    row->failed_runs = numbers;
+    outer->failed = outer->failed || runs.failed;
+}
+
 /* Reads the value of a progress record. */
 static void
 unpack_progress(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader,
@@ -221,8 +246,7 @@
         mb_dag_progress_row_t row = {0};
         row.occurrence = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
         row.task = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
-        row.failures = (uint16_t)mb_unpack_u64(&rows, UINT16_MAX);
-        row.failed_run = mb_unpack_u64(&rows, UINT64_MAX);
+        unpack_failures(decoder, &rows, &row);
         row.checkpoint = mb_unpack_bytes(&rows, MB_DAG_CHECKPOINT_MAX);
         g_array_append_val(decoder->rows, row);
     }
--- a/lib/state/mb_dag.c
+++ b/lib/state/mb_dag.c
@@ -42,6 +42,7 @@
 {
     for (uint32_t i = 0; i < job->task_count; i++) {
         g_free(occurrence->tasks[i].checkpoint);
+        g_free(occurrence->tasks[i].failed_runs);
     }
     g_free(occurrence->tasks);
     g_free(occurrence->left);
@@ -263,6 +264,25 @@
     task->checkpoint_len = (uint16_t)checkpoint.len;
 }
 
+/* Counts the failure of a run, once; false when it was counted before or too
+   many are. */
+bool
+mb_dag_add_failure(mb_dag_task_t *task, uint64_t run)
+{
+    for (uint16_t i = 0; i < task->failures; i++) {
+        if (task->failed_runs[i] == run) {
+            return false;
+        }
+    }
+    if (task->failures == MB_DAG_FAILURES_MAX) {
+        return false;
+    }
+    task->failed_runs = g_renew(uint64_t, task->failed_runs,
+                                (gsize)task->failures + 1);
+    task->failed_runs[task->failures++] = run;
+    return true;
+}
+
 /* Marks a task as done; once it is, nothing changes it. */
 void
 mb_dag_set_done(mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
@@ -324,7 +344,7 @@
         .occurrence = occurrence,
         .task = number,
         .failures = task->failures,
-        .failed_run = task->failed_run,
+        .failed_runs = task->failed_runs,
         .checkpoint = {task->checkpoint, task->checkpoint_len}};
     if (!task->done && (task->failures > 0 || task->checkpoint_len > 0)) {
         (void)g_array_append_val(progress->rows, row);
@@ -391,8 +411,9 @@
             row->task < job->task_count) {
             mb_dag_task_t *task =
                 &job->occurrences[row->occurrence].tasks[row->task];
-            task->failures = row->failures;
-            task->failed_run = row->failed_run;
+            for (uint16_t k = 0; k < row->failures; k++) {
+                (void)mb_dag_add_failure(task, row->failed_runs[k]);
+            }
             mb_dag_set_checkpoint(task, row->checkpoint);
         }
     }
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -20,6 +20,8 @@
 #define MB_DAG_PAYLOAD_MAX 4096u
 /* Longest checkpoint, in bytes. */
 #define MB_DAG_CHECKPOINT_MAX 1024u
+/* Most failures of one task that are counted. */
+#define MB_DAG_FAILURES_MAX 4096u
 /* Copies of one task that may run at a time, where a step allows them. */
 #define MB_DAG_COPIES_MAX 2u
 
@@ -101,9 +103,11 @@
     uint16_t checkpoint_len;
     uint16_t failures;
     bool done;
+    uint64_t *failed_runs; /* numbers of the runs that failed, `failures` of
+                              them; the same end may be reported again, and
+                              ends of several workers in any order */
     uint32_t failed_on; /* worker of the last failure, plus 1; 0: none */
-    uint64_t failed_run; /* number of the last run whose failure counts */
-    uint64_t last_run;   /* highest number of its runs */
+    uint64_t last_run;  /* highest number of its runs */
     uint64_t not_before_us;
     mb_dag_run_t runs[MB_DAG_COPIES_MAX];
 } mb_dag_task_t;
@@ -144,7 +148,7 @@
     uint32_t occurrence;
     uint32_t task; /* in the occurrence */
     uint16_t failures;
-    uint64_t failed_run;
+    const uint64_t *failed_runs; /* `failures` of them */
     mb_str_t checkpoint;
 } mb_dag_progress_row_t;
 
@@ -181,6 +185,7 @@
                            uint32_t step, uint32_t index);
 uint32_t mb_dag_step_of(const mb_dag_job_t *job, uint32_t task);
 void mb_dag_set_checkpoint(mb_dag_task_t *task, mb_str_t checkpoint);
+bool mb_dag_add_failure(mb_dag_task_t *task, uint64_t run);
 void mb_dag_set_done(mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
                      mb_dag_task_t *task);
 bool mb_dag_step_ready(const mb_dag_job_t *job, uint32_t occurrence,
