Keep filling work away from services it is expected to disturb

Ruled out: reacting faster at the worker (a latency lags by 1 to 1.5 s, and each miss of a job's tasks is paid before any reaction).

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -33,7 +33,6 @@
     g_ptr_array_unref(agent->runs);
     g_array_unref(agent->ends);
     mb_report_finish(&agent->report);
-    mb_pacing_finish(&agent->pacing);
     for (size_t i = 0; i < G_N_ELEMENTS(agent->text); i++) {
         mb_buf_finish(&agent->text[i]);
     }
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -6,6 +6,7 @@
 #define MB_AGENT_H
 
 #include "mb_clock.h"
+#include "mb_contention.h"
 #include "mb_executor.h"
 #include "mb_log.h"
 #include "mb_pacing.h"
@@ -13,10 +14,10 @@
 /* How often a report is sent if nothing happens, in milliseconds. */
 #define MB_AGENT_REPORT_MS 300u
 /* How often a report lists everything, in milliseconds. */
-#define MB_AGENT_COMPLETE_MS 1000u
+#define MB_AGENT_COMPLETE_MS 500u
 /* How long a list waits for an end, and the least time between two lists, in
    milliseconds. */
-#define MB_AGENT_WAIT_MS 300u
+#define MB_AGENT_WAIT_MS 150u
 #define MB_AGENT_LIST_GAP_MS 20u
 /* Time-outs of calls to the worker on the same machine, in milliseconds. */
 #define MB_AGENT_CALL_TIMEOUT_MS 500u
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -51,7 +51,7 @@
     agent->lease_end_us = 0;
     agent->list_due_us = 0;
     agent->complete_due = true;
-    mb_pacing_reset(&agent->pacing);
+    mb_pacing_init(&agent->pacing);
 }
 
 /* Drops the ends that the owner has stored. */
@@ -174,43 +174,60 @@
 }
 
 /* Sums up the filling work at work, by kind. */
-static uint32_t
-collect_loads(const mb_agent_t *agent, mb_contention_load_t *loads)
+static void
+collect_loads(const mb_agent_t *agent, mb_contention_scene_t *scene)
 {
-    uint32_t count = 0;
     for (guint i = 0; i < agent->runs->len; i++) {
         const mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
-        uint32_t at = 0;
-        if (!run->fills || !run->listed || run->pace == 0) {
-            continue;
-        }
-        while (at < count && loads[at].kind != run->kind) {
-            at++;
-        }
-        if (at == MB_CONTENTION_LOADS_MAX) {
-            continue;
+        if (run->fills && run->listed && run->pace > 0) {
+            mb_contention_add(scene, run->kind, run->value);
         }
-        if (at == count) {
-            loads[count++] = (mb_contention_load_t){run->kind, 0};
+    }
+}
+
+/* Returns the latency of a run in thousandths of its target; 0 for one that
+   serves nobody. */
+static uint32_t
+latency_milli(const mb_agent_run_t *run)
+{
+    return run->latency_target_ms == 0 || !run->listed
+               ? 0
+               : run->value * MILLI / run->latency_target_ms;
+}
+
+/* Returns the service that is worst off, or NULL. */
+static const mb_agent_run_t *
+find_worst(const mb_agent_t *agent)
+{
+    const mb_agent_run_t *worst = NULL;
+    for (guint i = 0; i < agent->runs->len; i++) {
+        const mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        if (latency_milli(run) > 0 &&
+            (worst == NULL || latency_milli(run) > latency_milli(worst))) {
+            worst = run;
         }
-        loads[at].cpu_milli += run->value;
     }
-    return count;
+    return worst;
 }
 
-/* Tells the owner which filling work a service does not bear. */
+/* Tells the owner what worked beside a service that missed its target. */
 static void
-report_blame(mb_agent_t *agent, const mb_agent_run_t *service,
-             const mb_contention_load_t *load)
+report_miss(mb_agent_t *agent, const mb_agent_run_t *service,
+            const mb_contention_scene_t *scene)
 {
-    mb_report_blame_t blame = {service->kind, load->kind, load->cpu_milli};
     mb_log_info(&agent->log,
-                "latency over target service=%016" G_GINT64_MODIFIER
-                "x value_ms=%u target_ms=%u blamed=%016" G_GINT64_MODIFIER
-                "x cpu_milli=%u",
-                service->kind, service->value, service->latency_target_ms,
-                load->kind, load->cpu_milli);
-    g_array_append_val(agent->report.blames, blame);
+                "latency target missed, filling work held job=%.*s "
+                "task=%u.%u.%u value_ms=%u target_ms=%u kinds=%u",
+                MB_STR_ARG(mb_dag_id_view(&service->task.job)),
+                service->task.occurrence, service->task.step,
+                service->task.index, service->value,
+                service->latency_target_ms, scene->count);
+    for (uint32_t i = 0; i < scene->count; i++) {
+        mb_report_miss_t miss = {service->task, service->run, service->value,
+                                 scene->loads[i].kind,
+                                 scene->loads[i].cpu_milli};
+        g_array_append_val(agent->report.misses, miss);
+    }
     agent->report_due = true;
 }
 
@@ -218,24 +235,16 @@
 static void
 pace_runs(mb_agent_t *agent, uint64_t now_us)
 {
-    mb_contention_load_t loads[MB_CONTENTION_LOADS_MAX];
-    uint32_t count = collect_loads(agent, loads);
-    for (guint i = 0; i < agent->runs->len; i++) {
-        const mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
-        if (run->latency_target_ms > 0 && run->listed) {
-            uint32_t suspect = mb_pacing_observe(
-                &agent->pacing, run->kind,
-                run->value * MILLI / run->latency_target_ms, loads, count,
-                now_us);
-            if (suspect < count) {
-                report_blame(agent, run, &loads[suspect]);
-            }
-        }
+    mb_contention_scene_t scene = {0};
+    const mb_agent_run_t *worst = find_worst(agent);
+    uint32_t latency = worst == NULL ? 0 : latency_milli(worst);
+    collect_loads(agent, &scene);
+    if (mb_pacing_observe(&agent->pacing, latency, scene.count > 0, now_us)) {
+        report_miss(agent, worst, &scene);
     }
-    mb_pacing_relax(&agent->pacing, now_us);
+    uint32_t percent = mb_pacing_percent(&agent->pacing);
     for (guint i = 0; i < agent->runs->len; i++) {
         mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
-        uint32_t percent = mb_pacing_percent(&agent->pacing, run->kind);
         if (run->fills && run->listed && !run->pacing && !run->stop_wanted &&
             (run->pace != percent || run->pace_lost)) {
             mb_agent_pace(agent, run, percent);
--- a/lib/coordination/mb_contention.c
+++ b/lib/coordination/mb_contention.c
@@ -1,12 +1,27 @@
 #include "mb_contention.h"
 
+#include <math.h>
+
+/* Logarithm of the factor per processor of a pair without samples. */
+#define PRIOR 0.10
+/* Least and largest logarithm per processor. */
+#define SLOPE_MIN 0.0
+#define SLOPE_MAX 3.0
+/* Largest logarithm of a factor: beyond it a latency says only that it is
+   ruined. */
+#define LOG_MAX 3.5
+/* Share of an error that corrects the estimates: of one above the estimate,
+   and of one below it, which a lull may cause. */
+#define RATE_UP 0.6
+#define RATE_DOWN 0.25
+/* Added to the squares of the loads, so that little work learns slowly. */
+#define REGULARISER 0.5
+#define MILLI 1000.0
+
 /* What is known of one pair. */
 typedef struct pair {
     uint64_t key;
-    uint32_t calm_milli; /* beside so much the service was calm at `calm_us` */
-    uint64_t calm_us;
-    uint32_t limit_milli;
-    uint64_t blamed_us; /* 0: never */
+    double slope;
 } pair_t;
 
 /* Prepares a table that knows nothing. */
@@ -31,130 +46,92 @@
     return service * UINT64_C(0x9e3779b97f4a7c15) ^ kind;
 }
 
-/* Returns a pair, which is added if it is new. */
-static pair_t *
-reach(mb_contention_t *contention, uint64_t service, uint64_t kind)
+/* Returns the estimate of a pair. */
+static double
+slope_of(const mb_contention_t *contention, uint64_t service, uint64_t kind)
+{
+    uint64_t key = key_of(service, kind);
+    const pair_t *pair = g_hash_table_lookup(contention->pairs, &key);
+    return pair == NULL ? PRIOR : pair->slope;
+}
+
+/* Corrects the estimate of a pair. */
+static void
+correct(mb_contention_t *contention, uint64_t service, uint64_t kind,
+        double change)
 {
     uint64_t key = key_of(service, kind);
     pair_t *pair = g_hash_table_lookup(contention->pairs, &key);
     if (pair == NULL) {
         pair = g_new0(pair_t, 1);
         pair->key = key;
-        pair->limit_milli = MB_CONTENTION_NO_LIMIT;
+        pair->slope = PRIOR;
         (void)g_hash_table_insert(contention->pairs, &pair->key, pair);
     }
-    return pair;
+    pair->slope = CLAMP(pair->slope + change, SLOPE_MIN, SLOPE_MAX);
 }
 
-/* Returns the amount that a pair has shown to be harmless, halved with its
-   age. */
-static uint32_t
-proven_milli(const pair_t *pair, uint64_t now_us)
-{
-    uint64_t halvings = (now_us - pair->calm_us) / MB_CONTENTION_CALM_US;
-    return halvings >= 32 ? 0 : pair->calm_milli >> halvings;
-}
-
-/* Notes that a service is calm beside a load. */
-static void
-note_calm(pair_t *pair, uint32_t cpu_milli, uint64_t now_us)
+/* Adds filling work to a scene. */
+void
+mb_contention_add(mb_contention_scene_t *scene, uint64_t kind,
+                  uint32_t cpu_milli)
 {
-    if (cpu_milli >= proven_milli(pair, now_us)) {
-        pair->calm_milli = cpu_milli;
-        pair->calm_us = now_us;
+    uint32_t at = 0;
+    while (at < scene->count && scene->loads[at].kind != kind) {
+        at++;
     }
-    if (pair->limit_milli < cpu_milli) {
-        pair->limit_milli = cpu_milli;
+    if (at == MB_CONTENTION_LOADS_MAX) {
+        return;
     }
-}
-
-/* Returns the load that has proven least for its amount; `count` when none is
-   at work. */
-static uint32_t
-find_suspect(mb_contention_t *contention, uint64_t service,
-             const mb_contention_load_t *loads, uint32_t count,
-             uint64_t now_us)
-{
-    uint32_t suspect = count;
-    uint64_t most = 0;
-    for (uint32_t i = 0; i < count; i++) {
-        const pair_t *pair = reach(contention, service, loads[i].kind);
-        uint64_t weight = (uint64_t)loads[i].cpu_milli * 1000u /
-                          (100u + proven_milli(pair, now_us));
-        if (pair->limit_milli < loads[i].cpu_milli) {
-            weight *= 4;
-        }
-        if (weight > most) {
-            most = weight;
-            suspect = i;
-        }
+    if (at == scene->count) {
+        scene->loads[scene->count++] = (mb_contention_load_t){kind, 0};
     }
-    return suspect;
+    scene->loads[at].cpu_milli += cpu_milli;
 }
 
-/* Notes that a service was disturbed beside a load. */
-static void
-note_blame(pair_t *pair, uint32_t cpu_milli, uint64_t now_us)
+/* Returns the logarithm of the factor of a scene. */
+static double
+log_factor(const mb_contention_t *contention,
+           const mb_contention_scene_t *scene)
 {
-    uint32_t half = cpu_milli / 2;
-    pair->limit_milli = MIN(pair->limit_milli, half);
-    pair->calm_milli = MIN(pair->calm_milli, half);
-    pair->blamed_us = now_us;
+    double sum = 0;
+    for (uint32_t i = 0; i < scene->count; i++) {
+        sum += slope_of(contention, scene->service, scene->loads[i].kind) *
+               scene->loads[i].cpu_milli / MILLI;
+    }
+    return sum;
 }
 
-/* Takes blame that was found elsewhere. */
+/* Learns from one latency; the error is shared by the loads in proportion to
+   their amount. */
 void
-mb_contention_blame(mb_contention_t *contention, uint64_t service,
-                    uint64_t kind, uint32_t cpu_milli, uint64_t now_us)
-{
-    note_blame(reach(contention, service, kind), cpu_milli, now_us);
-}
-
-/* Returns the amount that has been harmless. */
-uint32_t
-mb_contention_proven(const mb_contention_t *contention, uint64_t service,
-                     uint64_t kind, uint64_t now_us)
-{
-    uint64_t key = key_of(service, kind);
-    const pair_t *pair = g_hash_table_lookup(contention->pairs, &key);
-    return pair == NULL ? 0 : proven_milli(pair, now_us);
-}
-
-/* Takes one observation; see the header. */
-uint32_t
-mb_contention_observe(mb_contention_t *contention, uint64_t service,
-                      uint32_t latency_milli,
-                      const mb_contention_load_t *loads, uint32_t count,
-                      uint64_t now_us)
+mb_contention_observe(mb_contention_t *contention,
+                      const mb_contention_scene_t *scene, uint32_t latency,
+                      uint32_t undisturbed)
 {
-    if (latency_milli < MB_CONTENTION_CALM_MILLI) {
-        for (uint32_t i = 0; i < count; i++) {
-            note_calm(reach(contention, service, loads[i].kind),
-                      loads[i].cpu_milli, now_us);
-        }
-        return count;
+    double squares = REGULARISER;
+    if (scene->count == 0 || latency == 0 || undisturbed == 0) {
+        return;
     }
-    if (latency_milli < MB_CONTENTION_OVER_MILLI) {
-        return count;
+    for (uint32_t i = 0; i < scene->count; i++) {
+        double cpu = scene->loads[i].cpu_milli / MILLI;
+        squares += cpu * cpu;
     }
-    uint32_t suspect = find_suspect(contention, service, loads, count, now_us);
-    if (suspect < count) {
-        note_blame(reach(contention, service, loads[suspect].kind),
-                   loads[suspect].cpu_milli, now_us);
+    double observed = log((double)latency / undisturbed);
+    double error = CLAMP(observed, 0.0, LOG_MAX) -
+                   MIN(log_factor(contention, scene), LOG_MAX);
+    double rate = error > 0 ? RATE_UP : RATE_DOWN;
+    for (uint32_t i = 0; i < scene->count; i++) {
+        double cpu = scene->loads[i].cpu_milli / MILLI;
+        correct(contention, scene->service, scene->loads[i].kind,
+                rate * error * cpu / squares);
     }
-    return suspect;
 }
 
-/* Returns the bound of a pair; see the header. */
-uint32_t
-mb_contention_limit(const mb_contention_t *contention, uint64_t service,
-                    uint64_t kind, uint64_t now_us)
+/* Returns the factor of a scene. */
+double
+mb_contention_predict(const mb_contention_t *contention,
+                      const mb_contention_scene_t *scene)
 {
-    uint64_t key = key_of(service, kind);
-    const pair_t *pair = g_hash_table_lookup(contention->pairs, &key);
-    if (pair == NULL || pair->blamed_us == 0 ||
-        now_us - pair->blamed_us >= MB_CONTENTION_BLAME_US) {
-        return MB_CONTENTION_NO_LIMIT;
-    }
-    return pair->limit_milli;
+    return exp(MIN(log_factor(contention, scene), LOG_MAX));
 }
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -65,6 +65,8 @@
     bool listed;         /* the agent has reported it */
     bool stopping;
     uint64_t kind;       /* of its image, for contention */
+    uint32_t latency_ms; /* of a service, as reported last; 0: unknown */
+    uint64_t latency_us; /* when */
     uint64_t slowed_us;  /* since then the agent slows it down; 0: it does
                             not */
 } mb_fleet_run_t;
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -25,6 +25,8 @@
 void mb_fleet_close_job(mb_fleet_t *fleet, mb_dag_job_t *job,
                         mb_dag_outcome_t outcome);
 void mb_fleet_wake_job(mb_fleet_t *fleet, mb_dag_job_t *job);
+uint32_t mb_fleet_undisturbed_ms(const mb_fleet_t *fleet,
+                                 const mb_fleet_run_t *run);
 bool mb_fleet_task_runs(const mb_dag_task_t *task);
 
 /* mb_fleet_report.c */
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -8,7 +8,6 @@
 /* Age of a worker's mix of filling work from which its latencies tell of it,
    in microseconds. */
 #define MIX_SETTLED_US UINT64_C(600000)
-#define MILLI 1000u
 
 /* Gang members share their fate: the failures of a gang are counted at its
    first task. */
@@ -340,59 +339,72 @@
     }
 }
 
-/* Sums up the filling work at work on a worker, by kind. */
-static uint32_t
-collect_loads(const mb_fleet_worker_t *worker, const mb_report_t *report,
-              mb_contention_load_t *loads)
+/* Notes the latency of a run that serves users. */
+static void
+note_latency(const mb_fleet_t *fleet, mb_fleet_run_t *run, uint32_t value_ms)
 {
-    uint32_t count = 0;
-    for (guint i = 0; i < report->runs->len; i++) {
-        const mb_report_run_t *listed =
-            &g_array_index(report->runs, mb_report_run_t, i);
-        const mb_fleet_run_t *run =
-            mb_fleet_find_run(worker, &listed->task, listed->run);
-        uint32_t at = 0;
-        if (run == NULL || !run->job->steps[run->step].fills ||
-            listed->pace == 0) {
-            continue;
-        }
-        while (at < count && loads[at].kind != run->kind) {
-            at++;
-        }
-        if (at == MB_CONTENTION_LOADS_MAX) {
-            continue;
-        }
-        if (at == count) {
-            loads[count++] = (mb_contention_load_t){run->kind, 0};
-        }
-        loads[at].cpu_milli += listed->value;
+    if (run->job->steps[run->step].latency_target_ms > 0 && value_ms > 0) {
+        run->latency_ms = value_ms;
+        run->latency_us = mb_clock_us(&fleet->clock);
     }
-    return count;
 }
 
-/* Learns from a complete report which filling work disturbs which services.
-   Figures cover the last half second, so the mix must be older. */
+/* Learns from a complete report how much filling work raises the latencies of
+   services. Figures cover the last half second, so the mix must be older. */
 static void
 learn_contention(mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
                  const mb_report_t *report)
 {
-    mb_contention_load_t loads[MB_CONTENTION_LOADS_MAX];
-    uint64_t now_us = mb_clock_us(&fleet->clock);
-    if (now_us - worker->mixed_us < MIX_SETTLED_US) {
+    mb_contention_scene_t scene = {0};
+    if (mb_clock_us(&fleet->clock) - worker->mixed_us < MIX_SETTLED_US) {
         return;
     }
-    uint32_t count = collect_loads(worker, report, loads);
-    for (guint i = 0; i < report->runs->len && count > 0; i++) {
+    for (guint i = 0; i < report->runs->len; i++) {
         const mb_report_run_t *listed =
             &g_array_index(report->runs, mb_report_run_t, i);
         const mb_fleet_run_t *run =
             mb_fleet_find_run(worker, &listed->task, listed->run);
-        uint32_t target_ms =
-            run == NULL ? 0 : run->job->steps[run->step].latency_target_ms;
-        if (target_ms > 0 && listed->confirmed) {
-            (void)mb_contention_observe(&fleet->contention, run->kind,
-                                        listed->value * MILLI / target_ms,
-                                        loads, count, now_us);
+        if (run != NULL && run->job->steps[run->step].fills &&
+            listed->pace > 0) {
+            mb_contention_add(&scene, run->kind, listed->value);
+        }
+    }
+    for (guint i = 0; i < worker->runs->len && scene.count > 0; i++) {
+        const mb_fleet_run_t *run =
+            &g_array_index(worker->runs, mb_fleet_run_t, i);
+        if (run->latency_ms > 0) {
+            scene.service = run->kind;
+            mb_contention_observe(&fleet->contention, &scene, run->latency_ms,
+                                  mb_fleet_undisturbed_ms(fleet, run));
+        }
+    }
+}
+
+/* Learns from the misses of latency targets; rows of one service stand
+   together. */
+static void
+take_misses(mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
+            const mb_report_t *report)
+{
+    guint i = 0;
+    while (i < report->misses->len) {
+        const mb_report_miss_t *first =
+            &g_array_index(report->misses, mb_report_miss_t, i);
+        const mb_fleet_run_t *run =
+            mb_fleet_find_run(worker, &first->service, first->run);
+        mb_contention_scene_t scene = {.service = run == NULL ? 0 : run->kind};
+        for (; i < report->misses->len; i++) {
+            const mb_report_miss_t *miss =
+                &g_array_index(report->misses, mb_report_miss_t, i);
+            if (!mb_dag_task_id_equal(&miss->service, &first->service)) {
+                break;
+            }
+            mb_contention_add(&scene, miss->kind, miss->cpu_milli);
+        }
+        if (run != NULL) {
+            mb_contention_observe(&fleet->contention, &scene, first->value,
+                                  mb_fleet_undisturbed_ms(fleet, run));
+            fleet->startable = true;
         }
     }
 }
@@ -419,6 +431,7 @@
         }
         run->listed = run->listed || listed->confirmed;
         note_pace(fleet, run, listed->pace);
+        note_latency(fleet, run, listed->value);
         if (run->job->steps[run->step].checkpoints) {
             mb_dag_set_checkpoint(mb_fleet_run_task(run), listed->checkpoint);
         }
@@ -536,13 +549,7 @@
     take_ends(fleet, worker, report);
     take_refusals(fleet, worker, report);
     take_runs(fleet, worker, report);
-    for (guint i = 0; i < report->blames->len; i++) {
-        const mb_report_blame_t *blame =
-            &g_array_index(report->blames, mb_report_blame_t, i);
-        mb_contention_blame(&fleet->contention, blame->service, blame->kind,
-                            blame->cpu_milli, now_us);
-        fleet->startable = true;
-    }
+    take_misses(fleet, worker, report);
     if (report->complete) {
         learn_contention(fleet, worker, report);
         drop_missing(fleet, worker, report);
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -19,13 +19,14 @@
    thousandths; filling work gets the rest. */
 #define SERVICE_USE_MILLI 600u
 /* What a placement costs beside the load of the worker, in thousandths of its
-   capacity: another rack than the data's, filling work beside services that
-   it is known not to disturb, may disturb, or is known to disturb, a service on a worker without any, which filling work could
+   capacity: another rack than the data's, filling work beside services, by
+   the share of their targets that their latencies reach, or that it disturbs
+   too much, a service on a worker without any, which filling work could
    use alone, other work on such a worker, each recent failure, the worker
    where the task failed before. */
 #define COST_OTHER_RACK 400u
-#define COST_PROVEN 50u
-#define COST_DISTURBS 500u
+#define COST_BESIDE_SERVICE 200u
+#define COST_SHARE 1000.0
 #define COST_HARMS 20000u
 #define COST_FIRST_SERVICE 1500u
 #define COST_TAKES_FILLING_ROOM 500u
@@ -35,6 +36,10 @@
 /* Weight of filling work in the load that an urgent task meets, in
    thousandths. */
 #define FILLING_WEIGHT_MILLI 300u
+/* Share of its latency target that a service may be expected to reach, and the
+   share without filling work of one that has reported nothing yet. */
+#define SHARE_MAX 0.8
+#define UNKNOWN_SHARE 0.5
 /* Time for which a run must have been slowed down before it is moved, in
    microseconds. */
 #define SLOWED_US UINT64_C(500000)
@@ -219,46 +224,39 @@
     return used > capacity && !alone ? COST_NONE : used * MILLI / capacity;
 }
 
-/* Returns how much filling work of a kind a worker runs, in thousandths of a
-   processor. */
-static uint32_t
-filling_of_kind(const mb_fleet_worker_t *worker, uint64_t kind)
+/* Returns what filling work costs the services on a worker, with `more` of a
+   kind added: a part of the share of its target that the worst latency is
+   expected to reach; COST_HARMS when that is too much. */
+static uint64_t
+cost_for_services(const pass_t *pass, const mb_fleet_worker_t *worker,
+                  uint64_t kind, uint32_t more)
 {
-    uint32_t cpu_milli = 0;
+    mb_contention_scene_t scene = {0};
+    double worst = 0;
     for (guint i = 0; i < worker->runs->len; i++) {
         const mb_fleet_run_t *run =
             &g_array_index(worker->runs, mb_fleet_run_t, i);
         const mb_dag_step_t *step = &run->job->steps[run->step];
-        if (step->fills && run->kind == kind) {
-            cpu_milli += step->size.cpu_milli;
+        if (step->fills) {
+            mb_contention_add(&scene, run->kind, step->size.cpu_milli);
         }
     }
-    return cpu_milli;
-}
-
-/* Returns what an amount of filling work of a kind costs the services on a
-   worker, as far as is known. */
-static uint64_t
-cost_for_services(const pass_t *pass, const mb_fleet_worker_t *worker,
-                  uint64_t kind, uint32_t amount)
-{
-    const mb_contention_t *contention = &pass->fleet->contention;
-    uint64_t cost = 0;
+    mb_contention_add(&scene, kind, more);
     for (guint i = 0; i < worker->runs->len; i++) {
         const mb_fleet_run_t *run =
             &g_array_index(worker->runs, mb_fleet_run_t, i);
-        if (run->job->steps[run->step].latency_target_ms == 0) {
+        uint32_t target_ms = run->job->steps[run->step].latency_target_ms;
+        if (target_ms == 0) {
             continue;
         }
-        if (amount > mb_contention_limit(contention, run->kind, kind,
-                                         pass->now_us)) {
-            return COST_HARMS;
-        }
-        uint32_t proven = mb_contention_proven(contention, run->kind, kind,
-                                               pass->now_us);
-        cost = MAX(cost, proven >= amount ? COST_PROVEN : COST_DISTURBS);
-    }
-    return cost;
+        uint32_t base_ms = mb_fleet_undisturbed_ms(pass->fleet, run);
+        double base = base_ms == 0 ? UNKNOWN_SHARE
+                                   : (double)base_ms / target_ms;
+        scene.service = run->kind;
+        worst = MAX(worst, base * mb_contention_predict(
+                                      &pass->fleet->contention, &scene));
+    }
+    return worst >= SHARE_MAX ? COST_HARMS : (uint64_t)(worst * COST_SHARE);
 }
 
 /* Returns what a task costs beside what else the worker runs. Services and
@@ -269,10 +267,11 @@
 {
     bool serves = has_service(worker);
     if (step->fills) {
-        uint64_t kind = mb_str_hash(step->image);
-        uint32_t amount =
-            filling_of_kind(worker, kind) + step->size.cpu_milli;
-        return cost_for_services(pass, worker, kind, amount);
+        return !serves ? 0
+                       : COST_BESIDE_SERVICE +
+                             cost_for_services(pass, worker,
+                                               mb_str_hash(step->image),
+                                               step->size.cpu_milli);
     }
     if (serves) {
         return 0;
@@ -319,7 +318,8 @@
 choose_worker(const pass_t *pass, const mb_fleet_run_t *run, mb_str_t rack)
 {
     mb_fleet_worker_t *best = NULL;
-    uint64_t best_cost = COST_NONE;
+    uint64_t best_cost =
+        run->job->steps[run->step].fills ? COST_HARMS : COST_NONE;
     for (guint i = 0; i < pass->fleet->workers->len; i++) {
         mb_fleet_worker_t *worker = mb_fleet_worker_at(pass->fleet, i);
         if (rack.len > 0 && !mb_str_equal(mb_buf_view(&worker->rack), rack)) {
@@ -367,9 +367,7 @@
         return true;
     }
     return pass->now_us - run->started_us >= SLOWED_US &&
-           cost_for_services(pass, worker, run->kind,
-                             filling_of_kind(worker, run->kind)) ==
-               COST_HARMS;
+           cost_for_services(pass, worker, run->kind, 0) == COST_HARMS;
 }
 
 /* Moves the runs that services keep from working. */
--- a/lib/coordination/mb_order.c
+++ b/lib/coordination/mb_order.c
@@ -63,7 +63,7 @@
     report->runs = g_array_new(FALSE, FALSE, sizeof(mb_report_run_t));
     report->ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
     report->refusals = g_array_new(FALSE, FALSE, sizeof(mb_report_refusal_t));
-    report->blames = g_array_new(FALSE, FALSE, sizeof(mb_report_blame_t));
+    report->misses = g_array_new(FALSE, FALSE, sizeof(mb_report_miss_t));
 }
 
 /* Empties a report and keeps its memory. */
@@ -73,7 +73,7 @@
     (void)g_array_set_size(report->runs, 0);
     (void)g_array_set_size(report->ends, 0);
     (void)g_array_set_size(report->refusals, 0);
-    (void)g_array_set_size(report->blames, 0);
+    (void)g_array_set_size(report->misses, 0);
 }
 
 /* Frees a report. */
@@ -83,5 +83,5 @@
     g_array_unref(report->runs);
     g_array_unref(report->ends);
     g_array_unref(report->refusals);
-    g_array_unref(report->blames);
+    g_array_unref(report->misses);
 }
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -103,13 +103,14 @@
     mb_refusal_t reason;
 } mb_report_refusal_t;
 
-/* A service that was disturbed, and the filling work that is blamed; both as
-   hashes of their images. */
-typedef struct mb_report_blame {
-    uint64_t service;
-    uint64_t kind;
-    uint32_t cpu_milli; /* of that filling work */
-} mb_report_blame_t;
+/* Filling work beside a service that missed its latency target. */
+typedef struct mb_report_miss {
+    mb_dag_task_id_t service;
+    uint64_t run;
+    uint32_t value; /* its latency in milliseconds */
+    uint64_t kind;  /* hash of the image of the filling work */
+    uint32_t cpu_milli;
+} mb_report_miss_t;
 
 /* What a worker says of itself. */
 typedef struct mb_worker_info {
@@ -135,7 +136,7 @@
     GArray *runs;     /* mb_report_run_t */
     GArray *ends;     /* mb_report_end_t */
     GArray *refusals; /* mb_report_refusal_t */
-    GArray *blames;   /* mb_report_blame_t */
+    GArray *misses;   /* mb_report_miss_t; those of one service together */
 } mb_report_t;
 
 const char *mb_run_end_name(mb_run_end_t how);
--- a/lib/protocol/mb_order_codec.c
+++ b/lib/protocol/mb_order_codec.c
@@ -57,7 +57,7 @@
     RUN_ELEMENTS = 11,
     END_ELEMENTS = 8,
     REFUSAL_ELEMENTS = 6,
-    BLAME_ELEMENTS = 3
+    MISS_ELEMENTS = 8
 };
 
 /* Begins to read a list of rows; false when its shape is wrong. */
@@ -293,38 +293,40 @@
     reader->failed = reader->failed || rows.failed;
 }
 
-/* Packs the blames of a report. */
+/* Packs the misses of a report. */
 static void
-pack_blames(msgpack_packer *packer, const GArray *blames)
+pack_misses(msgpack_packer *packer, const GArray *misses)
 {
-    (void)msgpack_pack_array(packer, (size_t)blames->len * BLAME_ELEMENTS);
-    for (guint i = 0; i < blames->len; i++) {
-        const mb_report_blame_t *blame =
-            &g_array_index(blames, mb_report_blame_t, i);
-        (void)msgpack_pack_uint64(packer, blame->service);
-        (void)msgpack_pack_uint64(packer, blame->kind);
-        (void)msgpack_pack_uint32(packer, blame->cpu_milli);
+    (void)msgpack_pack_array(packer, (size_t)misses->len * MISS_ELEMENTS);
+    for (guint i = 0; i < misses->len; i++) {
+        const mb_report_miss_t *miss =
+            &g_array_index(misses, mb_report_miss_t, i);
+        pack_run(packer, &miss->service, miss->run);
+        (void)msgpack_pack_uint32(packer, miss->value);
+        (void)msgpack_pack_uint64(packer, miss->kind);
+        (void)msgpack_pack_uint32(packer, miss->cpu_milli);
     }
 }
 
-/* Reads the blames of a report. */
+/* Reads the misses of a report. */
 static void
-unpack_blames(mb_unpack_t *reader, GArray *blames)
+unpack_misses(mb_unpack_t *reader, GArray *misses)
 {
-    mb_unpack_t rows = unpack_rows(reader, BLAME_ELEMENTS);
+    mb_unpack_t rows = unpack_rows(reader, MISS_ELEMENTS);
     while (rows.left > 0 && !rows.failed) {
-        mb_report_blame_t blame = {0};
-        blame.service = mb_unpack_u64(&rows, UINT64_MAX);
-        blame.kind = mb_unpack_u64(&rows, UINT64_MAX);
-        blame.cpu_milli = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
-        g_array_append_val(blames, blame);
+        mb_report_miss_t miss = {0};
+        unpack_run(&rows, &miss.service, &miss.run);
+        miss.value = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
+        miss.kind = mb_unpack_u64(&rows, UINT64_MAX);
+        miss.cpu_milli = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
+        g_array_append_val(misses, miss);
     }
     reader->failed = reader->failed || rows.failed;
 }
 
 /* Appends a report: token, sequence, order that was read, whether it is
    complete, whether the agent leaves, the worker, runs, ends, refusals,
-   blames. */
+   misses. */
 void
 mb_report_encode(mb_buf_t *out, const mb_report_t *report)
 {
@@ -340,7 +342,7 @@
     pack_runs(&packer, report->runs);
     pack_ends(&packer, report->ends);
     pack_refusals(&packer, report->refusals);
-    pack_blames(&packer, report->blames);
+    pack_misses(&packer, report->misses);
 }
 
 /* Unpacks the array of a message. */
@@ -403,7 +405,7 @@
     unpack_runs(&reader, report->runs);
     unpack_ends(&reader, report->ends);
     unpack_refusals(&reader, report->refusals);
-    unpack_blames(&reader, report->blames);
+    unpack_misses(&reader, report->misses);
     if (!mb_unpack_done(&reader)) {
         mb_error_set(error, MB_KIND_PROTOCOL, "report has wrong fields");
         return false;
--- a/lib/transport/mb_agent_node.c
+++ b/lib/transport/mb_agent_node.c
@@ -203,7 +203,7 @@
     announce(node);
     run_flush(node);
     mb_gauge_set(node->runs_metric, node->agent.runs->len);
-    mb_gauge_set(node->pace_metric, mb_pacing_lowest(&node->agent.pacing));
+    mb_gauge_set(node->pace_metric, mb_pacing_percent(&node->agent.pacing));
 }
 
 /* A request of the worker on its way to the agent's thread. */
@@ -294,7 +294,7 @@
                                         "Runs at the worker");
     node->pace_metric =
         mb_counters_add(counters, MB_METRIC_GAUGE, "filling_pace_percent",
-                        "Lowest pace of a kind of filling runs");
+                        "Pace of the filling runs");
     mb_buf_printf(&node->producer, "%.*s-%016" G_GINT64_MODIFIER "x",
                   MB_STR_ARG(config->name), config->incarnation);
     return mb_order_decoder_init(&node->decoder) &&
