--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -52,6 +52,7 @@
     fleet->open = g_ptr_array_new();
     fleet->dirty = g_ptr_array_new();
     mb_contention_init(&fleet->contention);
+    mb_sizing_init(&fleet->sizing);
     fleet->rows = g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
 }
 
@@ -65,6 +66,7 @@
     g_ptr_array_unref(fleet->dirty);
     g_array_unref(fleet->rows);
     mb_contention_finish(&fleet->contention);
+    mb_sizing_finish(&fleet->sizing);
     mb_buf_finish(&fleet->bits);
 }
 
@@ -214,6 +216,7 @@
     job->dirty = false;
     job->inherited = false;
     job->running = 0;
+    job->idle_us = now_us;
     for (uint32_t i = 0; i < job->occurrence_count; i++) {
         uint64_t due_ms = job->spec.occurrences == 0
                               ? 0
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -12,6 +12,7 @@
 #include "mb_health.h"
 #include "mb_log.h"
 #include "mb_order.h"
+#include "mb_sizing.h"
 
 /* Most workers of a fleet; more are ignored with a log line. */
 #define MB_FLEET_WORKERS_MAX 32768u
@@ -64,6 +65,7 @@
     uint64_t started_us; /* when it was chosen or adopted */
     bool listed;         /* the agent has reported it */
     bool stopping;
+    bool resumed;        /* from a checkpoint, or adopted */
     uint64_t kind;       /* of its image, for contention */
     uint32_t latency_ms; /* of a service, as reported last; 0: unknown */
     uint64_t latency_us; /* when */
@@ -127,6 +129,7 @@
     GArray *rows;
     uint32_t running;
     mb_contention_t contention;
+    mb_sizing_t sizing; /* run times, by step and by queue */
     mb_fleet_counts_t counts;
 } mb_fleet_t;
 
--- /dev/null
+++ b/lib/coordination/mb_fleet_estimate.c
@@ -0,0 +1,83 @@
+/* Run times to expect, and the time within which a job should be completed. */
+#include "mb_fleet_internal.h"
+
+/* Run time by which learned ones are counted, in milliseconds: declared run
+   times are too far off to be a measure. */
+#define UNIT_MS 1000u
+/* Weights of the mean of a queue and of the declared run time, for a step of
+   which no task has finished. */
+#define WEIGHT_QUEUE 2u
+#define WEIGHT_DECLARED 1u
+#define MILLI 1000u
+
+/* Returns the number under which the run times of a queue are kept. */
+static uint64_t
+queue_kind(const mb_dag_job_t *job)
+{
+    return mb_str_hash(job->spec.policy.queue);
+}
+
+/* Returns the number under which the run times of a step are kept. */
+static uint64_t
+step_kind(const mb_dag_job_t *job, uint32_t step)
+{
+    return mb_str_hash(mb_dag_id_view(&job->spec.id)) ^
+           ((step + 1) * UINT64_C(0x9e3779b97f4a7c15));
+}
+
+/* Learns from a run that has succeeded. One that was slowed down says little
+   of its work. */
+void
+mb_fleet_learn_run_time(mb_fleet_t *fleet, const mb_fleet_run_t *run)
+{
+    uint64_t run_us = mb_clock_us(&fleet->clock) - run->started_us;
+    uint32_t run_ms = (uint32_t)MIN(run_us / MB_US_PER_MS, UINT32_MAX);
+    if (run->slowed_us != 0 || run->resumed) {
+        return;
+    }
+    mb_sizing_finished(&fleet->sizing, queue_kind(run->job), UNIT_MS, run_ms);
+    mb_sizing_finished(&fleet->sizing, step_kind(run->job, run->step), UNIT_MS,
+                       run_ms);
+}
+
+/* Returns the run time to expect of the tasks of a step, in milliseconds. */
+static uint64_t
+expected_ms(const mb_fleet_t *fleet, const mb_dag_job_t *job, uint32_t step)
+{
+    uint32_t declared_ms = job->steps[step].estimate_ms;
+    uint64_t of_step = step_kind(job, step);
+    uint64_t of_queue = queue_kind(job);
+    if (mb_sizing_knows(&fleet->sizing, of_step)) {
+        return mb_sizing_run_ms(&fleet->sizing, of_step, UNIT_MS);
+    }
+    if (!mb_sizing_knows(&fleet->sizing, of_queue)) {
+        return declared_ms;
+    }
+    uint64_t mean_ms = mb_sizing_run_ms(&fleet->sizing, of_queue, UNIT_MS);
+    return (mean_ms * WEIGHT_QUEUE + (uint64_t)declared_ms * WEIGHT_DECLARED) /
+           (WEIGHT_QUEUE + WEIGHT_DECLARED);
+}
+
+/* Estimates the time within which a job should be completed: the stretch of
+   its longest chain of run times, and the latency objective. */
+void
+mb_fleet_estimate(const mb_fleet_t *fleet, mb_dag_job_t *job)
+{
+    uint64_t chains[MB_DAG_STEPS_MAX];
+    uint64_t longest_ms = 0;
+    for (uint32_t i = 0; i < job->spec.step_count; i++) {
+        const mb_dag_step_t *step = &job->steps[i];
+        uint64_t before_ms = 0;
+        for (uint32_t k = 0; k < i; k++) {
+            if (step->depends_on & (UINT64_C(1) << k)) {
+                before_ms = MAX(before_ms, chains[k]);
+            }
+        }
+        chains[i] = before_ms + expected_ms(fleet, job, i);
+        longest_ms = MAX(longest_ms, chains[i]);
+    }
+    uint64_t objective_ms =
+        longest_ms * job->spec.policy.stretch_milli / MILLI +
+        job->spec.policy.latency_objective_ms;
+    job->objective_us = objective_ms * MB_US_PER_MS;
+}
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -1,6 +1,7 @@
 /* Parts of the fleet's owner that its files share. Calls go one way:
    mb_fleet.c (ownership, time) uses mb_fleet_report.c (what agents say) and
-   mb_fleet_schedule.c (what to start); all use mb_fleet_state.c. */
+   mb_fleet_schedule.c (what to start); all use mb_fleet_state.c, which uses
+   mb_fleet_estimate.c (what to expect). */
 #ifndef MB_FLEET_INTERNAL_H
 #define MB_FLEET_INTERNAL_H
 
@@ -36,6 +37,9 @@
 /* mb_fleet_schedule.c */
 void mb_fleet_schedule(mb_fleet_t *fleet);
 void mb_fleet_move_slowed(mb_fleet_t *fleet);
-void mb_fleet_estimate(mb_fleet_t *fleet, mb_dag_job_t *job);
+
+/* mb_fleet_estimate.c */
+void mb_fleet_learn_run_time(mb_fleet_t *fleet, const mb_fleet_run_t *run);
+void mb_fleet_estimate(const mb_fleet_t *fleet, mb_dag_job_t *job);
 
 #endif
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -39,6 +39,7 @@
     if (step->long_running) {
         return;
     }
+    mb_fleet_learn_run_time(fleet, run);
     if (step->gang) {
         finish_gang(run);
     }
@@ -164,6 +165,7 @@
                           .index = end->task.index,
                           .number = end->run,
                           .started_us = mb_clock_us(&fleet->clock),
+                          .resumed = true,
                           .listed = true};
     mb_fleet_run_t *added = mb_fleet_add_run(fleet, worker, &run);
     job->begun = true;
@@ -304,6 +306,7 @@
                           .index = listed->task.index,
                           .number = listed->run,
                           .started_us = mb_clock_us(&fleet->clock),
+                          .resumed = true,
                           .listed = true};
     (void)mb_fleet_add_run(fleet, worker, &run);
     job->begun = true;
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -27,7 +27,7 @@
 #define COST_OTHER_RACK 400u
 #define COST_BESIDE_SERVICE 200u
 #define COST_SHARE 1000.0
-#define COST_HARMS 20000u
+#define LOAD_FULL 1000u
 #define COST_FIRST_SERVICE 1500u
 #define COST_TAKES_FILLING_ROOM 500u
 #define COST_FAILURE 500u
@@ -40,36 +40,22 @@
    share without filling work of one that has reported nothing yet. */
 #define SHARE_MAX 0.8
 #define UNKNOWN_SHARE 0.5
+/* Part of its objective that a job may spend waiting for a worker where its
+   filling work disturbs nobody, in thousandths, and how much more a service
+   may be disturbed for each further objective. */
+#define PATIENCE_MILLI 200u
+#define SHARE_RISE 8.0
 /* Time for which a run must have been slowed down before it is moved, in
-   microseconds. */
-#define SLOWED_US UINT64_C(500000)
+   microseconds: a stop and a new start take most of a second. */
+#define SLOWED_US UINT64_C(1500000)
+/* Declared processors of filling work on a worker without services, in
+   thousandths of its own: tasks begin and end with a while without work. */
+#define FILLING_OVERCOMMIT_MILLI 1250u
+/* Time after which a job with nothing running gets one task started even
+   beside a service that it may disturb, in microseconds. */
+#define IDLE_US UINT64_C(1200000)
 #define MILLI 1000u
 
-/* Estimates the time within which a job should be completed: the stretch of
-   its longest chain of declared run times, and the latency objective. */
-void
-mb_fleet_estimate(mb_fleet_t *fleet, mb_dag_job_t *job)
-{
-    uint64_t chains[MB_DAG_STEPS_MAX];
-    uint64_t longest_ms = 0;
-    (void)fleet;
-    for (uint32_t i = 0; i < job->spec.step_count; i++) {
-        const mb_dag_step_t *step = &job->steps[i];
-        uint64_t before_ms = 0;
-        for (uint32_t k = 0; k < i; k++) {
-            if (step->depends_on & (UINT64_C(1) << k)) {
-                before_ms = MAX(before_ms, chains[k]);
-            }
-        }
-        chains[i] = before_ms + step->estimate_ms;
-        longest_ms = MAX(longest_ms, chains[i]);
-    }
-    uint64_t objective_ms =
-        longest_ms * job->spec.policy.stretch_milli / MILLI +
-        job->spec.policy.latency_objective_ms;
-    job->objective_us = objective_ms * MB_US_PER_MS;
-}
-
 /* What the order of the jobs looks at. */
 typedef struct rank {
     uint32_t lateness; /* 0: on time, 1: late, 2: worth little */
@@ -221,12 +207,15 @@
     uint64_t used = (uint64_t)busy_milli(worker) + worker->filling.cpu_milli +
                     step->size.cpu_milli;
     bool alone = worker->filling.cpu_milli == 0;
-    return used > capacity && !alone ? COST_NONE : used * MILLI / capacity;
+    uint64_t bound = has_service(worker)
+                         ? capacity
+                         : capacity * FILLING_OVERCOMMIT_MILLI / MILLI;
+    return used > bound && !alone ? COST_NONE : used * MILLI / capacity;
 }
 
 /* Returns what filling work costs the services on a worker, with `more` of a
-   kind added: a part of the share of its target that the worst latency is
-   expected to reach; COST_HARMS when that is too much. */
+   kind added: the share of its target that the worst latency is expected to
+   reach. */
 static uint64_t
 cost_for_services(const pass_t *pass, const mb_fleet_worker_t *worker,
                   uint64_t kind, uint32_t more)
@@ -256,7 +245,7 @@
         worst = MAX(worst, base * mb_contention_predict(
                                       &pass->fleet->contention, &scene));
     }
-    return worst >= SHARE_MAX ? COST_HARMS : (uint64_t)(worst * COST_SHARE);
+    return (uint64_t)(worst * COST_SHARE);
 }
 
 /* Returns what a task costs beside what else the worker runs. Services and
@@ -312,14 +301,33 @@
     return cost + worker->health.failures * (uint64_t)COST_FAILURE;
 }
 
+/* Returns the cost below which a run is placed. Filling work with time left
+   waits rather than disturb a service; the less time is left, the more it may.
+   A job does not stand still for long. */
+static uint64_t
+cost_bound(const pass_t *pass, const mb_fleet_run_t *run)
+{
+    const mb_dag_job_t *job = run->job;
+    uint64_t age_us = pass->now_us - MIN(pass->now_us, job->arrived_us);
+    uint64_t used_milli = age_us * MILLI / MAX(job->objective_us, 1u);
+    bool idle = job->running == 0 && pass->now_us - job->idle_us >= IDLE_US;
+    if (!job->steps[run->step].fills || idle) {
+        return COST_NONE;
+    }
+    double share = SHARE_MAX;
+    if (used_milli > PATIENCE_MILLI) {
+        share += SHARE_RISE * (double)(used_milli - PATIENCE_MILLI) / MILLI;
+    }
+    return COST_BESIDE_SERVICE + LOAD_FULL + (uint64_t)(share * COST_SHARE);
+}
+
 /* Returns the worker where a run costs least, or NULL; `rack` restricts the
    choice unless it is empty. */
 static mb_fleet_worker_t *
 choose_worker(const pass_t *pass, const mb_fleet_run_t *run, mb_str_t rack)
 {
     mb_fleet_worker_t *best = NULL;
-    uint64_t best_cost =
-        run->job->steps[run->step].fills ? COST_HARMS : COST_NONE;
+    uint64_t best_cost = cost_bound(pass, run);
     for (guint i = 0; i < pass->fleet->workers->len; i++) {
         mb_fleet_worker_t *worker = mb_fleet_worker_at(pass->fleet, i);
         if (rack.len > 0 && !mb_str_equal(mb_buf_view(&worker->rack), rack)) {
@@ -342,7 +350,7 @@
     mb_fleet_run_t moved = *run;
     for (guint i = 0; i < pass->fleet->workers->len; i++) {
         mb_fleet_worker_t *other = mb_fleet_worker_at(pass->fleet, i);
-        if (other != worker && cost_on(pass, other, &moved) < COST_HARMS) {
+        if (other != worker && cost_on(pass, other, &moved) < cost_bound(pass, run)) {
             mb_log_info(&pass->fleet->log,
                         "moving a slowed run job=%.*s task=%u.%u.%u from=%.*s",
                         MB_STR_ARG(mb_dag_id_view(&run->job->spec.id)),
@@ -355,21 +363,6 @@
     }
 }
 
-/* Tells whether a filling run is slowed down, or has to be. */
-static bool
-is_misplaced(const pass_t *pass, const mb_fleet_worker_t *worker,
-             const mb_fleet_run_t *run)
-{
-    if (!run->job->steps[run->step].fills) {
-        return false;
-    }
-    if (run->slowed_us != 0 && pass->now_us - run->slowed_us >= SLOWED_US) {
-        return true;
-    }
-    return pass->now_us - run->started_us >= SLOWED_US &&
-           cost_for_services(pass, worker, run->kind, 0) == COST_HARMS;
-}
-
 /* Moves the runs that services keep from working. */
 void
 mb_fleet_move_slowed(mb_fleet_t *fleet)
@@ -380,8 +373,9 @@
         for (guint i = 0; i < worker->runs->len; i++) {
             mb_fleet_run_t *run =
                 &g_array_index(worker->runs, mb_fleet_run_t, i);
-            if (!run->stopping && run->job->steps[run->step].checkpoints &&
-                is_misplaced(&pass, worker, run)) {
+            if (run->slowed_us != 0 && !run->stopping &&
+                run->job->steps[run->step].checkpoints &&
+                pass.now_us - run->slowed_us >= SLOWED_US) {
                 move_run(&pass, worker, run);
             }
         }
@@ -407,6 +401,7 @@
     mb_dag_task_t *task = mb_fleet_run_task(run);
     run->order = worker->order + 1;
     run->started_us = pass->now_us;
+    run->resumed = task->checkpoint_len > 0;
     mb_order_start_t start = {
         .task = mb_fleet_run_id(run),
         .run = run->number,
@@ -614,6 +609,9 @@
     }
     fleet->unsorted = false;
     fleet->sorted_us = now_us;
+    for (guint i = 0; i < fleet->open->len; i++) {
+        mb_fleet_estimate(fleet, g_ptr_array_index(fleet->open, i));
+    }
     g_ptr_array_sort_with_data(fleet->open, compare_jobs, &now_us);
 }
 
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -125,6 +125,7 @@
     account(worker, run, false);
     worker->mixed_us = mb_clock_us(&fleet->clock);
     run->job->running--;
+    run->job->idle_us = mb_clock_us(&fleet->clock);
     fleet->running--;
     fleet->startable = true;
     guint at = (guint)(run - (mb_fleet_run_t *)(void *)worker->runs->data);
--- a/lib/coordination/mb_pacing.c
+++ b/lib/coordination/mb_pacing.c
@@ -42,10 +42,18 @@
         judge(pacing, latency_milli, now_us);
         return false;
     }
-    if (latency_milli < MB_PACING_STOP_MILLI || !filling ||
+    if (latency_milli < MB_PACING_STOP_MILLI || !filling) {
+        pacing->missed_us = 0;
+        return false;
+    }
+    if (pacing->missed_us == 0) {
+        pacing->missed_us = now_us;
+    }
+    if (now_us - pacing->missed_us < MB_PACING_PATIENCE_US ||
         now_us < pacing->pardoned_us) {
         return false;
     }
+    pacing->missed_us = 0;
     pacing->held = true;
     pacing->held_us = now_us;
     pacing->begin_milli = latency_milli;
--- a/lib/coordination/mb_pacing.h
+++ b/lib/coordination/mb_pacing.h
@@ -1,6 +1,6 @@
 /* Whether filling work may go on beside the services of one worker. It stands
-   still as soon as a service misses its latency target, and goes on when the
-   latency has recovered; a latency that does not fall while nothing works
+   still when a service has missed its latency target for a while, and goes on
+   when the latency has recovered; a latency that does not fall while nothing works
    beside it is not the fault of filling work. Answers a load of services
    whose demand swings within seconds. Used on one thread. */
 #ifndef MB_PACING_H
@@ -11,8 +11,11 @@
 
 /* Share of a latency target, in thousandths, from which filling work stands
    still, and below which it goes on. */
-#define MB_PACING_STOP_MILLI 850u
+#define MB_PACING_STOP_MILLI 950u
 #define MB_PACING_GO_MILLI 700u
+/* Time for which a target is missed before filling work stands still, in
+   microseconds. */
+#define MB_PACING_PATIENCE_US UINT64_C(1500000)
 /* Time for which nothing works beside a service before its latency is judged,
    in microseconds: a figure covers the last half second and lags behind. */
 #define MB_PACING_TRIAL_US UINT64_C(1500000)
@@ -27,6 +30,7 @@
     bool held;
     uint64_t held_us;     /* since when */
     uint32_t begin_milli; /* latency then */
+    uint64_t missed_us;   /* since when a target is missed; 0: none is */
     uint64_t pardoned_us; /* until then nothing is held */
 } mb_pacing_t;
 
--- a/lib/coordination/mb_sizing.c
+++ b/lib/coordination/mb_sizing.c
@@ -97,13 +97,20 @@
     return expected;
 }
 
+/* Tells whether a run time of the kind is known. */
+bool
+mb_sizing_knows(const mb_sizing_t *sizing, uint64_t kind)
+{
+    const mb_sizing_kind_t *slot = slot_of(sizing, kind);
+    return slot->kind == kind && slot->finishes > 0;
+}
+
 /* Returns the run time that a task is expected to have. */
 uint32_t
 mb_sizing_run_ms(const mb_sizing_t *sizing, uint64_t kind,
                  uint32_t declared_ms)
 {
-    const mb_sizing_kind_t *slot = slot_of(sizing, kind);
-    return slot->kind == kind && slot->finishes > 0
-               ? apply(slot->run_time, declared_ms)
+    return mb_sizing_knows(sizing, kind)
+               ? apply(slot_of(sizing, kind)->run_time, declared_ms)
                : declared_ms;
 }
--- a/lib/coordination/mb_sizing.h
+++ b/lib/coordination/mb_sizing.h
@@ -35,6 +35,8 @@
                         uint32_t declared_ms, uint32_t run_ms);
 mb_size_t mb_sizing_size(const mb_sizing_t *sizing, uint64_t kind,
                          const mb_size_t *declared);
+/* Whether a task of the kind has finished. */
+bool mb_sizing_knows(const mb_sizing_t *sizing, uint64_t kind);
 uint32_t mb_sizing_run_ms(const mb_sizing_t *sizing, uint64_t kind,
                           uint32_t declared_ms);
 
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -139,6 +139,7 @@
     bool inherited; /* accepted before this process became the owner */
     bool waits;     /* some task may be startable */
     uint32_t running; /* runs that hold a worker */
+    uint64_t idle_us; /* since when there are none */
     uint64_t arrived_us;
     uint64_t objective_us; /* time within which it should be completed */
 } mb_dag_job_t;
