--- a/lib/coordination/mb_journal.c
+++ b/lib/coordination/mb_journal.c
@@ -297,12 +297,15 @@
     return true;
 }
 
-/* Tells whether the log does not take appends at present. */
+/* Tells whether the log does not take appends at present. With nothing under
+   way the next record is let through, because only an append shows that the
+   log works again. */
 bool
 mb_journal_stalled(const mb_journal_t *journal)
 {
+    bool trying = journal->sending || journal->batch->len > 0;
     return journal->fenced ||
-           (journal->failing_since_us != 0 &&
+           (trying && journal->failing_since_us != 0 &&
             mb_clock_us(&journal->clock) - journal->failing_since_us >=
                 MB_JOURNAL_STALLED_MS * MB_US_PER_MS);
 }
