--- /dev/null
+++ b/tests/unit/test_dag.cc
@@ -0,0 +1,218 @@
+/* Tests of the jobs with steps and of the records that store them. */
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "mb_dag_record.h"
+}
+
+static mb_str_t
+view(const std::string &text)
+{
+    return mb_str_t{text.data(), text.size()};
+}
+
+static mb_dag_id_t
+id_of(const char *text)
+{
+    mb_dag_id_t id;
+    EXPECT_TRUE(mb_dag_id_parse(mb_str_from_cstr(text), &id));
+    return id;
+}
+
+/* A job of two steps; the second depends on the first. */
+static mb_dag_spec_t
+two_steps(mb_dag_step_t *steps)
+{
+    steps[0] = mb_dag_step_t{};
+    steps[0].count = 3;
+    steps[0].checkpoints = true;
+    steps[1] = mb_dag_step_t{};
+    steps[1].count = 2;
+    steps[1].depends_on = 1;
+    steps[1].image = MB_STR_LIT("image");
+    mb_dag_spec_t spec = {};
+    spec.id = id_of("0123456789abcdef");
+    spec.policy.queue = MB_STR_LIT("queue");
+    spec.policy.service = MB_STR_LIT("service");
+    spec.policy.max_attempts = 2;
+    spec.payload = MB_STR_LIT("payload");
+    spec.step_count = 2;
+    spec.steps = steps;
+    return spec;
+}
+
+class Dag : public ::testing::Test
+{
+  protected:
+    void
+    SetUp() override
+    {
+        mb_dag_table_init(&table);
+        ASSERT_TRUE(mb_dag_record_decoder_init(&decoder));
+        spec = two_steps(steps);
+    }
+    void
+    TearDown() override
+    {
+        mb_dag_table_finish(&table);
+        mb_dag_record_decoder_finish(&decoder);
+    }
+    mb_dag_table_t table;
+    mb_dag_record_decoder_t decoder;
+    mb_dag_step_t steps[2];
+    mb_dag_spec_t spec;
+};
+
+/* Guards against a second copy of a job whose client sent it twice. */
+TEST_F(Dag, OneJobForOneId)
+{
+    EXPECT_NE(mb_dag_add(&table, &spec), nullptr);
+    EXPECT_EQ(mb_dag_add(&table, &spec), nullptr);
+    EXPECT_EQ(g_hash_table_size(table.jobs), 1u);
+}
+
+/* Guards against ids that are cut, too long or no hexadecimal digits. */
+TEST_F(Dag, RefusesOtherIds)
+{
+    mb_dag_id_t id;
+    EXPECT_FALSE(mb_dag_id_parse(MB_STR_LIT("0123456789abcde"), &id));
+    EXPECT_FALSE(mb_dag_id_parse(MB_STR_LIT("0123456789abcdef0"), &id));
+    EXPECT_FALSE(mb_dag_id_parse(MB_STR_LIT("0123456789abcdeg"), &id));
+}
+
+/* Guards against a step that starts before the steps it depends on. */
+TEST_F(Dag, StepWaitsForItsDependencies)
+{
+    mb_dag_job_t *job = mb_dag_add(&table, &spec);
+    for (uint32_t i = 0; i < 3; i++) {
+        EXPECT_FALSE(mb_dag_step_ready(job, 0, 1));
+        mb_dag_set_done(job, 0, 0, mb_dag_task(job, 0, 0, i));
+        mb_dag_set_done(job, 0, 0, mb_dag_task(job, 0, 0, i));
+    }
+    EXPECT_TRUE(mb_dag_step_ready(job, 0, 1));
+    EXPECT_FALSE(mb_dag_all_done(job));
+}
+
+/* Guards against specifications that would index out of their bounds. */
+TEST_F(Dag, RefusesBadSpecifications)
+{
+    const char *reason = nullptr;
+    steps[0].depends_on = 2;
+    EXPECT_FALSE(mb_dag_spec_valid(&spec, &reason));
+    steps[0].depends_on = 0;
+    steps[1].count = 0;
+    EXPECT_FALSE(mb_dag_spec_valid(&spec, &reason));
+    steps[1].count = MB_DAG_TASKS_MAX;
+    EXPECT_FALSE(mb_dag_spec_valid(&spec, &reason));
+}
+
+/* Guards against an attempt that is counted twice, which would fail a job
+   that has attempts left. */
+TEST_F(Dag, CountsEachFailedRunOnce)
+{
+    mb_dag_job_t *job = mb_dag_add(&table, &spec);
+    mb_dag_task_t *task = mb_dag_task(job, 0, 0, 0);
+    EXPECT_TRUE(mb_dag_add_failure(task, 7));
+    EXPECT_FALSE(mb_dag_add_failure(task, 7));
+    EXPECT_TRUE(mb_dag_add_failure(task, 3));
+    EXPECT_EQ(task->failures, 2);
+}
+
+/* Guards against fields that are lost on the way through the log. */
+TEST_F(Dag, JobRecordKeepsEveryField)
+{
+    mb_buf_t value = {};
+    mb_buf_t key = {};
+    mb_dag_record_t record;
+    steps[0].size = mb_size_t{1, 2, 3};
+    steps[0].gang = steps[0].rack_local = steps[0].speculative = true;
+    steps[0].per_worker_max = 4;
+    steps[0].label = MB_STR_LIT("label");
+    steps[0].rack = MB_STR_LIT("rack");
+    steps[1].long_running = steps[1].fills = true;
+    steps[1].latency_target_ms = 5;
+    steps[1].unavailable_max = 6;
+    spec.submitted_ms = 7;
+    mb_dag_record_key(&key, MB_DAG_RECORD_JOB, mb_dag_id_view(&spec.id));
+    mb_dag_record_encode_job(&value, &spec);
+    ASSERT_TRUE(mb_dag_record_decode(&decoder, mb_buf_view(&key),
+                                     mb_buf_view(&value), &record, nullptr));
+    const mb_dag_spec_t &read = record.body.job;
+    ASSERT_EQ(read.step_count, 2u);
+    EXPECT_EQ(read.steps[0].size.accelerators, 3u);
+    EXPECT_TRUE(read.steps[0].gang && read.steps[0].rack_local &&
+                read.steps[0].speculative);
+    EXPECT_EQ(read.steps[0].per_worker_max, 4u);
+    EXPECT_TRUE(mb_str_equal(read.steps[0].rack, MB_STR_LIT("rack")));
+    EXPECT_EQ(read.steps[1].depends_on, 1u);
+    EXPECT_EQ(read.steps[1].unavailable_max, 6u);
+    EXPECT_TRUE(mb_str_equal(read.steps[1].image, MB_STR_LIT("image")));
+    EXPECT_TRUE(mb_str_equal(read.payload, spec.payload));
+    EXPECT_EQ(read.submitted_ms, 7u);
+    mb_buf_finish(&key);
+    mb_buf_finish(&value);
+}
+
+/* Guards against an owner that forgets what was done, how often tasks failed
+   or where they resume. */
+RC_GTEST_FIXTURE_PROP(Dag, ProgressSurvivesTheLog, ())
+{
+    mb_dag_job_t *job = mb_dag_add(&table, &spec);
+    mb_buf_t bits = {};
+    mb_buf_t value = {};
+    mb_buf_t key = {};
+    mb_dag_record_t record;
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
+    mb_dag_progress_t progress = {};
+    progress.rows = rows;
+    auto done = *rc::gen::container<std::vector<bool>>(
+        5, rc::gen::arbitrary<bool>());
+    auto runs = *rc::gen::unique<std::vector<uint64_t>>(
+        rc::gen::inRange<uint64_t>(1, 100));
+    for (uint32_t i = 0; i < 5; i++) {
+        mb_dag_task_t *task = &job->occurrences[0].tasks[i];
+        if (done[i]) {
+            mb_dag_set_done(job, 0, mb_dag_step_of(job, i), task);
+        }
+        for (uint64_t run : runs) {
+            mb_dag_add_failure(task, run + i);
+        }
+        mb_dag_set_checkpoint(task, MB_STR_LIT("checkpoint"));
+    }
+    mb_dag_progress_take(job, &bits, &progress);
+    mb_dag_record_key(&key, MB_DAG_RECORD_PROGRESS,
+                      mb_dag_id_view(&spec.id));
+    mb_dag_record_encode_progress(&value, &progress);
+    RC_ASSERT(mb_dag_record_decode(&decoder, mb_buf_view(&key),
+                                   mb_buf_view(&value), &record, nullptr));
+    mb_dag_table_clear(&table);
+    mb_dag_job_t *next = mb_dag_add(&table, &spec);
+    mb_dag_progress_apply(next, &record.body.progress);
+    for (uint32_t i = 0; i < 5; i++) {
+        const mb_dag_task_t *task = &next->occurrences[0].tasks[i];
+        RC_ASSERT(task->done == done[i]);
+        RC_ASSERT(done[i] || task->failures == runs.size());
+        RC_ASSERT(done[i] || task->checkpoint_len == 10);
+    }
+    mb_buf_finish(&bits);
+    mb_buf_finish(&key);
+    mb_buf_finish(&value);
+    g_array_unref(rows);
+    mb_dag_table_clear(&table);
+}
+
+/* Guards against records of another writer that end the process or change
+   something. */
+RC_GTEST_FIXTURE_PROP(Dag, AnyBytesAreRefusedOrRead,
+                      (const std::string &key, const std::string &value))
+{
+    mb_dag_record_t record;
+    GError *error = nullptr;
+    bool read = mb_dag_record_decode(&decoder, view(key), view(value),
+                                     &record, &error);
+    RC_ASSERT(read == (error == nullptr));
+    g_clear_error(&error);
+}
--- /dev/null
+++ b/tests/unit/test_fleet.cc
@@ -0,0 +1,357 @@
+/* Tests of the owner of the fleet and the agents, together under virtual
+   time. */
+#include <gtest/gtest.h>
+
+#include "fleet_world.h"
+
+static const char *const first_id = "0123456789abcdef";
+
+/* A job of one step. */
+static mb_dag_spec_t
+one_step(mb_dag_step_t *step, const char *id, uint32_t count, uint32_t cpu)
+{
+    mb_dag_spec_t spec = {};
+    *step = mb_dag_step_t{};
+    step->count = count;
+    step->size = {cpu, 100, 0};
+    step->estimate_ms = 300;
+    EXPECT_TRUE(mb_dag_id_parse(mb_str_from_cstr(id), &spec.id));
+    spec.policy.queue = MB_STR_LIT("queue");
+    spec.policy.service = MB_STR_LIT("service");
+    spec.policy.max_attempts = 2;
+    spec.policy.stretch_milli = 2000;
+    spec.policy.latency_objective_ms = 1000;
+    spec.payload = MB_STR_LIT("payload");
+    spec.step_count = 1;
+    spec.steps = step;
+    spec.submitted_ms = 10000;
+    return spec;
+}
+
+static void
+expect_no_violations(const FleetWorld &world)
+{
+    for (const std::string &what : world.violations) {
+        ADD_FAILURE() << what;
+    }
+}
+
+/* Guards against a job that is not run, and against more work than fits. */
+TEST(Fleet, RunsAJobWithinTheCapacity)
+{
+    FleetWorld world(2);
+    mb_dag_step_t step;
+    world.take_over();
+    world.pass(2500);
+    world.submit(one_step(&step, first_id, 20, 1000));
+    world.pass(3000);
+    EXPECT_EQ(world.outcome(first_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(world.starts.size(), 20u);
+    expect_no_violations(world);
+}
+
+/* Guards against an end that is acknowledged although its effect was not
+   stored: the next owner would start the task again after its success. */
+TEST(Fleet, AcknowledgesNothingThatWasNotStored)
+{
+    FleetWorld world(1);
+    mb_dag_step_t step;
+    world.take_over();
+    world.pass(2500);
+    world.store_fails = true;
+    world.submit(one_step(&step, first_id, 2, 1000));
+    world.pass(1500);
+    EXPECT_FALSE(world.machines[0]->worker.ends.empty());
+    world.store_fails = false;
+    world.take_over();
+    world.pass(3000);
+    EXPECT_EQ(world.outcome(first_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(world.starts.size(), 2u);
+    for (const auto &item : world.starts) {
+        EXPECT_EQ(item.second, 1u) << item.first;
+    }
+    expect_no_violations(world);
+}
+
+/* Guards against a task that a new owner starts while the run of the former
+   one goes on at a worker it has not heard of yet. */
+TEST(Fleet, ANewOwnerWaitsForWorkersItCannotReach)
+{
+    FleetWorld world(2);
+    mb_dag_step_t step;
+    world.task_ms = 3000;
+    world.take_over();
+    world.pass(2500);
+    world.submit(one_step(&step, first_id, 2, 3000));
+    world.pass(500);
+    EXPECT_EQ(world.running(), 2u);
+    world.take_over();
+    world.unlink(*world.machines[1]);
+    world.pass(5000);
+    world.link(*world.machines[1]);
+    world.pass(3000);
+    EXPECT_EQ(world.outcome(first_id), MB_DAG_COMPLETED);
+    expect_no_violations(world);
+}
+
+/* Guards against work that waits for ever on a worker that never comes back,
+   and against a second run before its lease has ended. */
+TEST(Fleet, MovesTheTasksOfALostWorkerAfterItsLease)
+{
+    FleetWorld world(2);
+    mb_dag_step_t step;
+    world.task_ms = 60000;
+    world.take_over();
+    world.pass(2500);
+    world.submit(one_step(&step, first_id, 2, 3000));
+    world.pass(500);
+    EXPECT_EQ(world.running(), 2u);
+    world.unlink(*world.machines[0]);
+    world.machines[0]->worker.world = &world;
+    world.task_ms = 100;
+    world.machines[1]->worker.runs[0].end_ms = 0;
+    world.pass(4000);
+    EXPECT_EQ(world.outcome(first_id), MB_DAG_OPEN);
+    world.pass(4000);
+    EXPECT_EQ(world.outcome(first_id), MB_DAG_COMPLETED);
+    expect_no_violations(world);
+}
+
+/* Guards against attempts beyond the bound: the former owner could not store
+   a failure, and the next one learned of a newer run first. */
+TEST(Fleet, CountsAFailureThatTheFormerOwnerCouldNotStore)
+{
+    FleetWorld world(2);
+    mb_dag_step_t step;
+    world.fail_percent = 100;
+    world.take_over();
+    world.pass(2500);
+    world.store_waits = true;
+    world.submit(one_step(&step, first_id, 1, 3000));
+    world.pass(500);
+    world.task_ms = 2000;
+    world.pass(500);
+    EXPECT_EQ(world.running(), 1u);
+    world.store_waits = false;
+    world.take_over();
+    world.pass(8000);
+    EXPECT_EQ(world.outcome(first_id), MB_DAG_FAILED);
+    EXPECT_EQ(world.starts.begin()->second, 2u);
+    expect_no_violations(world);
+}
+
+/* Guards against a start that is repeated elsewhere although the first one,
+   which got no answer, is carried out later. */
+TEST(Fleet, StopsAStartWithoutAnAnswerBeforeTheNext)
+{
+    FleetWorld world(2);
+    mb_dag_step_t step;
+    world.task_ms = 1500;
+    world.take_over();
+    world.pass(2500);
+    for (auto &machine : world.machines) {
+        machine->worker.plan = {'d', 'l', 'd'};
+    }
+    world.submit(one_step(&step, first_id, 4, 1000));
+    world.pass(9000);
+    EXPECT_EQ(world.outcome(first_id), MB_DAG_COMPLETED);
+    expect_no_violations(world);
+}
+
+/* Guards against tasks that stay with a worker that has begun anew. */
+TEST(Fleet, StartsAgainWhatACrashedWorkerRan)
+{
+    FleetWorld world(1);
+    mb_dag_step_t step;
+    world.task_ms = 2000;
+    world.take_over();
+    world.pass(2500);
+    world.submit(one_step(&step, first_id, 2, 1000));
+    world.pass(500);
+    world.machines[0]->worker.crash();
+    world.pass(6000);
+    EXPECT_EQ(world.outcome(first_id), MB_DAG_COMPLETED);
+    expect_no_violations(world);
+}
+
+/* Guards against a cancelled job whose tasks go on. */
+TEST(Fleet, StopsTheTasksOfACancelledJob)
+{
+    FleetWorld world(1);
+    mb_dag_step_t step;
+    world.task_ms = 60000;
+    world.take_over();
+    world.pass(2500);
+    mb_dag_job_t *job = world.submit(one_step(&step, first_id, 3, 1000));
+    world.pass(500);
+    EXPECT_EQ(world.running(), 3u);
+    job->cancelled = true;
+    mb_fleet_job_cancelled(&world.fleet, job);
+    world.pass(1000);
+    EXPECT_EQ(world.running(), 0u);
+    EXPECT_TRUE(mb_fleet_job_idle(job));
+}
+
+/* Guards against more tasks of a step on one worker than it allows. */
+TEST(Fleet, SpreadsAStepAsItAsks)
+{
+    FleetWorld world(2);
+    mb_dag_step_t step;
+    world.task_ms = 60000;
+    world.take_over();
+    world.pass(2500);
+    mb_dag_spec_t spec = one_step(&step, first_id, 6, 100);
+    step.per_worker_max = 2;
+    world.submit(spec);
+    world.pass(1000);
+    EXPECT_EQ(world.machines[0]->worker.runs.size(), 2u);
+    EXPECT_EQ(world.machines[1]->worker.runs.size(), 2u);
+}
+
+/* Guards against a gang of which only some members are started, and against
+   members with different run numbers. */
+TEST(Fleet, StartsAGangAsAWhole)
+{
+    FleetWorld world(2);
+    mb_dag_step_t step;
+    mb_dag_step_t other;
+    world.task_ms = 1000;
+    world.take_over();
+    world.pass(2500);
+    world.submit(one_step(&other, "aaaaaaaaaaaaaaaa", 2, 3000));
+    world.pass(200);
+    mb_dag_spec_t spec = one_step(&step, first_id, 4, 2000);
+    step.gang = true;
+    world.submit(spec);
+    world.pass(400);
+    EXPECT_EQ(world.running(), 2u);
+    world.pass(1200);
+    EXPECT_EQ(world.running(), 4u);
+    for (auto &machine : world.machines) {
+        for (const auto &run : machine->worker.runs) {
+            EXPECT_EQ(run.run, world.machines[0]->worker.runs[0].run);
+        }
+    }
+    expect_no_violations(world);
+}
+
+/* Guards against an occurrence that starts before its time. */
+TEST(Fleet, WaitsForTheTimeOfAnOccurrence)
+{
+    FleetWorld world(1);
+    mb_dag_step_t step;
+    world.take_over();
+    world.pass(2500);
+    mb_dag_spec_t spec = one_step(&step, first_id, 1, 100);
+    spec.occurrences = 2;
+    spec.first_ms = world.now_us / 1000 + 1000;
+    spec.interval_ms = 1000;
+    world.submit(spec);
+    world.pass(900);
+    EXPECT_EQ(world.starts.size(), 0u);
+    world.pass(700);
+    EXPECT_EQ(world.starts.size(), 1u);
+    world.pass(1500);
+    EXPECT_EQ(world.outcome(first_id), MB_DAG_COMPLETED);
+}
+
+/* Guards against an agent that obeys an owner whose token is older. */
+TEST(Agent, RefusesAnOlderToken)
+{
+    FleetWorld world(1);
+    world.take_over();
+    world.take_over();
+    EXPECT_FALSE(mb_agent_connected(&world.machines[0]->agent, 1));
+}
+
+/* Guards against a heartbeat that was held up and arrives after the worker
+   has begun anew. */
+TEST(Agent, IgnoresAHeartbeatOfAnEarlierIncarnation)
+{
+    FleetWorld world(1);
+    world.take_over();
+    world.machines[0]->worker.born_ms = 5;
+    world.pass(2500);
+    mb_worker_info_t info = {};
+    info.name = MB_STR_LIT("worker-0");
+    info.incarnation = 4;
+    info.born_ms = 4;
+    mb_agent_heartbeat(&world.machines[0]->agent, &info, 1000);
+    EXPECT_EQ(world.machines[0]->agent.info.incarnation, 5u);
+}
+
+/* Random histories: links break, workers crash, starts go unanswered, owners
+   change and the log refuses, several at a time. Guards against two runs of a
+   task, a start after a success that was taken, too much work on a worker,
+   and jobs that are never finished. */
+static void
+play_history(uint64_t seed)
+{
+    FleetWorld world(3, seed);
+    std::vector<mb_dag_step_t> steps(24);
+    world.fail_percent = 3;
+    world.task_ms = 200 + world.random() % 1500;
+    world.take_over();
+    world.pass(2500);
+    for (int event = 0; event < 60; event++) {
+        Machine &machine = *world.machines[world.random() % 3];
+        switch (world.random() % 9) {
+        case 0:
+            world.unlink(machine);
+            break;
+        case 1:
+        case 2:
+            world.link(machine);
+            break;
+        case 3:
+            machine.worker.plan = {'d', 'o', 'l'};
+            break;
+        case 4:
+            if (world.random() % 3 == 0) {
+                machine.worker.crash();
+            }
+            break;
+        case 5:
+            world.store_fails = false;
+            world.take_over();
+            break;
+        case 6:
+            world.store_fails = world.random() % 4 == 0;
+            break;
+        default:
+            break;
+        }
+        if (event < 24) {
+            char id[MB_DAG_ID_LEN + 1];
+            (void)snprintf(id, sizeof(id), "%016x", event + 1);
+            mb_dag_spec_t spec = one_step(&steps[(size_t)event], id,
+                                          1 + world.random() % 5, 800);
+            spec.policy.max_attempts = 50;
+            spec.submitted_ms = world.now_us / 1000;
+            world.submit(spec);
+        }
+        world.pass(50 + world.random() % 1200);
+    }
+    world.store_fails = false;
+    world.take_over();
+    world.pass(40000);
+    for (int i = 0; i < 24; i++) {
+        char id[MB_DAG_ID_LEN + 1];
+        (void)snprintf(id, sizeof(id), "%016x", i + 1);
+        EXPECT_EQ(world.outcome(id), MB_DAG_COMPLETED) << id;
+    }
+    expect_no_violations(world);
+}
+
+TEST(FleetHistory, KeepsItsPromisesUnderFaults)
+{
+    const char *fixed = g_getenv("MB_SEED");
+    const char *many = g_getenv("MB_HISTORIES");
+    uint64_t seed = fixed == nullptr ? 20261204 : strtoull(fixed, nullptr, 10);
+    uint64_t count = many == nullptr ? 30 : strtoull(many, nullptr, 10);
+    for (uint64_t i = 0; i < count && !HasFailure(); i++) {
+        SCOPED_TRACE("MB_SEED=" + std::to_string(seed + i) +
+                     " MB_HISTORIES=1");
+        play_history(seed + i);
+    }
+}
