Keep runs that may have been started on a new incarnation of a worker

A worker began anew under its name while starts were on their way; they ran on the new incarnation, the agent forgot them with the old one, and the owner started the tasks elsewhere. With an agent older than 6 s the first report after that did not wait for a list.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -18,7 +18,7 @@
     agent->executor = *executor;
     agent->clock = *clock;
     agent->log = *log;
-    agent->begun_us = mb_clock_us(clock);
+    agent->unlisted_us = mb_clock_us(clock);
     agent->runs = g_ptr_array_new_with_free_func(mb_agent_free_run);
     agent->ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
     mb_report_init(&agent->report);
@@ -260,7 +260,7 @@
 is_listed(const mb_agent_t *agent, uint64_t now_us)
 {
     return agent->answered_us != 0 || agent->gone ||
-           now_us - agent->begun_us >=
+           now_us - agent->unlisted_us >=
                MB_AGENT_UNKNOWN_MS * (uint64_t)MB_US_PER_MS;
 }
 
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -29,8 +29,8 @@
 /* A worker without an answer for this long gets no starts and no longer
    lease, in milliseconds. */
 #define MB_AGENT_SILENT_MS 1200u
-/* Time after which a worker that has not shown itself since the agent began
-   holds no run any more, in milliseconds: longer than any lease that an
+/* Time after which a worker that has not been listed, since the agent or the
+   worker began, holds no run that is not known, in milliseconds: longer than any lease that an
    earlier agent may have granted. */
 #define MB_AGENT_UNKNOWN_MS 6000u
 /* Time after the departure of a worker until its runs have ended, in
@@ -56,7 +56,7 @@
     uint64_t heartbeat;  /* sequence of the latest one */
     bool gone;           /* it said that it leaves */
     uint64_t gone_us;
-    uint64_t begun_us;   /* when the agent was prepared */
+    uint64_t unlisted_us; /* since when it is not known what it runs */
     bool has_clock;
     uint64_t clock_ms;    /* of the worker, at `clock_us` of this process */
     uint64_t clock_us;
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -32,22 +32,41 @@
            (agent->grant_us - agent->clock_us) / MB_US_PER_MS;
 }
 
-/* Forgets all runs and ends of an incarnation that is gone. */
+/* Tells whether a run may have been started on an incarnation that is only
+   now found to be there: its start is on the way, or was answered while the
+   list was made that told of it. */
+static bool
+may_be_new(const mb_agent_t *agent, const mb_agent_run_t *run)
+{
+    return run->state != MB_AGENT_RUN_RUNNING ||
+           run->answered_us >= agent->list_begun_us;
+}
+
+/* Forgets what belongs to an incarnation that is gone. Runs that may have
+   been started on the next one stay until a list or an answer decides. */
 void
 mb_agent_forget_worker(mb_agent_t *agent)
 {
-    (void)g_ptr_array_set_size(agent->runs, 0);
+    for (guint i = 0; i < agent->runs->len;) {
+        mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        if (may_be_new(agent, run)) {
+            i++;
+        }
+        else {
+            mb_agent_drop_run(agent, run);
+        }
+    }
     for (guint i = 0; i < agent->ends->len; i++) {
         g_free((char *)g_array_index(agent->ends, mb_report_end_t, i)
                    .checkpoint.data);
     }
     (void)g_array_set_size(agent->ends, 0);
-    agent->generation++;
     agent->last_end = 0;
     agent->acknowledged = 0;
     agent->reported_end = 0;
     agent->has_clock = false;
     agent->answered_us = 0;
+    agent->unlisted_us = mb_clock_us(&agent->clock);
     agent->lease_end_us = 0;
     agent->list_due_us = 0;
     agent->complete_due = true;
@@ -253,7 +272,7 @@
 }
 
 /* Notes that another incarnation than the known one answered. Its heartbeat
-   says the rest. */
+   says the rest, and the next list what it runs. */
 static void
 take_incarnation(mb_agent_t *agent, const mb_executor_answer_t *answer)
 {
@@ -269,6 +288,7 @@
     agent->info.incarnation = answer->incarnation;
     agent->info.born_ms = answer->born_ms;
     agent->heartbeat = 0;
+    agent->list_due_us = 0;
 }
 
 /* Tells whether two lists of ends differ in what they end with. */
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -506,7 +506,11 @@
           const mb_worker_info_t *info)
 {
     if (info->incarnation != worker->incarnation) {
-        mb_fleet_lose_runs(fleet, worker, "restarted");
+        mb_log_notice(&fleet->log,
+                      "worker began anew worker=%.*s runs=%u from=%016"
+                      G_GINT64_MODIFIER "x to=%016" G_GINT64_MODIFIER "x",
+                      MB_STR_ARG(info->name), worker->runs->len,
+                      worker->incarnation, info->incarnation);
         mb_health_init(&worker->health);
         worker->incarnation = info->incarnation;
         worker->seen = 0;
@@ -540,7 +544,11 @@
     if (!fleet->owns || report->token != fleet->token) {
         return;
     }
-    if (!worker->complete && !report->complete) {
+    /* The first report of a connection or an incarnation has to say what runs
+       there; what it does not list is gone. */
+    bool known = worker->complete &&
+                 report->worker.incarnation == worker->incarnation;
+    if (!known && !report->complete) {
         return;
     }
     worker->reported_us = now_us;
--- a/tests/unit/fleet_world.h
+++ b/tests/unit/fleet_world.h
@@ -125,6 +125,15 @@
     uint32_t running() const;
 };
 
+/* Shows the decisions with MB_LOG set. */
+static mb_log_t
+world_log(void)
+{
+    return g_getenv("MB_LOG") == nullptr
+               ? mb_log_null()
+               : mb_log_stderr("world", MB_SEVERITY_DEBUG);
+}
+
 static uint64_t
 world_clock(void *context)
 {
@@ -487,7 +496,7 @@
 inline FleetWorld::FleetWorld(uint32_t count, uint64_t seed) : random(seed)
 {
     mb_clock_t clock = {world_clock, this};
-    mb_log_t log = mb_log_null();
+    mb_log_t log = world_log();
     mb_fleet_callbacks_t callbacks = {world_send, world_store,
                                       world_store_group_end, world_unix_ms,
                                       this};
@@ -525,7 +534,7 @@
 {
     auto machine = std::make_unique<Machine>();
     mb_clock_t clock = {world_clock, this};
-    mb_log_t log = mb_log_null();
+    mb_log_t log = world_log();
     machine->world = this;
     machine->worker.world = this;
     machine->worker.name = "worker-" + std::to_string(machines.size());
