--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -66,8 +66,10 @@
     bool known = agent->info.name.len > 0;
     bool same = known && info->incarnation == agent->info.incarnation;
     if (known && !same && info->born_ms < agent->info.born_ms) {
-        mb_log_info(&agent->log, "heartbeat of an earlier incarnation ignored "
-                    "name=%.*s", MB_STR_ARG(info->name));
+        mb_log_info(&agent->log,
+                    "heartbeat of an earlier incarnation ignored "
+                    "name=%.*s",
+                    MB_STR_ARG(info->name));
         return;
     }
     if (same && sequence <= agent->heartbeat) {
@@ -183,7 +185,8 @@
     for (guint i = 0; i < order->starts->len; i++) {
         const mb_order_start_t *start =
             &g_array_index(order->starts, mb_order_start_t, i);
-        bool known = mb_agent_find_run(agent, &start->task, start->run) != NULL;
+        bool known =
+            mb_agent_find_run(agent, &start->task, start->run) != NULL;
         if (refusal == MB_REFUSAL_COUNT || known) {
             mb_agent_start(agent, start);
         }
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -30,8 +30,8 @@
    lease, in milliseconds. */
 #define MB_AGENT_SILENT_MS 1200u
 /* Time after which a worker that has not been listed, since the agent or the
-   worker began, holds no run that is not known, in milliseconds: longer than any lease that an
-   earlier agent may have granted. */
+   worker began, holds no run that is not known, in milliseconds: longer than
+   any lease that an earlier agent may have granted. */
 #define MB_AGENT_UNKNOWN_MS 6000u
 /* Time after the departure of a worker until its runs have ended, in
    milliseconds. */
@@ -53,18 +53,18 @@
     /* The worker. */
     mb_worker_info_t info; /* text owned by `text` */
     mb_buf_t text[4 + MB_WORKER_LABELS_MAX];
-    uint64_t heartbeat;  /* sequence of the latest one */
-    bool gone;           /* it said that it leaves */
+    uint64_t heartbeat; /* sequence of the latest one */
+    bool gone;          /* it said that it leaves */
     uint64_t gone_us;
     uint64_t unlisted_us; /* since when it is not known what it runs */
     bool has_clock;
-    uint64_t clock_ms;    /* of the worker, at `clock_us` of this process */
+    uint64_t clock_ms; /* of the worker, at `clock_us` of this process */
     uint64_t clock_us;
-    uint64_t answered_us; /* latest list */
+    uint64_t answered_us;  /* latest list */
     uint64_t lease_end_us; /* latest end of the lease that was sent */
-    GPtrArray *runs;      /* of the worker, see mb_agent.c */
-    GArray *ends;         /* mb_report_end_t with owned text */
-    uint64_t last_end;    /* highest number listed */
+    GPtrArray *runs;       /* of the worker, see mb_agent.c */
+    GArray *ends;          /* mb_report_end_t with owned text */
+    uint64_t last_end;     /* highest number listed */
     uint64_t acknowledged;
     bool listing;
     uint64_t list_begun_us;
--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -10,9 +10,9 @@
 #define MB_AGENT_FULL_PACE 100u
 
 typedef enum mb_agent_run_state {
-    MB_AGENT_RUN_STARTING,   /* its start has no answer yet */
-    MB_AGENT_RUN_RUNNING,    /* the worker has taken it */
-    MB_AGENT_RUN_DOUBTFUL    /* its start got no answer; it is stopped */
+    MB_AGENT_RUN_STARTING, /* its start has no answer yet */
+    MB_AGENT_RUN_RUNNING,  /* the worker has taken it */
+    MB_AGENT_RUN_DOUBTFUL  /* its start got no answer; it is stopped */
 } mb_agent_run_state_t;
 
 /* One run as the agent knows it. */
@@ -24,16 +24,16 @@
     bool described; /* the two fields below are known */
     bool fills;
     uint32_t latency_target_ms;
-    uint64_t answered_us;  /* when the worker took the start */
+    uint64_t answered_us; /* when the worker took the start */
     bool stop_wanted;
-    bool stopping;         /* a stop has no answer yet */
-    uint64_t stop_due_us;  /* when to send the next stop */
-    uint64_t stopped_us;   /* when a stop was confirmed; 0: not yet */
-    bool pace_lost;        /* the latest change got no answer */
-    bool pacing;           /* a change of pace has no answer yet */
-    uint32_t pace;         /* that was set last, in percent */
-    uint64_t kind;         /* of its image */
-    uint32_t progress;     /* that the worker lists, in percent */
+    bool stopping;        /* a stop has no answer yet */
+    uint64_t stop_due_us; /* when to send the next stop */
+    uint64_t stopped_us;  /* when a stop was confirmed; 0: not yet */
+    bool pace_lost;       /* the latest change got no answer */
+    bool pacing;          /* a change of pace has no answer yet */
+    uint32_t pace;        /* that was set last, in percent */
+    uint64_t kind;        /* of its image */
+    uint32_t progress;    /* that the worker lists, in percent */
     uint32_t value;
     uint64_t seen_us; /* begin of the list that named it last */
     mb_buf_t checkpoint;
--- a/lib/coordination/mb_agent_runs.c
+++ b/lib/coordination/mb_agent_runs.c
@@ -167,8 +167,7 @@
                                mb_agent_lease_end_ms(agent))) {
         agent->open_calls--;
         g_free(context);
-        mb_agent_refuse(agent, &start->task, start->run,
-                        MB_REFUSAL_UNHEALTHY);
+        mb_agent_refuse(agent, &start->task, start->run, MB_REFUSAL_UNHEALTHY);
         mb_agent_drop_run(agent, run);
     }
 }
@@ -231,7 +230,8 @@
     for (guint i = 0; i < agent->runs->len; i++) {
         mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
         if (run->stop_wanted && !run->stopping && run->stopped_us == 0 &&
-            run->state != MB_AGENT_RUN_STARTING && now_us >= run->stop_due_us) {
+            run->state != MB_AGENT_RUN_STARTING &&
+            now_us >= run->stop_due_us) {
             send_stop(agent, run);
         }
     }
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -279,11 +279,10 @@
     if (answer->born_ms < agent->info.born_ms) {
         return;
     }
-    mb_log_notice(&agent->log,
-                  "worker restarted name=%.*s born_ms=%" G_GUINT64_FORMAT
-                  " runs=%u",
-                  MB_STR_ARG(agent->info.name), answer->born_ms,
-                  agent->runs->len);
+    mb_log_notice(
+        &agent->log,
+        "worker restarted name=%.*s born_ms=%" G_GUINT64_FORMAT " runs=%u",
+        MB_STR_ARG(agent->info.name), answer->born_ms, agent->runs->len);
     mb_agent_forget_worker(agent);
     agent->info.incarnation = answer->incarnation;
     agent->info.born_ms = answer->born_ms;
@@ -296,8 +295,7 @@
 has_news(const mb_agent_t *agent, const mb_executor_answer_t *answer)
 {
     return answer->ends->len > 0 &&
-           g_array_index(answer->ends, mb_report_end_t,
-                         answer->ends->len - 1)
+           g_array_index(answer->ends, mb_report_end_t, answer->ends->len - 1)
                    .number > agent->last_end;
 }
 
@@ -319,8 +317,7 @@
     }
     bool news = has_news(agent, answer);
     agent->list_due_us = now_us + MB_AGENT_LIST_GAP_MS *
-                                      (uint64_t)MB_US_PER_MS *
-                                      (news ? 1 : 2);
+                                      (uint64_t)MB_US_PER_MS * (news ? 1 : 2);
     agent->answered_us = now_us;
     if (answer->has_clock) {
         agent->has_clock = true;
--- a/lib/coordination/mb_executor.h
+++ b/lib/coordination/mb_executor.h
@@ -16,7 +16,7 @@
 /* An answer; views are valid during `done`. */
 typedef struct mb_executor_answer {
     mb_executor_result_t result;
-    mb_refusal_t reason;  /* of MB_EXECUTOR_REFUSED */
+    mb_refusal_t reason; /* of MB_EXECUTOR_REFUSED */
     bool has_clock;
     uint64_t clock_ms;    /* of the worker, when it answered */
     uint64_t incarnation; /* of a list; 0: not said */
--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -278,11 +278,10 @@
 {
     mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, number);
     if (worker->complete) {
-        mb_log_notice(&fleet->log,
-                      "agent disconnected worker=%.*s address=%.*s runs=%u",
-                      MB_STR_ARG(mb_buf_view(&worker->name)),
-                      MB_STR_ARG(mb_buf_view(&worker->address)),
-                      worker->runs->len);
+        mb_log_notice(
+            &fleet->log, "agent disconnected worker=%.*s address=%.*s runs=%u",
+            MB_STR_ARG(mb_buf_view(&worker->name)),
+            MB_STR_ARG(mb_buf_view(&worker->address)), worker->runs->len);
     }
     reset_connection(worker);
 }
@@ -398,8 +397,8 @@
     fleet->startable = true;
     for (guint i = 0; i < fleet->workers->len; i++) {
         mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, i);
-        if (now_us >= worker->ordered_us +
-                          MB_FLEET_ORDER_MS * (uint64_t)MB_US_PER_MS) {
+        if (now_us >=
+            worker->ordered_us + MB_FLEET_ORDER_MS * (uint64_t)MB_US_PER_MS) {
             worker->order_due = true;
         }
     }
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -94,8 +94,8 @@
     mb_size_t filling; /* of runs that fill */
     uint64_t mixed_us; /* when its filling runs last changed */
     mb_health_t health;
-    uint64_t reported_us; /* latest report */
-    uint64_t echo;        /* its sequence */
+    uint64_t reported_us;  /* latest report */
+    uint64_t echo;         /* its sequence */
     uint64_t lease_end_us; /* no run outlives it without a further order */
     uint64_t order;        /* sequence of the latest order */
     uint64_t ordered_us;
@@ -125,7 +125,7 @@
     bool storing;   /* a group is being stored */
     bool refused;   /* a group could not be stored: nothing may follow it */
     GPtrArray *dirty;
-    mb_buf_t bits;  /* scratch memory of a group */
+    mb_buf_t bits; /* scratch memory of a group */
     GArray *rows;
     uint32_t running;
     mb_contention_t contention;
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -148,10 +148,10 @@
                   const mb_report_end_t *end)
 {
     mb_dag_job_t *job = mb_dag_find(fleet->table, end->task.job);
-    mb_dag_task_t *task =
-        job == NULL ? NULL
-                    : mb_dag_task(job, end->task.occurrence, end->task.step,
-                                  end->task.index);
+    mb_dag_task_t *task = job == NULL
+                              ? NULL
+                              : mb_dag_task(job, end->task.occurrence,
+                                            end->task.step, end->task.index);
     if (task == NULL || job->outcome != MB_DAG_OPEN) {
         return;
     }
@@ -192,8 +192,7 @@
                     end->task.occurrence, end->task.step, end->task.index,
                     end->run, MB_STR_ARG(mb_buf_view(&worker->name)),
                     end->number, mb_run_end_name(end->how));
-        mb_fleet_run_t *run =
-            mb_fleet_find_run(worker, &end->task, end->run);
+        mb_fleet_run_t *run = mb_fleet_find_run(worker, &end->task, end->run);
         if (run != NULL) {
             known_run_ended(fleet, worker, run, end);
         }
@@ -246,13 +245,14 @@
             mb_fleet_stop_gang(fleet, &run);
         }
         delay_after_refusal(fleet, worker, &run, refusal->reason);
-        mb_log_info(&fleet->log,
-                    "start refused job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
-                    " worker=%.*s reason=%s",
-                    MB_STR_ARG(mb_dag_id_view(&run.job->spec.id)),
-                    run.occurrence, run.step, run.index, run.number,
-                    MB_STR_ARG(mb_buf_view(&worker->name)),
-                    mb_refusal_name(refusal->reason));
+        mb_log_info(
+            &fleet->log,
+            "start refused job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
+            " worker=%.*s reason=%s",
+            MB_STR_ARG(mb_dag_id_view(&run.job->spec.id)), run.occurrence,
+            run.step, run.index, run.number,
+            MB_STR_ARG(mb_buf_view(&worker->name)),
+            mb_refusal_name(refusal->reason));
     }
 }
 
@@ -483,11 +483,12 @@
                    const char *why)
 {
     if (worker->runs->len > 0) {
-        mb_log_notice(&fleet->log,
-                      "runs given up worker=%.*s runs=%u incarnation=%"
-                      G_GUINT64_FORMAT " reason=%s",
-                      MB_STR_ARG(mb_buf_view(&worker->name)),
-                      worker->runs->len, worker->incarnation, why);
+        mb_log_notice(
+            &fleet->log,
+            "runs given up worker=%.*s runs=%u incarnation=%" G_GUINT64_FORMAT
+            " reason=%s",
+            MB_STR_ARG(mb_buf_view(&worker->name)), worker->runs->len,
+            worker->incarnation, why);
     }
     while (worker->runs->len > 0) {
         mb_fleet_run_t *run = &g_array_index(worker->runs, mb_fleet_run_t,
@@ -506,11 +507,12 @@
           const mb_worker_info_t *info)
 {
     if (info->incarnation != worker->incarnation) {
-        mb_log_notice(&fleet->log,
-                      "worker began anew worker=%.*s runs=%u from=%016"
-                      G_GINT64_MODIFIER "x to=%016" G_GINT64_MODIFIER "x",
-                      MB_STR_ARG(info->name), worker->runs->len,
-                      worker->incarnation, info->incarnation);
+        mb_log_notice(
+            &fleet->log,
+            "worker began anew worker=%.*s runs=%u from=%016" G_GINT64_MODIFIER
+            "x to=%016" G_GINT64_MODIFIER "x",
+            MB_STR_ARG(info->name), worker->runs->len, worker->incarnation,
+            info->incarnation);
         mb_health_init(&worker->health);
         worker->incarnation = info->incarnation;
         worker->seen = 0;
@@ -546,8 +548,8 @@
     }
     /* The first report of a connection or an incarnation has to say what runs
        there; what it does not list is gone. */
-    bool known = worker->complete &&
-                 report->worker.incarnation == worker->incarnation;
+    bool known =
+        worker->complete && report->worker.incarnation == worker->incarnation;
     if (!known && !report->complete) {
         return;
     }
@@ -569,8 +571,8 @@
                         "worker listed worker=%.*s service=%.*s runs=%u "
                         "state=%d",
                         MB_STR_ARG(report->worker.name),
-                        MB_STR_ARG(report->worker.service),
-                        worker->runs->len, (int)worker->state);
+                        MB_STR_ARG(report->worker.service), worker->runs->len,
+                        (int)worker->state);
         }
         worker->complete = true;
         worker->suspect = false;
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -198,7 +198,8 @@
         return COST_NONE;
     }
     if (!step->fills) {
-        uint64_t used = (uint64_t)worker->used.cpu_milli + step->size.cpu_milli;
+        uint64_t used =
+            (uint64_t)worker->used.cpu_milli + step->size.cpu_milli;
         uint64_t filling =
             worker->filling.cpu_milli * (uint64_t)FILLING_WEIGHT_MILLI / MILLI;
         return used > capacity ? COST_NONE
@@ -239,8 +240,8 @@
             continue;
         }
         uint32_t base_ms = mb_fleet_undisturbed_ms(pass->fleet, run);
-        double base = base_ms == 0 ? UNKNOWN_SHARE
-                                   : (double)base_ms / target_ms;
+        double base =
+            base_ms == 0 ? UNKNOWN_SHARE : (double)base_ms / target_ms;
         scene.service = run->kind;
         worst = MAX(worst, base * mb_contention_predict(
                                       &pass->fleet->contention, &scene));
@@ -350,7 +351,8 @@
     mb_fleet_run_t moved = *run;
     for (guint i = 0; i < pass->fleet->workers->len; i++) {
         mb_fleet_worker_t *other = mb_fleet_worker_at(pass->fleet, i);
-        if (other != worker && cost_on(pass, other, &moved) < cost_bound(pass, run)) {
+        if (other != worker &&
+            cost_on(pass, other, &moved) < cost_bound(pass, run)) {
             mb_log_info(&pass->fleet->log,
                         "moving a slowed run job=%.*s task=%u.%u.%u from=%.*s",
                         MB_STR_ARG(mb_dag_id_view(&run->job->spec.id)),
@@ -426,14 +428,15 @@
     if (!job->begun) {
         job->begun = true;
         mb_fleet_mark_dirty(pass->fleet, job);
-        mb_log_info(&pass->fleet->log,
-                    "job begun job=%.*s queue=%.*s waited_ms=%" G_GUINT64_FORMAT
-                    " objective_ms=%" G_GUINT64_FORMAT " worker=%.*s",
-                    MB_STR_ARG(mb_dag_id_view(&job->spec.id)),
-                    MB_STR_ARG(job->spec.policy.queue),
-                    (pass->now_us - job->arrived_us) / MB_US_PER_MS,
-                    job->objective_us / MB_US_PER_MS,
-                    MB_STR_ARG(mb_buf_view(&worker->name)));
+        mb_log_info(
+            &pass->fleet->log,
+            "job begun job=%.*s queue=%.*s waited_ms=%" G_GUINT64_FORMAT
+            " objective_ms=%" G_GUINT64_FORMAT " worker=%.*s",
+            MB_STR_ARG(mb_dag_id_view(&job->spec.id)),
+            MB_STR_ARG(job->spec.policy.queue),
+            (pass->now_us - job->arrived_us) / MB_US_PER_MS,
+            job->objective_us / MB_US_PER_MS,
+            MB_STR_ARG(mb_buf_view(&worker->name)));
     }
 }
 
@@ -501,8 +504,8 @@
     mb_fleet_run_t member = *run;
     for (member.index = 0; member.index < run->job->steps[run->step].count;
          member.index++) {
-        number = MAX(number,
-                     next_run(pass->fleet, mb_fleet_run_task(&member)));
+        number =
+            MAX(number, next_run(pass->fleet, mb_fleet_run_task(&member)));
     }
     return number;
 }
@@ -542,8 +545,7 @@
 {
     bool local = run->job->steps[run->step].rack_local;
     for (guint i = 0; local && i < pass->fleet->workers->len; i++) {
-        mb_str_t rack =
-            mb_buf_view(&mb_fleet_worker_at(pass->fleet, i)->rack);
+        mb_str_t rack = mb_buf_view(&mb_fleet_worker_at(pass->fleet, i)->rack);
         (void)g_ptr_array_set_size(places, 0);
         if (rack.len > 0 && place_gang(pass, run, rack, places)) {
             return true;
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -225,8 +225,8 @@
             now_us - found->latency_us > LATENCY_FRESH_US) {
             continue;
         }
-        lowest = lowest == 0 ? found->latency_ms
-                             : MIN(lowest, found->latency_ms);
+        lowest =
+            lowest == 0 ? found->latency_ms : MIN(lowest, found->latency_ms);
     }
     return lowest;
 }
--- a/lib/coordination/mb_follower.c
+++ b/lib/coordination/mb_follower.c
@@ -46,8 +46,8 @@
                        mb_keyed_result_name(result));
     }
     follower->failing = true;
-    follower->retry_us = mb_clock_us(&follower->clock) +
-                         MB_FOLLOWER_PAUSE_MS * MB_US_PER_MS;
+    follower->retry_us =
+        mb_clock_us(&follower->clock) + MB_FOLLOWER_PAUSE_MS * MB_US_PER_MS;
 }
 
 /* Notes an answer. */
@@ -73,7 +73,8 @@
 }
 
 /* Takes a page of the newest records. Reading in order begins at the end that
-   the first page named, because later pages may miss what was written since. */
+   the first page named, because later pages may miss what was written since.
+ */
 static void
 page_done(void *context, const mb_keyed_page_t *page)
 {
@@ -131,7 +132,8 @@
                                     follower->begun_us);
     }
     /* An answer without records that came early did not wait for one. */
-    uint64_t gap_ms = page->count > 0 ? follower->gap_ms : MB_FOLLOWER_WAIT_MS / 2;
+    uint64_t gap_ms =
+        page->count > 0 ? follower->gap_ms : MB_FOLLOWER_WAIT_MS / 2;
     follower->retry_us = follower->begun_us + gap_ms * MB_US_PER_MS;
     mb_follower_run(follower);
 }
@@ -140,8 +142,7 @@
 static void
 send_read(mb_follower_t *follower)
 {
-    mb_keyed_read_t read = {.stream = follower->stream,
-                            .context = follower};
+    mb_keyed_read_t read = {.stream = follower->stream, .context = follower};
     bool begun;
     follower->begun_us = mb_clock_us(&follower->clock);
     follower->reading = true;
--- a/lib/coordination/mb_follower.h
+++ b/lib/coordination/mb_follower.h
@@ -44,9 +44,9 @@
     mb_buf_t after; /* key of the last page */
     uint64_t begun_us;
     uint64_t retry_us;
-    uint32_t gap_ms; /* least time between two reads in order */
+    uint32_t gap_ms;      /* least time between two reads in order */
     uint64_t answered_us; /* 0: never */
-    uint64_t reads; /* sent, for metrics */
+    uint64_t reads;       /* sent, for metrics */
 } mb_follower_t;
 
 void mb_follower_init(mb_follower_t *follower, mb_str_t stream,
--- a/lib/coordination/mb_health.c
+++ b/lib/coordination/mb_health.c
@@ -39,8 +39,7 @@
 mb_health_suspended(const mb_health_t *health, uint64_t now_us)
 {
     return health->state == MB_HEALTH_PROBING ||
-           (health->state == MB_HEALTH_SUSPENDED &&
-            now_us < health->probe_us);
+           (health->state == MB_HEALTH_SUSPENDED && now_us < health->probe_us);
 }
 
 /* Drops the oldest unproven starts. */
--- a/lib/coordination/mb_journal.c
+++ b/lib/coordination/mb_journal.c
@@ -97,11 +97,12 @@
     uint64_t now_us = mb_clock_us(&journal->clock);
     if (journal->failing_since_us == 0) {
         journal->failing_since_us = now_us;
-        mb_log_warning(&journal->logger,
-                       "append failed producer=%.*s sequence=%" G_GUINT64_FORMAT
-                       " records=%u result=%s; repeating it",
-                       MB_STR_ARG(journal->config.producer), journal->sequence,
-                       journal->batch->len, mb_keyed_result_name(result));
+        mb_log_warning(
+            &journal->logger,
+            "append failed producer=%.*s sequence=%" G_GUINT64_FORMAT
+            " records=%u result=%s; repeating it",
+            MB_STR_ARG(journal->config.producer), journal->sequence,
+            journal->batch->len, mb_keyed_result_name(result));
     }
     journal->retry_us = now_us + MB_JOURNAL_PAUSE_MS * MB_US_PER_MS;
 }
@@ -112,11 +113,11 @@
 {
     if (journal->failing_since_us != 0) {
         uint64_t now_us = mb_clock_us(&journal->clock);
-        mb_log_notice(&journal->logger,
-                      "append succeeded again producer=%.*s after_ms=%"
-                      G_GUINT64_FORMAT,
-                      MB_STR_ARG(journal->config.producer),
-                      (now_us - journal->failing_since_us) / MB_US_PER_MS);
+        mb_log_notice(
+            &journal->logger,
+            "append succeeded again producer=%.*s after_ms=%" G_GUINT64_FORMAT,
+            MB_STR_ARG(journal->config.producer),
+            (now_us - journal->failing_since_us) / MB_US_PER_MS);
     }
     journal->failing_since_us = 0;
 }
@@ -139,8 +140,8 @@
     case MB_KEYED_FENCED:
         journal->fenced = true;
         mb_log_notice(&journal->logger,
-                      "append rejected: newer epoch producer=%.*s epoch=%"
-                      G_GUINT64_FORMAT,
+                      "append rejected: newer epoch producer=%.*s "
+                      "epoch=%" G_GUINT64_FORMAT,
                       MB_STR_ARG(journal->config.producer),
                       journal->config.epoch);
         fail_all(journal, MB_KEYED_FENCED);
@@ -148,11 +149,12 @@
     case MB_KEYED_OUT_OF_ORDER:
     case MB_KEYED_INVALID:
     case MB_KEYED_TRIMMED:
-        mb_log_error(&journal->logger,
-                     "append rejected producer=%.*s sequence=%" G_GUINT64_FORMAT
-                     " result=%s; records have an unknown outcome",
-                     MB_STR_ARG(journal->config.producer), journal->sequence,
-                     mb_keyed_result_name(result));
+        mb_log_error(
+            &journal->logger,
+            "append rejected producer=%.*s sequence=%" G_GUINT64_FORMAT
+            " result=%s; records have an unknown outcome",
+            MB_STR_ARG(journal->config.producer), journal->sequence,
+            mb_keyed_result_name(result));
         /* A new epoch may begin at any sequence number. */
         journal->config.epoch++;
         finish_batch(journal, MB_KEYED_UNKNOWN);
--- a/lib/coordination/mb_journal.h
+++ b/lib/coordination/mb_journal.h
@@ -42,7 +42,7 @@
     mb_keyed_log_t log;
     mb_clock_t clock;
     mb_log_t logger;
-    GQueue queue;   /* records that were not sent */
+    GQueue queue;     /* records that were not sent */
     GPtrArray *batch; /* records of the current append */
     uint64_t sequence;
     bool sending;
--- a/lib/coordination/mb_order.c
+++ b/lib/coordination/mb_order.c
@@ -17,9 +17,8 @@
 mb_refusal_name(mb_refusal_t reason)
 {
     static const char *const names[MB_REFUSAL_COUNT] = {
-        "fenced",       "old_run",   "expired", "no_room",
-        "not_approved", "unhealthy", "invalid", "leaving",
-        "absent",       "unanswered"};
+        "fenced",    "old_run", "expired", "no_room", "not_approved",
+        "unhealthy", "invalid", "leaving", "absent",  "unanswered"};
     return reason < MB_REFUSAL_COUNT ? names[reason] : "unknown";
 }
 
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -28,16 +28,16 @@
 
 /* Why a start did not lead to a run. */
 typedef enum mb_refusal {
-    MB_REFUSAL_FENCED,      /* the worker has seen a newer token */
-    MB_REFUSAL_OLD_RUN,     /* a run of this number or a later one was there */
-    MB_REFUSAL_EXPIRED,     /* the lease had ended when the start arrived */
+    MB_REFUSAL_FENCED,  /* the worker has seen a newer token */
+    MB_REFUSAL_OLD_RUN, /* a run of this number or a later one was there */
+    MB_REFUSAL_EXPIRED, /* the lease had ended when the start arrived */
     MB_REFUSAL_NO_ROOM,
     MB_REFUSAL_NOT_APPROVED, /* no valid approval for the worker */
     MB_REFUSAL_UNHEALTHY,
     MB_REFUSAL_INVALID,
-    MB_REFUSAL_LEAVING,     /* the worker takes no more starts */
-    MB_REFUSAL_ABSENT,      /* no worker, or another incarnation */
-    MB_REFUSAL_UNANSWERED,  /* no answer; the run was stopped for good */
+    MB_REFUSAL_LEAVING,    /* the worker takes no more starts */
+    MB_REFUSAL_ABSENT,     /* no worker, or another incarnation */
+    MB_REFUSAL_UNANSWERED, /* no answer; the run was stopped for good */
     MB_REFUSAL_COUNT
 } mb_refusal_t;
 
@@ -54,7 +54,7 @@
     uint64_t run;
     mb_str_t payload;
     mb_str_t checkpoint;
-    mb_str_t approval; /* empty: none needed */
+    mb_str_t approval;          /* empty: none needed */
     mb_str_t image;             /* tasks of one image behave alike */
     uint32_t latency_target_ms; /* 0: the task serves nobody */
     bool fills;
@@ -67,25 +67,25 @@
 
 typedef struct mb_order {
     uint64_t token;
-    uint64_t sequence; /* rises with each order of one connection */
-    uint64_t echo;     /* sequence of the newest report; 0: none */
-    uint32_t lease_ms; /* granted from the time of that report */
-    uint64_t incarnation; /* of the worker that is meant */
+    uint64_t sequence;     /* rises with each order of one connection */
+    uint64_t echo;         /* sequence of the newest report; 0: none */
+    uint32_t lease_ms;     /* granted from the time of that report */
+    uint64_t incarnation;  /* of the worker that is meant */
     uint64_t acknowledged; /* ends up to this number are stored */
-    GArray *starts; /* mb_order_start_t */
-    GArray *stops;  /* mb_order_stop_t */
+    GArray *starts;        /* mb_order_start_t */
+    GArray *stops;         /* mb_order_stop_t */
 } mb_order_t;
 
 /* Something that runs, or may come to run, on a worker. */
 typedef struct mb_report_run {
     mb_dag_task_id_t task;
     uint64_t run;
-    bool confirmed; /* the worker lists it */
-    bool described; /* the agent knows what it needs for pacing */
+    bool confirmed;    /* the worker lists it */
+    bool described;    /* the agent knows what it needs for pacing */
     uint32_t pace;     /* that the agent has set, in percent */
     uint32_t progress; /* that the worker lists, in percent */
-    uint32_t value;    /* latency in milliseconds, or thousandths of a processor
-                       in use; see the step */
+    uint32_t value; /* latency in milliseconds, or thousandths of a processor
+                    in use; see the step */
     mb_str_t checkpoint;
 } mb_report_run_t;
 
@@ -127,11 +127,11 @@
 } mb_worker_info_t;
 
 typedef struct mb_report {
-    uint64_t token;    /* the highest that the agent has seen */
-    uint64_t sequence; /* rises with each report of one connection */
+    uint64_t token;     /* the highest that the agent has seen */
+    uint64_t sequence;  /* rises with each report of one connection */
     uint64_t processed; /* sequence of the latest order that was read */
-    bool complete;     /* `runs` lists everything */
-    bool leaving;      /* the agent stops */
+    bool complete;      /* `runs` lists everything */
+    bool leaving;       /* the agent stops */
     mb_worker_info_t worker;
     GArray *runs;     /* mb_report_run_t */
     GArray *ends;     /* mb_report_end_t */
--- a/lib/coordination/mb_ownership.c
+++ b/lib/coordination/mb_ownership.c
@@ -70,8 +70,7 @@
 static uint64_t
 silence_us(const mb_ownership_t *ownership)
 {
-    bool vacant =
-        ownership->latest.token == 0 || ownership->latest.resigned;
+    bool vacant = ownership->latest.token == 0 || ownership->latest.resigned;
     uint64_t silence =
         vacant ? 0 : MB_OWNERSHIP_SILENCE_MS * (uint64_t)MB_US_PER_MS;
     return silence + ownership->jitter_us;
@@ -82,8 +81,7 @@
 static bool
 may_claim(const mb_ownership_t *ownership, uint64_t now_us)
 {
-    uint64_t since_us =
-        MAX(ownership->heard_us, ownership->served_since_us);
+    uint64_t since_us = MAX(ownership->heard_us, ownership->served_since_us);
     return !ownership->withdrawn && mb_ownership_in_contact(ownership) &&
            now_us >= since_us + silence_us(ownership);
 }
--- a/lib/coordination/mb_ownership.h
+++ b/lib/coordination/mb_ownership.h
@@ -51,9 +51,9 @@
     uint64_t self;
     mb_ownership_state_t state;
     mb_ownership_record_t latest;
-    uint64_t heard_us;   /* latest record of the owner read in order */
-    uint64_t current_us; /* start of the latest read that was complete */
-    uint64_t contact_us; /* when that read ended */
+    uint64_t heard_us;        /* latest record of the owner read in order */
+    uint64_t current_us;      /* start of the latest read that was complete */
+    uint64_t contact_us;      /* when that read ended */
     uint64_t served_since_us; /* reads succeed since; 0: they do not */
     uint64_t jitter_us;
     uint64_t acted_us; /* latest claim or heartbeat */
--- a/lib/coordination/mb_pacing.h
+++ b/lib/coordination/mb_pacing.h
@@ -1,7 +1,7 @@
 /* Whether filling work may go on beside the services of one worker. It stands
    still when a service has missed its latency target for a while, and goes on
-   when the latency has recovered; a latency that does not fall while nothing works
-   beside it is not the fault of filling work. Answers a load of services
+   when the latency has recovered; a latency that does not fall while nothing
+   works beside it is not the fault of filling work. Answers a load of services
    whose demand swings within seconds. Used on one thread. */
 #ifndef MB_PACING_H
 #define MB_PACING_H
--- a/lib/protocol/mb_dag_record.h
+++ b/lib/protocol/mb_dag_record.h
@@ -31,7 +31,7 @@
 /* One decoded record; views point into the decoder's memory or the input. */
 typedef struct mb_dag_record {
     mb_dag_record_kind_t kind;
-    bool removed; /* the key was removed; only `id` or `agent` is set */
+    bool removed;   /* the key was removed; only `id` or `agent` is set */
     mb_dag_id_t id; /* of a job's records */
     union {
         mb_dag_spec_t job;
--- a/lib/protocol/mb_order_codec.c
+++ b/lib/protocol/mb_order_codec.c
@@ -347,8 +347,7 @@
 
 /* Unpacks the array of a message. */
 static bool
-open_message(mb_order_decoder_t *decoder, mb_str_t bytes,
-             mb_unpack_t *reader)
+open_message(mb_order_decoder_t *decoder, mb_str_t bytes, mb_unpack_t *reader)
 {
     msgpack_object object;
     size_t offset = 0;
--- a/lib/state/mb_dag.c
+++ b/lib/state/mb_dag.c
@@ -74,7 +74,8 @@
 void
 mb_dag_table_init(mb_dag_table_t *table)
 {
-    table->jobs = g_hash_table_new_full(mb_dag_id_hash, mb_dag_id_equal, NULL, free_job);
+    table->jobs =
+        g_hash_table_new_full(mb_dag_id_hash, mb_dag_id_equal, NULL, free_job);
 }
 
 /* Frees the table and its jobs. */
@@ -277,8 +278,8 @@
     if (task->failures == MB_DAG_FAILURES_MAX) {
         return false;
     }
-    task->failed_runs = g_renew(uint64_t, task->failed_runs,
-                                (gsize)task->failures + 1);
+    task->failed_runs =
+        g_renew(uint64_t, task->failed_runs, (gsize)task->failures + 1);
     task->failed_runs[task->failures++] = run;
     return true;
 }
@@ -401,8 +402,7 @@
         return;
     }
     for (uint32_t i = 0; i < job->occurrence_count; i++) {
-        apply_bits(job, i,
-                   (mb_str_t){progress->done.data + bytes * i, bytes});
+        apply_bits(job, i, (mb_str_t){progress->done.data + bytes * i, bytes});
     }
     for (guint i = 0; i < progress->rows->len; i++) {
         const mb_dag_progress_row_t *row =
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -40,21 +40,21 @@
 
 /* What a step asks for. Text is owned by the job. */
 typedef struct mb_dag_step {
-    uint32_t count;     /* tasks */
-    mb_size_t size;     /* of each task */
+    uint32_t count;       /* tasks */
+    mb_size_t size;       /* of each task */
     uint32_t estimate_ms; /* declared run time; may be far off */
     uint64_t depends_on;  /* bit per earlier step whose tasks must be done */
     bool checkpoints;
-    bool gang;         /* the tasks work only together */
-    bool rack_local;   /* the tasks are slower on more than one rack */
-    bool speculative;  /* copies of a task may run at the same time */
-    bool long_running; /* runs until the job is cancelled */
-    bool fills;        /* uses processors that others leave unused */
+    bool gang;               /* the tasks work only together */
+    bool rack_local;         /* the tasks are slower on more than one rack */
+    bool speculative;        /* copies of a task may run at the same time */
+    bool long_running;       /* runs until the job is cancelled */
+    bool fills;              /* uses processors that others leave unused */
     uint32_t per_worker_max; /* tasks on one worker; 0: no bound */
     uint32_t latency_target_ms; /* of the service that a task gives; 0: none */
     uint32_t unavailable_max;   /* tasks that may be away by our own doing */
-    mb_str_t label; /* that the worker must have; empty: any */
-    mb_str_t rack;  /* where the data is; empty: anywhere */
+    mb_str_t label;             /* that the worker must have; empty: any */
+    mb_str_t rack;              /* where the data is; empty: anywhere */
     mb_str_t image; /* tasks of one image behave alike; may be empty */
 } mb_dag_step_t;
 
@@ -106,17 +106,17 @@
     uint64_t *failed_runs; /* numbers of the runs that failed, `failures` of
                               them; the same end may be reported again, and
                               ends of several workers in any order */
-    uint32_t failed_on; /* worker of the last failure, plus 1; 0: none */
-    uint64_t last_run;  /* highest number of its runs */
+    uint32_t failed_on;    /* worker of the last failure, plus 1; 0: none */
+    uint64_t last_run;     /* highest number of its runs */
     uint64_t not_before_us;
     mb_dag_run_t runs[MB_DAG_COPIES_MAX];
 } mb_dag_task_t;
 
 /* One occurrence of a job's steps. */
 typedef struct mb_dag_occurrence {
-    mb_dag_task_t *tasks; /* of all steps, in order */
-    uint32_t *left;       /* tasks that are not done, by step */
-    uint64_t due_us;      /* of the owner's clock */
+    mb_dag_task_t *tasks;    /* of all steps, in order */
+    uint32_t *left;          /* tasks that are not done, by step */
+    uint64_t due_us;         /* of the owner's clock */
     uint64_t finished_steps; /* bit per step whose tasks are all done */
 } mb_dag_occurrence_t;
 
@@ -135,9 +135,9 @@
     /* Of the owner: */
     mb_dag_outcome_t outcome; /* may not be stored yet */
     bool begun;
-    bool dirty;     /* differs from what is stored */
-    bool inherited; /* accepted before this process became the owner */
-    bool waits;     /* some task may be startable */
+    bool dirty;       /* differs from what is stored */
+    bool inherited;   /* accepted before this process became the owner */
+    bool waits;       /* some task may be startable */
     uint32_t running; /* runs that hold a worker */
     uint64_t idle_us; /* since when there are none */
     uint64_t arrived_us;
--- a/lib/transport/mb_agent_node.c
+++ b/lib/transport/mb_agent_node.c
@@ -169,15 +169,15 @@
     mb_dag_agent_record_t record = {node->config.link_address,
                                     node->config.incarnation};
     uint64_t since_ms = MAX(node->announced_ms, node->owner_ms);
-    if (node->announcing || (node->announced_ms != 0 &&
-                             now_ms < since_ms + ANNOUNCE_MS)) {
+    if (node->announcing ||
+        (node->announced_ms != 0 && now_ms < since_ms + ANNOUNCE_MS)) {
         return;
     }
     mb_dag_record_key(&key, MB_DAG_RECORD_AGENT, node->config.link_address);
     mb_dag_record_encode_agent(&value, &record);
-    node->announcing = mb_journal_add(&node->journal, mb_buf_view(&key),
-                                      mb_buf_view(&value), UINT64_MAX,
-                                      announced, node);
+    node->announcing =
+        mb_journal_add(&node->journal, mb_buf_view(&key), mb_buf_view(&value),
+                       UINT64_MAX, announced, node);
     node->announced_ms = now_ms;
 }
 
@@ -322,8 +322,8 @@
 static bool
 start_listener(mb_agent_node_t *node, GError **error)
 {
-    int fd = mb_tcp_listen(node->config.link_ip, node->config.link_port,
-                           error);
+    int fd =
+        mb_tcp_listen(node->config.link_ip, node->config.link_port, error);
     if (fd < 0) {
         return false;
     }
--- a/lib/transport/mb_agent_node.h
+++ b/lib/transport/mb_agent_node.h
@@ -73,7 +73,7 @@
     mb_journal_t journal;
     mb_order_decoder_t decoder;
     mb_buf_t producer;
-    GPtrArray *owners; /* mb_agent_owner_t */
+    GPtrArray *owners;       /* mb_agent_owner_t */
     mb_agent_owner_t *owner; /* the one that is obeyed, or NULL */
     uint64_t announced_ms;
     uint64_t owner_ms; /* latest order */
--- a/lib/transport/mb_job_front.h
+++ b/lib/transport/mb_job_front.h
@@ -24,8 +24,7 @@
     bool (*read_job)(void *context, mb_str_t body,
                      void (*take)(void *take_context, mb_dag_spec_t *spec),
                      void *take_context, GError **error);
-    void (*write_status)(void *context, mb_job_status_t status,
-                         mb_buf_t *out);
+    void (*write_status)(void *context, mb_job_status_t status, mb_buf_t *out);
     void (*write_pending)(void *context, uint64_t pending, mb_buf_t *out);
     /* Name of the header with the time that a client waits, in
        milliseconds. */
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -143,14 +143,13 @@
 {
     mb_rng_t rng = mb_rng_thread();
     uint64_t token = node->ownership.latest.token + 1;
-    mb_journal_config_t config = {
-        .stream = stream_jobs,
-        .producer = producer_owner,
-        .epoch = token,
-        .sequence = 1 + mb_rng_below(&rng, 1u << 30),
-        .contested = true,
-        .batch_records_max = BATCH_RECORDS_MAX,
-        .batch_bytes_max = BATCH_BYTES_MAX};
+    mb_journal_config_t config = {.stream = stream_jobs,
+                                  .producer = producer_owner,
+                                  .epoch = token,
+                                  .sequence = 1 + mb_rng_below(&rng, 1u << 30),
+                                  .contested = true,
+                                  .batch_records_max = BATCH_RECORDS_MAX,
+                                  .batch_bytes_max = BATCH_BYTES_MAX};
     mb_log_notice(&node->log,
                   "claiming the fleet token=%" G_GUINT64_FORMAT
                   " resigned=%d heard_ms_ago=%" G_GUINT64_FORMAT,
@@ -267,10 +266,9 @@
 static void
 lose_ownership(mb_scheduler_node_t *node)
 {
-    mb_log_notice(&node->log,
-                  "fleet lost to token=%" G_GUINT64_FORMAT " resigned=%d",
-                  node->ownership.latest.token,
-                  node->ownership.latest.resigned);
+    mb_log_notice(
+        &node->log, "fleet lost to token=%" G_GUINT64_FORMAT " resigned=%d",
+        node->ownership.latest.token, node->ownership.latest.resigned);
     mb_gauge_set(node->metrics.owner, 0);
     mb_follower_set_gap(&node->jobs, FOLLOWER_GAP_MS);
     mb_fleet_end(&node->fleet);
@@ -477,8 +475,7 @@
         MB_DAG_RECORD_PROGRESS, MB_DAG_RECORD_CANCEL, MB_DAG_RECORD_JOB};
     for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
         mb_buf_clear(&node->key);
-        mb_dag_record_key(&node->key, kinds[i],
-                          mb_dag_id_view(&job->spec.id));
+        mb_dag_record_key(&node->key, kinds[i], mb_dag_id_view(&job->spec.id));
         (void)mb_journal_add(node->owner_journal, mb_buf_view(&node->key),
                              MB_STR_EMPTY, UINT64_MAX, NULL, NULL);
     }
@@ -489,8 +486,7 @@
 sweep(mb_scheduler_node_t *node)
 {
     uint64_t now_us = mb_clock_us(&node->clock);
-    uint64_t retention_us =
-        node->config.retention_ms * (uint64_t)MB_US_PER_MS;
+    uint64_t retention_us = node->config.retention_ms * (uint64_t)MB_US_PER_MS;
     GHashTableIter iter;
     gpointer value;
     if (now_us / MB_US_PER_MS < node->swept_ms + SWEEP_MS) {
@@ -556,10 +552,9 @@
     mb_gauge_set(node->metrics.starts, node->fleet.counts.starts);
     mb_gauge_set(node->metrics.lost_runs, node->fleet.counts.lost_runs);
     mb_gauge_set(node->metrics.appends,
-                 node->journal.appends +
-                     (node->owner_journal != NULL
-                          ? node->owner_journal->appends
-                          : 0));
+                 node->journal.appends + (node->owner_journal != NULL
+                                              ? node->owner_journal->appends
+                                              : 0));
     mb_gauge_set(node->metrics.reads, node->jobs.reads + node->configs.reads);
 }
 
@@ -606,18 +601,18 @@
 {
     mb_counters_t *counters = node->counters;
     node->metrics = (mb_scheduler_metrics_t){
-        .accepted = mb_counters_add(counters, MB_METRIC_COUNTER,
-                                    "jobs_accepted_total",
-                                    "Jobs answered as stored"),
-        .rejected = mb_counters_add(counters, MB_METRIC_COUNTER,
-                                    "jobs_rejected_total",
-                                    "Jobs rejected as not stored"),
-        .unknown = mb_counters_add(counters, MB_METRIC_COUNTER,
-                                   "jobs_unknown_total",
-                                   "Jobs answered with an unknown outcome"),
-        .accept_us = mb_counters_add(counters, MB_METRIC_HISTOGRAM,
-                                     "job_accept_us",
-                                     "Time from a job to its answer"),
+        .accepted =
+            mb_counters_add(counters, MB_METRIC_COUNTER, "jobs_accepted_total",
+                            "Jobs answered as stored"),
+        .rejected =
+            mb_counters_add(counters, MB_METRIC_COUNTER, "jobs_rejected_total",
+                            "Jobs rejected as not stored"),
+        .unknown =
+            mb_counters_add(counters, MB_METRIC_COUNTER, "jobs_unknown_total",
+                            "Jobs answered with an unknown outcome"),
+        .accept_us =
+            mb_counters_add(counters, MB_METRIC_HISTOGRAM, "job_accept_us",
+                            "Time from a job to its answer"),
         .owner = mb_counters_add(counters, MB_METRIC_GAUGE, "fleet_owner",
                                  "1 while this process owns the fleet"),
         .running = mb_counters_add(counters, MB_METRIC_GAUGE, "runs",
@@ -653,7 +648,8 @@
     add_metrics(node);
     mb_queue_table_init(&node->queues, epoch);
     mb_dag_table_init(&node->table);
-    node->cancels = g_hash_table_new_full(mb_dag_id_hash, mb_dag_id_equal, g_free, NULL);
+    node->cancels =
+        g_hash_table_new_full(mb_dag_id_hash, mb_dag_id_equal, g_free, NULL);
     node->old_journals = g_ptr_array_new();
     node->agents = g_ptr_array_new_with_free_func(g_free);
     node->requests = g_ptr_array_new();
@@ -702,15 +698,15 @@
             void (*handle)(void *context, mb_http_exchange_t *exchange),
             GError **error)
 {
-    mb_http_front_config_t config = {
-        .ip = ip,
-        .port = port,
-        .threads = handle == mb_scheduler_handle ? node->config.http_threads
-                                                 : 1,
-        .max_connections = connections,
-        .idle_timeout_s = IDLE_TIMEOUT_S,
-        .handle = handle,
-        .context = node};
+    mb_http_front_config_t config = {.ip = ip,
+                                     .port = port,
+                                     .threads = handle == mb_scheduler_handle
+                                                    ? node->config.http_threads
+                                                    : 1,
+                                     .max_connections = connections,
+                                     .idle_timeout_s = IDLE_TIMEOUT_S,
+                                     .handle = handle,
+                                     .context = node};
     return mb_http_front_init(front, &config, error);
 }
 
@@ -732,8 +728,8 @@
                        error) &&
            (config->metrics_ip == 0 ||
             start_front(node, &node->metrics_front, config->metrics_ip,
-                        config->metrics_port, SIDE_CONNECTIONS,
-                        handle_metrics, error)) &&
+                        config->metrics_port, SIDE_CONNECTIONS, handle_metrics,
+                        error)) &&
            mb_loop_start(&node->loop, error);
 }
 
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -27,8 +27,8 @@
     uint32_t http_threads;
     uint32_t max_connections;
     uint32_t default_deadline_ms; /* of a client that names none */
-    uint32_t retention_ms; /* that closed jobs are known */
-    mb_str_t name;         /* of the process; must outlive the node */
+    uint32_t retention_ms;        /* that closed jobs are known */
+    mb_str_t name;                /* of the process; must outlive the node */
     uint64_t incarnation;
 } mb_scheduler_config_t;
 
@@ -85,9 +85,9 @@
     mb_ownership_t ownership;
     mb_follower_t jobs;
     mb_follower_t configs;
-    mb_journal_t journal;       /* of this process as an entry */
+    mb_journal_t journal;        /* of this process as an entry */
     mb_journal_t *owner_journal; /* of this process as the owner */
-    GPtrArray *old_journals;    /* of earlier claims, with calls open */
+    GPtrArray *old_journals;     /* of earlier claims, with calls open */
     mb_dag_record_decoder_t decoder;
     mb_order_decoder_t orders;
     GPtrArray *agents;   /* mb_scheduler_agent_t by worker */
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -243,9 +243,9 @@
     g_hash_table_iter_init(&iter, node->table.jobs);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const mb_dag_job_t *job = value;
-        pending += job->shown == MB_DAG_OPEN && !job->started &&
-                   mb_str_equal(job->spec.policy.queue,
-                                mb_buf_view(&request->queue));
+        pending +=
+            job->shown == MB_DAG_OPEN && !job->started &&
+            mb_str_equal(job->spec.policy.queue, mb_buf_view(&request->queue));
     }
     node->front.write_pending(node->front.context, pending, &body);
     answer(node, request->exchange, 200, mb_buf_view(&body));
@@ -304,14 +304,14 @@
     const char *reason = NULL;
     spec->id = submission->request->id;
     spec->submitted_ms = mb_scheduler_unix_ms();
-    spec->policy = (mb_dag_policy_t){
-        .queue = queue->name,
-        .service = queue->service,
-        .priority = queue->priority,
-        .max_attempts = queue->max_attempts,
-        .latency_objective_ms = queue->latency_objective_ms,
-        .stretch_milli = queue->stretch_milli,
-        .needs_advice = queue->needs_advice};
+    spec->policy =
+        (mb_dag_policy_t){.queue = queue->name,
+                          .service = queue->service,
+                          .priority = queue->priority,
+                          .max_attempts = queue->max_attempts,
+                          .latency_objective_ms = queue->latency_objective_ms,
+                          .stretch_milli = queue->stretch_milli,
+                          .needs_advice = queue->needs_advice};
     submission->valid = mb_dag_spec_valid(spec, &reason);
     if (!submission->valid) {
         mb_error_set(submission->error, MB_KIND_INVALID, "%s", reason);
--- a/programs/magnoliabarrowd/job_roles.c
+++ b/programs/magnoliabarrowd/job_roles.c
@@ -147,10 +147,10 @@
 void *
 start_agent(mb_daemon_t *daemon, GError **error)
 {
-    mb_agent_config_t config = {
-        .link_address = text(daemon, "agent", "link_address"),
-        .name = text(daemon, "daemon", "name"),
-        .incarnation = daemon->incarnation};
+    mb_agent_config_t config = {.link_address =
+                                    text(daemon, "agent", "link_address"),
+                                .name = text(daemon, "daemon", "name"),
+                                .incarnation = daemon->incarnation};
     address(daemon, "agent", "registration_address", &config.registration_ip,
             &config.registration_port);
     address(daemon, "agent", "link_address", &config.link_ip,
--- a/programs/magnoliabarrowd/main.c
+++ b/programs/magnoliabarrowd/main.c
@@ -81,7 +81,7 @@
                  "environment variable with the path of the settings file"),
     };
     struct arg_end *end = arg_end(8);
-    void *table[] = {line.help,  line.version,  line.check, line.verbose,
+    void *table[] = {line.help,  line.version,  line.check,    line.verbose,
                      line.quiet, line.settings, line.variable, end};
     int errors = arg_parse(argc, argv, table);
     int code = EXIT_SUCCESS;
@@ -93,9 +93,9 @@
     }
     else if (errors > 0 || settings_path(&line) == NULL) {
         arg_print_errors(stderr, end, "magnoliabarrowd");
-        (void)fprintf(stderr,
-                      "magnoliabarrowd: --config FILE, or --config-env VARIABLE "
-                      "with its path, is needed, see -h\n");
+        (void)fprintf(
+            stderr, "magnoliabarrowd: --config FILE, or --config-env VARIABLE "
+                    "with its path, is needed, see -h\n");
         code = mb_kind_answer(MB_KIND_INVALID)->exit_code;
     }
     else {
--- a/programs/magnoliabarrowd/options.c
+++ b/programs/magnoliabarrowd/options.c
@@ -1,8 +1,8 @@
 #include "options.h"
 
 const mb_option_t daemon_options[] = {
-    {"daemon", "role", MB_OPTION_CHOICE, NULL, 0, 0, "entry|sidecar|scheduler|agent", NULL,
-     false},
+    {"daemon", "role", MB_OPTION_CHOICE, NULL, 0, 0,
+     "entry|sidecar|scheduler|agent", NULL, false},
     {"daemon", "name", MB_OPTION_TEXT, NULL, 1, 63, NULL, NULL, false},
     {"daemon", "region", MB_OPTION_TEXT, "default", 1, 63, NULL, NULL, false},
     {"daemon", "failure_domain", MB_OPTION_TEXT, "default", 1, 63, NULL, NULL,
--- /dev/null
+++ b/tests/standins/store.c
@@ -0,0 +1,340 @@
+/* Stand-in of the operators' metadata store, as far as the scheduler uses it:
+   appends with producer, epoch and sequence, reads in order, and the newest
+   record of each key. "POST /switch?down=1" has it refuse every call.
+
+   standin-store -l ADDRESS */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "mb_cleanup.h"
+#include "mb_clock.h"
+#include "mb_http_front.h"
+#include "mb_settings.h"
+#include "mb_uri.h"
+
+/* How often waiting reads are looked at, in microseconds. */
+#define POLL_US 5000
+/* Most items of one page of newest records. */
+#define PAGE_ITEMS 50u
+
+typedef struct record {
+    mb_buf_t bytes; /* key length, key, value */
+} record_t;
+
+typedef struct producer {
+    uint64_t epoch;
+    uint64_t sequence;
+} producer_t;
+
+typedef struct topic {
+    GPtrArray *records;    /* record_t */
+    GHashTable *newest;    /* key -> offset + 1 */
+    GHashTable *producers; /* name -> producer_t */
+} topic_t;
+
+/* A read that waits for a record. */
+typedef struct waiter {
+    mb_http_exchange_t *exchange;
+    topic_t *topic;
+    uint64_t from;
+    uint64_t until_us;
+} waiter_t;
+
+static GMutex lock;
+static GHashTable *topics;
+static GPtrArray *waiters;
+static bool down;
+
+static uint64_t
+now_us(void)
+{
+    mb_clock_t clock = mb_clock_monotonic();
+    return mb_clock_us(&clock);
+}
+
+/* Returns a parameter of the query as a C string. */
+static char *
+parameter(mb_str_t uri, const char *name)
+{
+    mb_str_t value;
+    return mb_uri_query(uri, mb_str_from_cstr(name), &value)
+               ? mb_str_to_cstr(value)
+               : NULL;
+}
+
+/* Returns a numeric parameter; 0 when there is none. */
+static uint64_t
+number(mb_str_t uri, const char *name)
+{
+    uint64_t value = 0;
+    (void)mb_uri_query_u64(uri, mb_str_from_cstr(name), &value);
+    return value;
+}
+
+/* Returns the topic of a call, which is created on first use. */
+static topic_t *
+topic_of(mb_str_t uri)
+{
+    g_autofree char *name = parameter(uri, "topic");
+    topic_t *topic = g_hash_table_lookup(topics, name);
+    if (topic == NULL) {
+        topic = g_new0(topic_t, 1);
+        topic->records = g_ptr_array_new();
+        topic->newest =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        topic->producers =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        (void)g_hash_table_insert(topics, g_strdup(name), topic);
+    }
+    return topic;
+}
+
+static void
+answer(mb_http_exchange_t *exchange, uint32_t status, const char *text)
+{
+    mb_http_answer(exchange, status, NULL, mb_str_from_cstr(text));
+}
+
+/* Checks producer, epoch and sequence. Returns 0 for an append to take, 200
+   for a repeated one, or 409. */
+static uint32_t
+check_producer(topic_t *topic, mb_str_t uri, const char **reason)
+{
+    g_autofree char *name = parameter(uri, "producer");
+    uint64_t epoch = number(uri, "epoch");
+    uint64_t sequence = number(uri, "sequence");
+    if (name == NULL) {
+        return 0;
+    }
+    producer_t *known = g_hash_table_lookup(topic->producers, name);
+    if (known == NULL) {
+        known = g_new0(producer_t, 1);
+        (void)g_hash_table_insert(topic->producers, g_strdup(name), known);
+    }
+    else if (epoch < known->epoch) {
+        *reason = "{\"reason\":\"fenced\"}";
+        return 409;
+    }
+    else if (epoch == known->epoch && sequence == known->sequence) {
+        return 200;
+    }
+    else if (epoch == known->epoch && sequence != known->sequence + 1) {
+        *reason = "{\"reason\":\"seq\"}";
+        return 409;
+    }
+    *known = (producer_t){epoch, sequence};
+    return 0;
+}
+
+/* Takes the records of an append. */
+static void
+take_records(topic_t *topic, mb_str_t body)
+{
+    while (body.len >= 4) {
+        const unsigned char *raw = (const unsigned char *)body.data;
+        size_t length = (size_t)raw[0] << 24 | (size_t)raw[1] << 16 |
+                        (size_t)raw[2] << 8 | raw[3];
+        if (length < 1 || length > body.len - 4) {
+            return;
+        }
+        record_t *record = g_new0(record_t, 1);
+        mb_buf_append(&record->bytes, (mb_str_t){body.data + 4, length});
+        g_ptr_array_add(topic->records, record);
+        char *key = g_strndup(body.data + 5, raw[4]);
+        (void)g_hash_table_replace(topic->newest, key,
+                                   GUINT_TO_POINTER(topic->records->len));
+        body.data += 4 + length;
+        body.len -= 4 + length;
+    }
+}
+
+static void
+handle_append(mb_http_exchange_t *exchange)
+{
+    mb_str_t uri = mb_http_uri(exchange);
+    topic_t *topic = topic_of(uri);
+    const char *reason = NULL;
+    uint32_t status = check_producer(topic, uri, &reason);
+    if (status == 409) {
+        answer(exchange, 409, reason);
+        return;
+    }
+    if (status == 0) {
+        take_records(topic, mb_http_body(exchange));
+    }
+    g_autofree char *text = g_strdup_printf("{\"offset\":0,\"end_offset\":%u}",
+                                            topic->records->len);
+    answer(exchange, 200, text);
+}
+
+/* Appends a big-endian number. */
+static void
+write_number(mb_buf_t *out, uint64_t value, int size)
+{
+    for (int i = size - 1; i >= 0; i--) {
+        mb_buf_append_byte(out, (char)(value >> (8 * i)));
+    }
+}
+
+/* Answers a read with the records from an offset. */
+static void
+answer_read(mb_http_exchange_t *exchange, const topic_t *topic, uint64_t from)
+{
+    MB_AUTO_BUF mb_buf_t body = {0};
+    write_number(&body, topic->records->len, 8);
+    write_number(&body, 0, 8);
+    for (guint i = (guint)from; i < topic->records->len; i++) {
+        const record_t *record = g_ptr_array_index(topic->records, i);
+        write_number(&body, record->bytes.len, 4);
+        mb_buf_append(&body, mb_buf_view(&record->bytes));
+    }
+    mb_http_answer(exchange, 200, NULL, mb_buf_view(&body));
+}
+
+static void
+handle_read(mb_http_exchange_t *exchange)
+{
+    mb_str_t uri = mb_http_uri(exchange);
+    topic_t *topic = topic_of(uri);
+    uint64_t from = number(uri, "from");
+    uint64_t wait_us = number(uri, "wait_ms") * MB_US_PER_MS;
+    if (from < topic->records->len || wait_us == 0) {
+        answer_read(exchange, topic, from);
+        return;
+    }
+    waiter_t *waiter = g_new0(waiter_t, 1);
+    *waiter = (waiter_t){exchange, topic, from, now_us() + wait_us};
+    g_ptr_array_add(waiters, waiter);
+}
+
+static int
+compare_keys(gconstpointer a, gconstpointer b)
+{
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+static void
+handle_newest(mb_http_exchange_t *exchange)
+{
+    mb_str_t uri = mb_http_uri(exchange);
+    topic_t *topic = topic_of(uri);
+    g_autofree char *escaped = parameter(uri, "depends_on");
+    g_autofree char *after =
+        g_uri_unescape_string(escaped == NULL ? "" : escaped, NULL);
+    g_autoptr(GPtrArray) keys = g_ptr_array_new();
+    MB_AUTO_BUF mb_buf_t body = {0};
+    GHashTableIter iter;
+    gpointer key;
+    uint32_t count = 0;
+    bool more = false;
+    g_hash_table_iter_init(&iter, topic->newest);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        g_ptr_array_add(keys, key);
+    }
+    g_ptr_array_sort(keys, compare_keys);
+    mb_buf_append_cstr(&body, "{\"items\":[");
+    for (guint i = 0; i < keys->len && !more; i++) {
+        const char *name = g_ptr_array_index(keys, i);
+        guint at =
+            GPOINTER_TO_UINT(g_hash_table_lookup(topic->newest, name)) - 1;
+        const record_t *record = g_ptr_array_index(topic->records, at);
+        size_t skip = 1 + strlen(name);
+        if (strcmp(name, after) <= 0 || record->bytes.len == skip) {
+            continue;
+        }
+        more = count == PAGE_ITEMS;
+        if (!more) {
+            g_autofree char *value =
+                g_base64_encode((const guchar *)record->bytes.data + skip,
+                                record->bytes.len - skip);
+            mb_buf_printf(&body,
+                          "%s{\"key\":\"%s\",\"offset\":%u,\"value\":\"",
+                          count++ > 0 ? "," : "", name, at);
+            mb_buf_append_cstr(&body, value);
+            mb_buf_append_cstr(&body, "\"}");
+        }
+    }
+    mb_buf_printf(&body, "],\"has_more\":%s,\"end_offset\":%u}",
+                  more ? "true" : "false", topic->records->len);
+    mb_http_answer(exchange, 200, NULL, mb_buf_view(&body));
+}
+
+/* Handles one call. */
+static void
+handle(void *context, mb_http_exchange_t *exchange)
+{
+    mb_str_t path = mb_uri_path(mb_http_uri(exchange));
+    (void)context;
+    g_mutex_lock(&lock);
+    if (mb_str_equal(path, MB_STR_LIT("/switch"))) {
+        down = number(mb_http_uri(exchange), "down") != 0;
+        answer(exchange, 200, "{}");
+    }
+    else if (down) {
+        answer(exchange, 503, "{}");
+    }
+    else if (mb_str_equal(path, MB_STR_LIT("/api/log-append"))) {
+        handle_append(exchange);
+    }
+    else if (mb_str_equal(path, MB_STR_LIT("/api/log-read"))) {
+        handle_read(exchange);
+    }
+    else if (mb_str_equal(path, MB_STR_LIT("/api/log-newest"))) {
+        handle_newest(exchange);
+    }
+    else {
+        answer(exchange, 404, "{}");
+    }
+    g_mutex_unlock(&lock);
+}
+
+/* Answers the reads that have a record or have waited for long enough. */
+static void
+answer_waiters(void)
+{
+    g_mutex_lock(&lock);
+    for (guint i = 0; i < waiters->len;) {
+        waiter_t *waiter = g_ptr_array_index(waiters, i);
+        if (waiter->from >= waiter->topic->records->len &&
+            now_us() < waiter->until_us) {
+            i++;
+            continue;
+        }
+        answer_read(waiter->exchange, waiter->topic, waiter->from);
+        (void)g_ptr_array_remove_index_fast(waiters, i);
+        g_free(waiter);
+    }
+    g_mutex_unlock(&lock);
+}
+
+int
+main(int argc, char **argv)
+{
+    mb_http_front_config_t config = {.threads = 2,
+                                     .max_connections = 256,
+                                     .idle_timeout_s = 60,
+                                     .handle = handle};
+    static mb_http_front_t front;
+    g_autoptr(GError) error = NULL;
+    if (argc != 3 || strcmp(argv[1], "-l") != 0 ||
+        !mb_address_parse(mb_str_from_cstr(argv[2]), &config.ip,
+                          &config.port)) {
+        (void)fprintf(stderr, "usage: standin-store -l ADDRESS\n");
+        return 2;
+    }
+    (void)signal(SIGPIPE, SIG_IGN);
+    topics = g_hash_table_new(g_str_hash, g_str_equal);
+    waiters = g_ptr_array_new();
+    if (!mb_http_front_init(&front, &config, &error)) {
+        (void)fprintf(stderr, "standin-store: %s\n", error->message);
+        return 1;
+    }
+    for (;;) {
+        (void)usleep(POLL_US);
+        answer_waiters();
+    }
+}
--- /dev/null
+++ b/tests/system/test_jobs.sh
@@ -0,0 +1,174 @@
+#!/usr/bin/env bash
+# Guards against jobs that are lost, run twice or never finished when the owner
+# of the fleet is killed, an agent is killed, or the log is away, with two
+# schedulers, two agents, and the stand-ins of the store and the executors.
+. "$(dirname "$0")/common.sh"
+
+store=$(address 500)
+export MB_SETTINGS
+
+# Writes and starts a scheduler: start_scheduler NUMBER.
+start_scheduler() {
+  cat > "$dir/scheduler-$1.ini" << INI
+[daemon]
+role = scheduler
+name = scheduler-$1
+failure_domain = domain-$1
+[scheduler]
+client_address = $(address $((510 + $1)))
+ready_address = $(address $((520 + $1)))
+metrics_address = $(address $((530 + $1)))
+[job_log]
+address = $store
+INI
+  MB_SETTINGS="$dir/scheduler-$1.ini"
+  start "scheduler-$1" magnoliabarrowd --config-env MB_SETTINGS
+  scheduler[$1]=$started
+}
+
+# Writes and starts an agent: start_agent NUMBER.
+start_agent() {
+  cat > "$dir/agent-$1.ini" << INI
+[daemon]
+role = agent
+name = agent-$1
+failure_domain = domain-$1
+[agent]
+registration_address = $(address $((540 + $1)))
+link_address = $(address $((550 + $1)))
+worker_address = $(address $((560 + $1)))
+service = echo
+[job_log]
+address = $store
+INI
+  start "agent-$1" magnoliabarrowd -c "$dir/agent-$1.ini"
+  agent[$1]=$started
+}
+
+# Prints the status of a job as one scheduler tells it: state NUMBER ID.
+state() {
+  curl -s -m 2 -H 'Host: jobs.example' "http://$(address $((510 + $1)))/q/$2" |
+    sed -n 's/.*"state":"\([a-z]*\)".*/\1/p'
+}
+
+# Submits a job of four tasks in two steps, prints the HTTP status.
+submit() {
+  curl -s -m 3 -o "$dir/answer" -D "$dir/headers" -w '%{http_code}' -H 'Host: jobs.example' -X POST \
+    "http://$(address $((510 + $1)))/q/$2" \
+    -d '{"spec":"x","steps":[{"count":2,"cpu":500,"memory_limit_mb":100,"estimated_ms":300},{"count":2,"cpu":500,"memory_limit_mb":100,"depends_on":[0]}]}'
+}
+
+# Waits up to 25 s for a state: wait_for_state NUMBER ID STATE.
+wait_for_state() {
+  for _ in $(seq 250); do
+    [ "$(state "$1" "$2")" = "$3" ] && return 0
+    sleep 0.1
+  done
+  fail "job $2 is $(state "$1" "$2") at scheduler $1, not $3"
+}
+
+# Prints the number of the scheduler that owns the fleet.
+owner() {
+  for i in 1 2; do
+    if curl -s -m 1 "http://$(address $((530 + i)))/metrics" | grep -q '^[a-z_]*fleet_owner 1'; then
+      echo "$i"
+    fi
+  done
+}
+
+# Waits up to 15 s for an owner.
+wait_for_owner() {
+  for _ in $(seq 150); do
+    [ -n "$(owner)" ] && return 0
+    sleep 0.1
+  done
+  fail "nobody owns the fleet"
+}
+
+start store standin-store -l "$store"
+for _ in $(seq 100); do
+  curl -s -o /dev/null "http://$store/switch?down=0" && break
+  sleep 0.05
+done
+# The operators' configuration: length, key length, key, value.
+config='{"version":3,"routes":[{"name":"q","host":"jobs.example","path_prefix":"/q/","service":"echo","priority":0,"max_attempts":3,"stretch_factor":2.0,"target_latency_ms":500}],"services":[{"name":"echo","admission_check":true,"standby":false}],"limits":{"max_body_bytes":65536}}'
+length=$((1 + 6 + ${#config}))
+printf "\\x00\\x00\\x$(printf %02x $((length / 256)))\\x$(printf %02x $((length % 256)))\\x06config%s" "$config" |
+  curl -s -o /dev/null --data-binary @- "http://$store/api/log-append?topic=keyed.op&part=0"
+start_scheduler 1
+start_scheduler 2
+for i in 1 2; do
+  start_agent $i
+  "$bin/standin-executor" -l "$(address $((560 + i)))" -c "$(address $((540 + i)))" -n "i-$i" -t 400 \
+    > "$dir/runs-$i" 2>> "$dir/executor-$i.log" &
+  pids+=($!)
+done
+wait_for_url "http://$(address 521)/"
+wait_for_url "http://$(address 522)/"
+wait_for_owner
+
+[ "$(submit 1 0000000000000001)" = 200 ] || fail "the job was not accepted: $(cat "$dir/answer")"
+[ "$(submit 2 0000000000000001)" = 200 ] || fail "the repeated job was not accepted"
+wait_for_state 1 0000000000000001 completed
+wait_for_state 2 0000000000000001 completed
+pass "a job that was sent twice is completed"
+
+[ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' "http://$(address 511)/q/00000000000000ff")" = 410 ] ||
+  fail "an unknown job is not answered with 410"
+[ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: other.example' "http://$(address 511)/q/00000000000000ff")" = 404 ] ||
+  fail "an unknown queue is not answered with 404"
+[ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' -X POST -d '{' "http://$(address 511)/q/00000000000000fe")" = 400 ] ||
+  fail "a bad job is not answered with 400"
+pass "unknown and bad requests are refused"
+
+first=$(owner)
+for i in 1 2 3 4 5 6; do
+  [ "$(submit $((i % 2 + 1)) "000000000000001$i")" = 200 ] || fail "job $i was not accepted"
+done
+kill -KILL "${scheduler[$first]}"
+killed_ms=$(date +%s%3N)
+wait_for_owner
+echo "takeover_ms $(($(date +%s%3N) - killed_ms))"
+other=$((3 - first))
+[ "$(owner)" = "$other" ] || fail "the other scheduler does not own the fleet"
+start_scheduler "$first"
+for i in 1 2 3 4 5 6; do
+  wait_for_state "$other" "000000000000001$i" completed
+done
+pass "jobs are completed although their owner was killed"
+
+wait_for_url "http://$(address $((520 + first)))/"
+wait_for_state "$first" 0000000000000016 completed
+pass "a scheduler that was started again knows the jobs"
+
+[ "$(submit 1 0000000000000021)" = 200 ] || fail "the job was not accepted"
+kill -KILL "${agent[1]}"
+start_agent 1
+wait_for_state 2 0000000000000021 completed
+pass "a job is completed although an agent was killed"
+
+curl -s -o /dev/null "http://$store/switch?down=1"
+status=$(submit 1 0000000000000031)
+[ "$status" = 503 ] || fail "a job is answered with $status while the log is away"
+grep -qi '^retry-after:' "$dir/headers" || fail "the rejected job was not told when to come back"
+curl -s -o /dev/null "http://$store/switch?down=0"
+for _ in $(seq 50); do
+  [ "$(submit 1 0000000000000032)" = 200 ] && break
+  sleep 0.1
+done
+wait_for_state 1 0000000000000032 completed
+pass "jobs are rejected while the log is away, and taken again after"
+
+kill -TERM "${scheduler[1]}"
+wait_for_owner
+[ "$(submit 2 0000000000000041)" = 200 ] || fail "the job was not accepted"
+wait_for_state 2 0000000000000041 completed
+wait "${scheduler[1]}" || fail "the stopped scheduler did not end well"
+pass "a planned stop hands the fleet over"
+
+twice=$(grep -h '^done' "$dir"/runs-* | sed 's/ run=.*//' | sort | uniq -d)
+[ -z "$twice" ] || fail "tasks succeeded twice: $twice"
+rejected=$(grep -h '^start task=0000000000000031' "$dir"/runs-* || true)
+[ -z "$rejected" ] || fail "a rejected job was run: $rejected"
+pass "no task succeeded twice, and no rejected job was run"
+finish
--- a/tests/unit/fake_log.h
+++ b/tests/unit/fake_log.h
@@ -33,8 +33,7 @@
     uint64_t appends = 0;
     uint64_t reads = 0;
 
-    char
-    next_plan()
+    char next_plan()
     {
         if (plan.empty()) {
             return 'o';
@@ -45,8 +44,7 @@
     }
 
     /* Delivers the answers that wait. */
-    void
-    deliver()
+    void deliver()
     {
         while (!answers.empty()) {
             auto answer = answers.front();
@@ -55,8 +53,7 @@
         }
     }
 
-    mb_keyed_result_t
-    take(const mb_keyed_append_t *append)
+    mb_keyed_result_t take(const mb_keyed_append_t *append)
     {
         Producer &producer = producers[std::string(append->producer.data,
                                                    append->producer.len)];
@@ -74,15 +71,14 @@
         producer = Producer{append->epoch, append->sequence, true};
         for (uint32_t i = 0; i < append->count; i++) {
             const mb_keyed_record_t &record = append->records[i];
-            records.push_back({std::string(record.key.data, record.key.len),
-                               std::string(record.value.data,
-                                           record.value.len)});
+            records.push_back(
+                {std::string(record.key.data, record.key.len),
+                 std::string(record.value.data, record.value.len)});
         }
         return MB_KEYED_OK;
     }
 
-    static bool
-    on_append(void *context, const mb_keyed_append_t *append)
+    static bool on_append(void *context, const mb_keyed_append_t *append)
     {
         FakeLog *log = static_cast<FakeLog *>(context);
         char step = log->next_plan();
@@ -100,9 +96,8 @@
         return true;
     }
 
-    void
-    answer_page(const mb_keyed_read_t *read, std::vector<Record> page,
-                mb_keyed_result_t result, bool more)
+    void answer_page(const mb_keyed_read_t *read, std::vector<Record> page,
+                     mb_keyed_result_t result, bool more)
     {
         auto done = read->done;
         void *to = read->context;
@@ -123,8 +118,7 @@
         });
     }
 
-    static bool
-    on_read(void *context, const mb_keyed_read_t *read)
+    static bool on_read(void *context, const mb_keyed_read_t *read)
     {
         FakeLog *log = static_cast<FakeLog *>(context);
         std::vector<Record> page;
@@ -145,8 +139,7 @@
     }
 
     /* Pages of two records each. */
-    static bool
-    on_newest(void *context, const mb_keyed_read_t *read)
+    static bool on_newest(void *context, const mb_keyed_read_t *read)
     {
         FakeLog *log = static_cast<FakeLog *>(context);
         std::map<std::string, std::string> newest;
@@ -171,8 +164,7 @@
         return true;
     }
 
-    mb_keyed_log_t
-    callbacks()
+    mb_keyed_log_t callbacks()
     {
         return mb_keyed_log_t{on_append, on_read, on_newest, this};
     }
--- a/tests/unit/fleet_world.h
+++ b/tests/unit/fleet_world.h
@@ -104,7 +104,7 @@
     bool store_fails = false;
     bool store_waits = false;
     /* What must hold. */
-    std::set<std::string> done;   /* tasks with a success that was taken */
+    std::set<std::string> done; /* tasks with a success that was taken */
     std::vector<std::string> violations;
     std::map<std::string, uint32_t> starts;
     uint32_t capacity_milli = 4000;
@@ -410,21 +410,22 @@
     std::string copy(bytes.data, bytes.len);
     mb_buf_finish(&bytes);
     uint64_t token = world->token;
-    uint32_t number = mb_fleet_worker(
-        &world->fleet, {machine->worker.name.data(),
-                        machine->worker.name.size()});
-    world->later.push_back({world->now_us + 4000, [=] {
-        if (!machine->linked || world->token != token) {
-            return;
-        }
-        if (!mb_report_decode(&world->decoder, {copy.data(), copy.size()},
-                              nullptr)) {
-            world->violate("report can't be decoded");
-            return;
-        }
-        mb_fleet_report(&world->fleet, number, &world->decoder.report);
-        mb_fleet_flush(&world->fleet);
-    }});
+    uint32_t number =
+        mb_fleet_worker(&world->fleet, {machine->worker.name.data(),
+                                        machine->worker.name.size()});
+    world->later.push_back(
+        {world->now_us + 4000, [=] {
+             if (!machine->linked || world->token != token) {
+                 return;
+             }
+             if (!mb_report_decode(&world->decoder, {copy.data(), copy.size()},
+                                   nullptr)) {
+                 world->violate("report can't be decoded");
+                 return;
+             }
+             mb_fleet_report(&world->fleet, number, &world->decoder.report);
+             mb_fleet_flush(&world->fleet);
+         }});
 }
 
 /* An order on its way to an agent. */
@@ -438,18 +439,19 @@
     std::string copy(bytes.data, bytes.len);
     mb_buf_finish(&bytes);
     uint64_t token = world->token;
-    world->later.push_back({world->now_us + 4000, [=] {
-        if (!machine->linked || world->token != token) {
-            return;
-        }
-        if (!mb_order_decode(&machine->decoder, {copy.data(), copy.size()},
-                             nullptr)) {
-            world->violate("order can't be decoded");
-            return;
-        }
-        mb_agent_order(&machine->agent, &machine->decoder.order);
-        mb_agent_run(&machine->agent);
-    }});
+    world->later.push_back(
+        {world->now_us + 4000, [=] {
+             if (!machine->linked || world->token != token) {
+                 return;
+             }
+             if (!mb_order_decode(&machine->decoder,
+                                  {copy.data(), copy.size()}, nullptr)) {
+                 world->violate("order can't be decoded");
+                 return;
+             }
+             mb_agent_order(&machine->agent, &machine->decoder.order);
+             mb_agent_run(&machine->agent);
+         }});
 }
 
 static void
@@ -458,9 +460,8 @@
     FleetWorld *world = static_cast<FleetWorld *>(context);
     mb_buf_t value = {};
     mb_dag_record_encode_progress(&value, progress);
-    world->group.push_back(
-        {std::string(progress->id.text, MB_DAG_ID_LEN),
-         std::string(value.data, value.len)});
+    world->group.push_back({std::string(progress->id.text, MB_DAG_ID_LEN),
+                            std::string(value.data, value.len)});
     mb_buf_finish(&value);
 }
 
@@ -474,17 +475,18 @@
     if (world->store_waits) {
         return;
     }
-    world->later.push_back({world->now_us + 8000, [=] {
-        bool ok = world->token == token && !world->store_fails;
-        for (const auto &item : group) {
-            if (ok) {
-                world->progress[item.first] = item.second;
-            }
-        }
-        if (world->token == token) {
-            mb_fleet_stored(&world->fleet, ok);
-        }
-    }});
+    world->later.push_back(
+        {world->now_us + 8000, [=] {
+             bool ok = world->token == token && !world->store_fails;
+             for (const auto &item : group) {
+                 if (ok) {
+                     world->progress[item.first] = item.second;
+                 }
+             }
+             if (world->token == token) {
+                 mb_fleet_stored(&world->fleet, ok);
+             }
+         }});
 }
 
 static uint64_t
@@ -497,9 +499,8 @@
 {
     mb_clock_t clock = {world_clock, this};
     mb_log_t log = world_log();
-    mb_fleet_callbacks_t callbacks = {world_send, world_store,
-                                      world_store_group_end, world_unix_ms,
-                                      this};
+    mb_fleet_callbacks_t callbacks = {
+        world_send, world_store, world_store_group_end, world_unix_ms, this};
     mb_dag_table_init(&table);
     (void)mb_dag_record_decoder_init(&records);
     (void)mb_order_decoder_init(&decoder);
@@ -525,8 +526,8 @@
 inline void
 FleetWorld::violate(const std::string &what)
 {
-    violations.push_back("at " + std::to_string(now_us / 1000) + " ms: " +
-                         what);
+    violations.push_back("at " + std::to_string(now_us / 1000) +
+                         " ms: " + what);
 }
 
 inline void
@@ -543,8 +544,8 @@
                               machine.get()};
     mb_agent_init(&machine->agent, &callbacks, &executor, &clock, &log);
     (void)mb_order_decoder_init(&machine->decoder);
-    mb_fleet_worker(&fleet, {machine->worker.name.data(),
-                             machine->worker.name.size()});
+    mb_fleet_worker(
+        &fleet, {machine->worker.name.data(), machine->worker.name.size()});
     machines.push_back(std::move(machine));
 }
 
--- a/tests/unit/test_dag.cc
+++ b/tests/unit/test_dag.cc
@@ -44,18 +44,15 @@
     return spec;
 }
 
-class Dag : public ::testing::Test
-{
+class Dag : public ::testing::Test {
   protected:
-    void
-    SetUp() override
+    void SetUp() override
     {
         mb_dag_table_init(&table);
         ASSERT_TRUE(mb_dag_record_decoder_init(&decoder));
         spec = two_steps(steps);
     }
-    void
-    TearDown() override
+    void TearDown() override
     {
         mb_dag_table_finish(&table);
         mb_dag_record_decoder_finish(&decoder);
@@ -168,8 +165,8 @@
     GArray *rows = g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
     mb_dag_progress_t progress = {};
     progress.rows = rows;
-    auto done = *rc::gen::container<std::vector<bool>>(
-        5, rc::gen::arbitrary<bool>());
+    auto done =
+        *rc::gen::container<std::vector<bool>>(5, rc::gen::arbitrary<bool>());
     auto runs = *rc::gen::unique<std::vector<uint64_t>>(
         rc::gen::inRange<uint64_t>(1, 100));
     for (uint32_t i = 0; i < 5; i++) {
@@ -183,8 +180,7 @@
         mb_dag_set_checkpoint(task, MB_STR_LIT("checkpoint"));
     }
     mb_dag_progress_take(job, &bits, &progress);
-    mb_dag_record_key(&key, MB_DAG_RECORD_PROGRESS,
-                      mb_dag_id_view(&spec.id));
+    mb_dag_record_key(&key, MB_DAG_RECORD_PROGRESS, mb_dag_id_view(&spec.id));
     mb_dag_record_encode_progress(&value, &progress);
     RC_ASSERT(mb_dag_record_decode(&decoder, mb_buf_view(&key),
                                    mb_buf_view(&value), &record, nullptr));
@@ -211,8 +207,8 @@
 {
     mb_dag_record_t record;
     GError *error = nullptr;
-    bool read = mb_dag_record_decode(&decoder, view(key), view(value),
-                                     &record, &error);
+    bool read = mb_dag_record_decode(&decoder, view(key), view(value), &record,
+                                     &error);
     RC_ASSERT(read == (error == nullptr));
     g_clear_error(&error);
 }
--- a/tests/unit/test_journal.cc
+++ b/tests/unit/test_journal.cc
@@ -49,8 +49,7 @@
         log.answers.clear();
         mb_journal_finish(&journal);
     }
-    void
-    add(const std::string &key, uint64_t patience_us = UINT64_MAX)
+    void add(const std::string &key, uint64_t patience_us = UINT64_MAX)
     {
         uint64_t until =
             patience_us == UINT64_MAX ? UINT64_MAX : now_us + patience_us;
@@ -59,8 +58,7 @@
                                    &results));
     }
     /* Lets time pass in steps of 20 ms. */
-    void
-    pass(uint64_t ms)
+    void pass(uint64_t ms)
     {
         for (uint64_t i = 0; i <= ms; i += 20) {
             mb_journal_run(&journal);
@@ -75,8 +73,8 @@
 RC_GTEST_PROP(Journal, AppendsEachRecordOnceInOrder, ())
 {
     JournalWorld world;
-    auto plan = *rc::gen::container<std::string>(
-        rc::gen::element('o', 'l', 'n', 'h'));
+    auto plan =
+        *rc::gen::container<std::string>(rc::gen::element('o', 'l', 'n', 'h'));
     int count = *rc::gen::inRange(1, 12);
     world.log.plan.assign(plan.begin(), plan.end());
     for (int i = 0; i < count; i++) {
@@ -181,16 +179,15 @@
     uint64_t current_us = 0;
     mb_follower_t follower;
 
-    static void
-    apply(void *context, const mb_keyed_record_t *record, bool fresh)
+    static void apply(void *context, const mb_keyed_record_t *record,
+                      bool fresh)
     {
         FollowerWorld *world = static_cast<FollowerWorld *>(context);
         world->state[std::string(record->key.data, record->key.len)] =
             std::string(record->value.data, record->value.len);
         world->fresh += fresh;
     }
-    static void
-    current(void *context, uint64_t since_us)
+    static void current(void *context, uint64_t since_us)
     {
         static_cast<FollowerWorld *>(context)->current_us = since_us;
     }
@@ -207,8 +204,7 @@
     {
         mb_follower_finish(&follower);
     }
-    void
-    pass(uint64_t ms)
+    void pass(uint64_t ms)
     {
         for (uint64_t i = 0; i <= ms; i += 20) {
             mb_follower_run(&follower);
@@ -273,8 +269,7 @@
         mb_ownership_init(&ownership, &clock, &rng, self);
     }
     /* Lets time pass; true when a claim was due. */
-    bool
-    pass(uint64_t ms, bool served)
+    bool pass(uint64_t ms, bool served)
     {
         bool claimed = false;
         for (uint64_t i = 0; i < ms; i += 100) {
@@ -282,13 +277,11 @@
             if (served) {
                 mb_ownership_current(&ownership, now_us - 50000);
             }
-            claimed |=
-                mb_ownership_tick(&ownership) == MB_OWNERSHIP_CLAIM;
+            claimed |= mb_ownership_tick(&ownership) == MB_OWNERSHIP_CLAIM;
         }
         return claimed;
     }
-    bool
-    apply(uint64_t token, uint64_t holder, bool resigned = false)
+    bool apply(uint64_t token, uint64_t holder, bool resigned = false)
     {
         mb_ownership_record_t record = {token, holder, resigned};
         return mb_ownership_apply(&ownership, &record, true);
