--- a/lib/coordination/mb_keyed_log.h
+++ b/lib/coordination/mb_keyed_log.h
@@ -74,7 +74,7 @@
     static const char *const names[MB_KEYED_RESULT_COUNT] = {
         "ok",           "not_done", "unknown", "fenced",
         "out_of_order", "trimmed",  "invalid"};
-    return names[result];
+    return result < MB_KEYED_RESULT_COUNT ? names[result] : "unknown";
 }
 
 #endif
--- a/lib/state/mb_dag.c
+++ b/lib/state/mb_dag.c
@@ -352,6 +352,14 @@
     }
 }
 
+/* Sets one bit. */
+static void
+set_bit(char *bits, uint32_t number)
+{
+    unsigned char *at = (unsigned char *)bits + number / 8;
+    *at = (unsigned char)(*at | (1u << (number % 8)));
+}
+
 /* Fills in the progress of a job to store. `bits` keeps the done bits; the
    rows' views point into the job. `progress->rows` must be an empty array. */
 void
@@ -368,7 +376,7 @@
         const mb_dag_task_t *tasks = job->occurrences[i].tasks;
         for (uint32_t t = 0; t < job->task_count; t++) {
             if (tasks[t].done) {
-                bits->data[bytes * i + t / 8] |= (char)(1 << (t % 8));
+                set_bit(bits->data + bytes * i, t);
             }
             take_row(&tasks[t], i, t, progress);
         }
--- a/lib/transport/mb_agent_node.c
+++ b/lib/transport/mb_agent_node.c
@@ -408,8 +408,10 @@
 void
 mb_agent_node_finish(mb_agent_node_t *node)
 {
-    while (node->owners->len > 0) {
-        drop_owner(g_ptr_array_index(node->owners, 0));
+    for (guint i = 0; i < node->owners->len; i++) {
+        mb_agent_owner_t *owner = g_ptr_array_index(node->owners, i);
+        mb_link_finish(&owner->link);
+        g_free(owner);
     }
     mb_loop_remove(&node->loop, &node->listener);
     (void)close(node->listener.fd);
