--- a/lib/coordination/mb_contention.c
+++ b/lib/coordination/mb_contention.c
@@ -16,6 +16,8 @@
 #define RATE_DOWN 0.25
 /* Added to the squares of the loads, so that little work learns slowly. */
 #define REGULARISER 0.5
+/* Loads below this are left out, in thousandths of a processor. */
+#define LOAD_MIN_MILLI 50u
 #define MILLI 1000.0
 
 /* What is known of one pair. */
@@ -89,6 +91,21 @@
     scene->loads[at].cpu_milli += cpu_milli;
 }
 
+/* Halves the loads of a scene and leaves out what is little. */
+void
+mb_contention_fade(mb_contention_scene_t *scene)
+{
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < scene->count; i++) {
+        mb_contention_load_t load = scene->loads[i];
+        load.cpu_milli /= 2;
+        if (load.cpu_milli >= LOAD_MIN_MILLI) {
+            scene->loads[kept++] = load;
+        }
+    }
+    scene->count = kept;
+}
+
 /* Returns the logarithm of the factor of a scene. */
 static double
 log_factor(const mb_contention_t *contention,
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -92,7 +92,7 @@
     GArray *runs;      /* mb_fleet_run_t */
     mb_size_t used;    /* of runs that do not fill */
     mb_size_t filling; /* of runs that fill */
-    uint64_t mixed_us; /* when its filling runs last changed */
+    mb_contention_scene_t recent; /* filling work of the last second */
     mb_health_t health;
     uint64_t reported_us;  /* latest report */
     uint64_t echo;         /* its sequence */
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -5,9 +5,6 @@
 
 /* Pace at or below which a run counts as slowed down, in percent. */
 #define SLOW_PERCENT 35u
-/* Age of a worker's mix of filling work from which its latencies tell of it,
-   in microseconds. */
-#define MIX_SETTLED_US UINT64_C(600000)
 
 /* Gang members share their fate: the failures of a gang are counted at its
    first task. */
@@ -353,15 +350,14 @@
 }
 
 /* Learns from a complete report how much filling work raises the latencies of
-   services. Figures cover the last half second, so the mix must be older. */
+   services. Figures cover the last half second, so they are compared with an
+   average of what worked meanwhile. */
 static void
-learn_contention(mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
+learn_contention(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                  const mb_report_t *report)
 {
-    mb_contention_scene_t scene = {0};
-    if (mb_clock_us(&fleet->clock) - worker->mixed_us < MIX_SETTLED_US) {
-        return;
-    }
+    mb_contention_scene_t *recent = &worker->recent;
+    mb_contention_fade(recent);
     for (guint i = 0; i < report->runs->len; i++) {
         const mb_report_run_t *listed =
             &g_array_index(report->runs, mb_report_run_t, i);
@@ -369,15 +365,15 @@
             mb_fleet_find_run(worker, &listed->task, listed->run);
         if (run != NULL && run->job->steps[run->step].fills &&
             listed->pace > 0) {
-            mb_contention_add(&scene, run->kind, listed->value);
+            mb_contention_add(recent, run->kind, listed->value / 2);
         }
     }
-    for (guint i = 0; i < worker->runs->len && scene.count > 0; i++) {
+    for (guint i = 0; i < worker->runs->len && recent->count > 0; i++) {
         const mb_fleet_run_t *run =
             &g_array_index(worker->runs, mb_fleet_run_t, i);
         if (run->latency_ms > 0) {
-            scene.service = run->kind;
-            mb_contention_observe(&fleet->contention, &scene, run->latency_ms,
+            recent->service = run->kind;
+            mb_contention_observe(&fleet->contention, recent, run->latency_ms,
                                   mb_fleet_undisturbed_ms(fleet, run));
         }
     }
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -102,7 +102,6 @@
 {
     add_copy(run, worker->number);
     account(worker, run, true);
-    worker->mixed_us = mb_clock_us(&fleet->clock);
     run->kind = mb_str_hash(run->job->steps[run->step].image);
     run->job->running++;
     fleet->running++;
@@ -123,7 +122,6 @@
         }
     }
     account(worker, run, false);
-    worker->mixed_us = mb_clock_us(&fleet->clock);
     run->job->running--;
     run->job->idle_us = mb_clock_us(&fleet->clock);
     fleet->running--;
--- a/tests/unit/fleet_world.h
+++ b/tests/unit/fleet_world.h
@@ -265,6 +265,17 @@
     return answer;
 }
 
+/* Frees the lists of an answer. */
+static inline void
+free_lists(mb_executor_answer_t *answer)
+{
+    if (answer->runs != nullptr) {
+        g_array_unref(answer->runs);
+        g_array_unref(answer->ends);
+    }
+    answer->runs = answer->ends = nullptr;
+}
+
 /* Answers a call of an agent after a millisecond, or never. */
 static inline void
 answer_call(FleetWorld *world, const mb_executor_call_t *call,
@@ -280,6 +291,7 @@
                                 if (answered) {
                                     done(to, result.get());
                                 }
+                                free_lists(result.get());
                             }});
     if (!answered) {
         world->later.push_back({world->now_us + timeout_us, [=] {
