--- a/lib/coordination/mb_pacing.h
+++ b/lib/coordination/mb_pacing.h
@@ -12,10 +12,10 @@
 /* Share of a latency target, in thousandths, from which filling work stands
    still, and below which it goes on. */
 #define MB_PACING_STOP_MILLI 950u
-#define MB_PACING_GO_MILLI 700u
+#define MB_PACING_GO_MILLI 880u
 /* Time for which a target is missed before filling work stands still, in
    microseconds. */
-#define MB_PACING_PATIENCE_US UINT64_C(1500000)
+#define MB_PACING_PATIENCE_US UINT64_C(2200000)
 /* Time for which nothing works beside a service before its latency is judged,
    in microseconds: a figure covers the last half second and lags behind. */
 #define MB_PACING_TRIAL_US UINT64_C(1500000)
