--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -113,6 +113,7 @@
 bool
 mb_agent_connected(mb_agent_t *agent, uint64_t token)
 {
+#ifndef MB_MUTANT_AGENT_NO_TOKEN_CHECK
     if (token < agent->token) {
         mb_log_notice(&agent->log,
                       "owner refused token=%" G_GUINT64_FORMAT
@@ -120,6 +121,7 @@
                       token, agent->token);
         return false;
     }
+#endif
     if (token > agent->token) {
         mb_log_notice(&agent->log,
                       "owner changed token=%" G_GUINT64_FORMAT
--- a/lib/coordination/mb_agent_runs.c
+++ b/lib/coordination/mb_agent_runs.c
@@ -140,6 +140,11 @@
                     MB_STR_ARG(mb_dag_id_view(&run->task.job)),
                     run->task.occurrence, run->task.step, run->task.index,
                     run->run);
+#ifdef MB_MUTANT_AGENT_START_NOT_STOPPED
+        mb_agent_refuse(agent, &run->task, run->run, MB_REFUSAL_UNANSWERED);
+        mb_agent_drop_run(agent, run);
+        break;
+#endif
         doubt(run);
         break;
     }
--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -293,6 +293,9 @@
 mb_fleet_stored(mb_fleet_t *fleet, bool ok)
 {
     fleet->storing = false;
+#ifdef MB_MUTANT_FLEET_ACKS_UNSTORED
+    ok = true;
+#endif
     if (fleet->owns && !ok) {
         mb_log_warning(&fleet->log,
                        "progress refused by the log; nothing is started any "
@@ -347,6 +350,9 @@
 check_leases(mb_fleet_t *fleet, uint64_t now_us)
 {
     bool settled = now_us >= fleet->settle_us;
+#ifdef MB_MUTANT_FLEET_NOT_SETTLED
+    settled = true;
+#endif
     bool all = true;
     for (guint i = 0; i < fleet->workers->len; i++) {
         mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, i);
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -89,9 +89,9 @@
     mb_buf_t labels[MB_WORKER_LABELS_MAX];
     uint32_t label_count;
     mb_size_t capacity;
-    GArray *runs;      /* mb_fleet_run_t */
-    mb_size_t used;    /* of runs that do not fill */
-    mb_size_t filling; /* of runs that fill */
+    GArray *runs;                 /* mb_fleet_run_t */
+    mb_size_t used;               /* of runs that do not fill */
+    mb_size_t filling;            /* of runs that fill */
     mb_contention_scene_t recent; /* filling work of the last second */
     mb_health_t health;
     uint64_t reported_us;  /* latest report */
--- a/lib/coordination/mb_journal.c
+++ b/lib/coordination/mb_journal.c
@@ -197,7 +197,11 @@
 {
     uint64_t now_us = mb_clock_us(&journal->clock);
     g_autoptr(GPtrArray) ended = g_ptr_array_new();
-    for (guint i = 0; !journal->doubtful && i < journal->batch->len;) {
+    bool doubtful = journal->doubtful;
+#ifdef MB_MUTANT_JOURNAL_DROPS_DOUBTFUL
+    doubtful = false;
+#endif
+    for (guint i = 0; !doubtful && i < journal->batch->len;) {
         entry_t *entry = g_ptr_array_index(journal->batch, i);
         if (entry->give_up_us <= now_us) {
             g_ptr_array_add(ended, g_ptr_array_steal_index(journal->batch, i));
@@ -306,6 +310,9 @@
 mb_journal_stalled(const mb_journal_t *journal)
 {
     bool trying = journal->sending || journal->batch->len > 0;
+#ifdef MB_MUTANT_JOURNAL_STALLED_FOR_GOOD
+    trying = true;
+#endif
     return journal->fenced ||
            (trying && journal->failing_since_us != 0 &&
             mb_clock_us(&journal->clock) - journal->failing_since_us >=
--- a/lib/state/mb_dag.c
+++ b/lib/state/mb_dag.c
@@ -275,6 +275,9 @@
             return false;
         }
     }
+#ifdef MB_MUTANT_DAG_FAILURE_NOT_COUNTED
+    return false;
+#endif
     if (task->failures == MB_DAG_FAILURES_MAX) {
         return false;
     }
