--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -251,9 +251,10 @@
     mb_fleet_mark_dirty(fleet, job);
     mb_fleet_stop_job(fleet, job);
     mb_log_info(&fleet->log,
-                "job decided job=%.*s outcome=%d age_ms=%" G_GUINT64_FORMAT
+                "job decided job=%.*s outcome=%s age_ms=%" G_GUINT64_FORMAT
                 " objective_ms=%" G_GUINT64_FORMAT,
-                MB_STR_ARG(mb_dag_id_view(&job->spec.id)), (int)outcome,
+                MB_STR_ARG(mb_dag_id_view(&job->spec.id)),
+                mb_dag_outcome_name(outcome),
                 (mb_clock_us(&fleet->clock) - job->arrived_us) / MB_US_PER_MS,
                 job->objective_us / MB_US_PER_MS);
 }
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -90,6 +90,15 @@
     MB_DAG_OUTCOME_COUNT
 } mb_dag_outcome_t;
 
+/* Returns the name of an outcome, for log lines. */
+static inline const char *
+mb_dag_outcome_name(mb_dag_outcome_t outcome)
+{
+    static const char *const names[MB_DAG_OUTCOME_COUNT] = {
+        "open", "completed", "failed", "cancelled"};
+    return outcome < MB_DAG_OUTCOME_COUNT ? names[outcome] : "unknown";
+}
+
 /* One run of a task, known to the owner. */
 typedef struct mb_dag_run {
     uint64_t number; /* 0: none */
--- a/lib/transport/mb_agent_node.c
+++ b/lib/transport/mb_agent_node.c
@@ -290,10 +290,10 @@
     node->log = mb_log_for(log, "agent");
     node->flush = (mb_loop_deferred_t){run_flush, node, NULL, false};
     node->owners = g_ptr_array_new();
-    node->runs_metric = mb_counters_add(counters, MB_METRIC_GAUGE, "runs",
+    node->runs_metric = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_runs",
                                         "Runs at the worker");
     node->pace_metric =
-        mb_counters_add(counters, MB_METRIC_GAUGE, "filling_pace_percent",
+        mb_counters_add(counters, MB_METRIC_GAUGE, "mb_filling_pace_percent",
                         "Pace of the filling runs");
     mb_buf_printf(&node->producer, "%.*s-%016" G_GINT64_MODIFIER "x",
                   MB_STR_ARG(config->name), config->incarnation);
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -601,32 +601,32 @@
 {
     mb_counters_t *counters = node->counters;
     node->metrics = (mb_scheduler_metrics_t){
-        .accepted =
-            mb_counters_add(counters, MB_METRIC_COUNTER, "jobs_accepted_total",
-                            "Jobs answered as stored"),
-        .rejected =
-            mb_counters_add(counters, MB_METRIC_COUNTER, "jobs_rejected_total",
-                            "Jobs rejected as not stored"),
-        .unknown =
-            mb_counters_add(counters, MB_METRIC_COUNTER, "jobs_unknown_total",
-                            "Jobs answered with an unknown outcome"),
+        .accepted = mb_counters_add(counters, MB_METRIC_COUNTER,
+                                    "mb_jobs_accepted_total",
+                                    "Jobs answered as stored"),
+        .rejected = mb_counters_add(counters, MB_METRIC_COUNTER,
+                                    "mb_jobs_rejected_total",
+                                    "Jobs rejected as not stored"),
+        .unknown = mb_counters_add(counters, MB_METRIC_COUNTER,
+                                   "mb_jobs_unknown_total",
+                                   "Jobs answered with an unknown outcome"),
         .accept_us =
-            mb_counters_add(counters, MB_METRIC_HISTOGRAM, "job_accept_us",
+            mb_counters_add(counters, MB_METRIC_HISTOGRAM, "mb_job_accept_us",
                             "Time from a job to its answer"),
-        .owner = mb_counters_add(counters, MB_METRIC_GAUGE, "fleet_owner",
+        .owner = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_fleet_owner",
                                  "1 while this process owns the fleet"),
-        .running = mb_counters_add(counters, MB_METRIC_GAUGE, "runs",
+        .running = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_runs",
                                    "Runs that hold a worker"),
-        .starts = mb_counters_add(counters, MB_METRIC_GAUGE, "run_starts",
+        .starts = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_run_starts",
                                   "Runs started by this process"),
-        .lost_runs = mb_counters_add(counters, MB_METRIC_GAUGE, "runs_lost",
+        .lost_runs = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_runs_lost",
                                      "Runs given up without an end"),
-        .appends = mb_counters_add(counters, MB_METRIC_GAUGE, "log_appends",
+        .appends = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_log_appends",
                                    "Appends sent to the log"),
-        .reads = mb_counters_add(counters, MB_METRIC_GAUGE, "log_reads",
+        .reads = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_log_reads",
                                  "Reads sent to the log"),
         .config_version =
-            mb_counters_add(counters, MB_METRIC_GAUGE, "config_version",
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_config_version",
                             "Version of the configuration in force")};
 }
 
