--- a/tests/bench/run.sh
+++ b/tests/bench/run.sh
@@ -6,7 +6,7 @@
 set -uo pipefail
 here=$(dirname "$0")
 bin=$1
-parts=" bench_client bench_slopes bench_control bench_links "
+parts=" bench_client bench_slopes bench_control bench_links bench_config_in_force "
 failed=0
 echo "machine_load $(cut -d ' ' -f 1 /proc/loadavg) runnable"
 for source in "$here"/bench_*.c "$here"/bench_*.cc; do
