--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -12,12 +12,6 @@
 #define TICK_MS 20
 /* Requests that may wait for the scheduler's thread. */
 #define MAILBOX_CAPACITY 8192
-/* Bounds of one append: below those of the log service. */
-#define BATCH_RECORDS_MAX 512u
-#define BATCH_BYTES_MAX (512u * 1024u)
-/* Least time between two reads of a process that does not own the fleet, in
-   milliseconds: it answers for states, which may be that old. */
-#define FOLLOWER_GAP_MS 100u
 /* How often closed jobs are looked at for removal, in milliseconds. */
 #define SWEEP_MS 1000u
 /* How long requests are taken after a stop was asked for, until the load
@@ -31,9 +25,7 @@
 /* Idle time after which a client's connection is closed, in seconds. */
 #define IDLE_TIMEOUT_S 15u
 
-static const mb_str_t stream_jobs = {"jobs", 4};
 static const mb_str_t stream_config = {"config", 6};
-static const mb_str_t producer_owner = {"owner", 5};
 
 /* Returns the Unix time in milliseconds. */
 uint64_t
@@ -72,401 +64,6 @@
     }
 }
 
-/* Puts a journal aside whose claim or ownership has ended; it is freed when
-   no call of it is open. */
-static void
-retire_owner_journal(mb_scheduler_node_t *node)
-{
-    if (node->owner_journal != NULL) {
-        mb_journal_close(node->owner_journal);
-        g_ptr_array_add(node->old_journals, node->owner_journal);
-        node->owner_journal = NULL;
-    }
-}
-
-/* Frees the journals put aside. */
-static void
-free_old_journals(mb_scheduler_node_t *node)
-{
-    for (guint i = 0; i < node->old_journals->len;) {
-        mb_journal_t *journal = g_ptr_array_index(node->old_journals, i);
-        if (journal->sending) {
-            i++;
-            continue;
-        }
-        mb_journal_finish(journal);
-        g_free(journal);
-        (void)g_ptr_array_remove_index_fast(node->old_journals, i);
-    }
-}
-
-/* Queues a record of the owner. */
-static bool
-add_owner_record(mb_scheduler_node_t *node, uint64_t token, bool resigned,
-                 mb_journal_done_t done, void *context)
-{
-    mb_ownership_record_t record = {token, node->config.incarnation, resigned};
-    mb_buf_clear(&node->key);
-    mb_buf_clear(&node->value);
-    mb_dag_record_key(&node->key, MB_DAG_RECORD_OWNER, MB_STR_EMPTY);
-    mb_dag_record_encode_owner(&node->value, &record);
-    return mb_journal_add(node->owner_journal, mb_buf_view(&node->key),
-                          mb_buf_view(&node->value), UINT64_MAX, done,
-                          context);
-}
-
-/* A claim that its journal reports on; the node may have made another one
-   since. */
-typedef struct claim {
-    mb_scheduler_node_t *node;
-    const mb_journal_t *journal;
-} claim_t;
-
-/* Takes the result of a claim. One that was taken shows in the log. */
-static void
-claim_done(void *context, mb_keyed_result_t result)
-{
-    g_autofree claim_t *claim = context;
-    mb_scheduler_node_t *node = claim->node;
-    if (result == MB_KEYED_OK || claim->journal != node->owner_journal) {
-        return;
-    }
-    mb_log_info(&node->log, "claim not taken result=%s",
-                mb_keyed_result_name(result));
-    mb_ownership_claim_failed(&node->ownership);
-}
-
-/* Claims the fleet under the next token. A random sequence number makes two
-   claims of one token differ, so that the log takes only the first. */
-static void
-claim_fleet(mb_scheduler_node_t *node)
-{
-    mb_rng_t rng = mb_rng_thread();
-    uint64_t token = node->ownership.latest.token + 1;
-    mb_journal_config_t config = {.stream = stream_jobs,
-                                  .producer = producer_owner,
-                                  .epoch = token,
-                                  .sequence = 1 + mb_rng_below(&rng, 1u << 30),
-                                  .contested = true,
-                                  .batch_records_max = BATCH_RECORDS_MAX,
-                                  .batch_bytes_max = BATCH_BYTES_MAX};
-    mb_log_notice(&node->log,
-                  "claiming the fleet token=%" G_GUINT64_FORMAT
-                  " resigned=%d heard_ms_ago=%" G_GUINT64_FORMAT,
-                  token, node->ownership.latest.resigned,
-                  (mb_clock_us(&node->clock) - node->ownership.heard_us) /
-                      MB_US_PER_MS);
-    retire_owner_journal(node);
-    node->owner_journal = g_new0(mb_journal_t, 1);
-    mb_journal_init(node->owner_journal, &config, &node->keyed_log,
-                    &node->clock, &node->log);
-    claim_t *claim = g_new0(claim_t, 1);
-    *claim = (claim_t){node, node->owner_journal};
-    (void)add_owner_record(node, token, false, claim_done, claim);
-    mb_scheduler_wake(node);
-}
-
-/* Progress records that are stored together. */
-struct mb_scheduler_group {
-    mb_scheduler_node_t *node;
-    uint32_t left; /* records without a result */
-    bool closed;   /* no more records are added */
-    bool failed;
-};
-
-/* Ends a group when every record has its result. One of an ownership that has
-   ended says nothing to the fleet. */
-static void
-end_group(mb_scheduler_group_t *group)
-{
-    mb_scheduler_node_t *node = group->node;
-    if (group->left > 0 || !group->closed) {
-        return;
-    }
-    if (node->group == group) {
-        node->group = NULL;
-        mb_fleet_stored(&node->fleet, !group->failed);
-        mb_scheduler_wake(node);
-    }
-    g_free(group);
-}
-
-/* Counts a stored progress record. */
-static void
-progress_done(void *context, mb_keyed_result_t result)
-{
-    mb_scheduler_group_t *group = context;
-    group->failed = group->failed || result != MB_KEYED_OK;
-    group->left--;
-    end_group(group);
-}
-
-/* Queues the progress of a job for the log. */
-static void
-store_progress(void *context, const mb_dag_progress_t *progress)
-{
-    mb_scheduler_node_t *node = context;
-    if (node->group == NULL) {
-        node->group = g_new0(mb_scheduler_group_t, 1);
-        node->group->node = node;
-    }
-    node->group->left++;
-    mb_buf_clear(&node->key);
-    mb_buf_clear(&node->value);
-    mb_dag_record_key(&node->key, MB_DAG_RECORD_PROGRESS,
-                      mb_dag_id_view(&progress->id));
-    mb_dag_record_encode_progress(&node->value, progress);
-    if (node->owner_journal == NULL ||
-        !mb_journal_add(node->owner_journal, mb_buf_view(&node->key),
-                        mb_buf_view(&node->value), UINT64_MAX, progress_done,
-                        node->group)) {
-        node->group->failed = true;
-        node->group->left--;
-    }
-}
-
-/* Closes the group of records. */
-static void
-store_group_end(void *context)
-{
-    mb_scheduler_node_t *node = context;
-    node->group->closed = true;
-    end_group(node->group);
-    mb_scheduler_wake(node);
-}
-
-/* Begins to own the fleet: the claim was read from the log, and with it
-   everything that the former owner stored. */
-static void
-become_owner(mb_scheduler_node_t *node, const mb_ownership_record_t *former)
-{
-    uint64_t now_us = mb_clock_us(&node->clock);
-    uint64_t act_us = MB_OWNERSHIP_ACT_MS * (uint64_t)MB_US_PER_MS;
-    uint64_t settle_us = now_us + mb_fleet_lease_us();
-    if (former->token == 0) {
-        settle_us = now_us;
-    }
-    else if (!former->resigned) {
-        settle_us += act_us;
-    }
-    mb_log_notice(&node->log,
-                  "owning the fleet token=%" G_GUINT64_FORMAT
-                  " jobs=%u agents=%u",
-                  node->ownership.latest.token,
-                  g_hash_table_size(node->table.jobs), node->agents->len);
-    node->group = NULL;
-    mb_gauge_set(node->metrics.owner, 1);
-    mb_follower_set_gap(&node->jobs, 0);
-    mb_fleet_begin(&node->fleet, node->ownership.latest.token, settle_us);
-    mb_scheduler_wake(node);
-}
-
-/* Ends to own the fleet. Progress that was not stored is dropped with the
-   table, which is read from the log anew. */
-static void
-lose_ownership(mb_scheduler_node_t *node)
-{
-    mb_log_notice(
-        &node->log, "fleet lost to token=%" G_GUINT64_FORMAT " resigned=%d",
-        node->ownership.latest.token, node->ownership.latest.resigned);
-    mb_gauge_set(node->metrics.owner, 0);
-    mb_follower_set_gap(&node->jobs, FOLLOWER_GAP_MS);
-    mb_fleet_end(&node->fleet);
-    node->group = NULL;
-    mb_scheduler_agents_close(node);
-    retire_owner_journal(node);
-    mb_dag_table_clear(&node->table);
-    (void)g_hash_table_remove_all(node->cancels);
-    mb_follower_reload(&node->jobs);
-}
-
-/* Takes the job of a record. */
-static void
-apply_job(mb_scheduler_node_t *node, const mb_dag_record_t *record)
-{
-    mb_dag_job_t *job = mb_dag_add(&node->table, &record->body.job);
-    if (job == NULL) {
-        return;
-    }
-    job->seen_us = mb_clock_us(&node->clock);
-    if (g_hash_table_remove(node->cancels, &job->spec.id)) {
-        job->cancelled = true;
-        job->shown = MB_DAG_CANCELLED;
-        job->outcome = MB_DAG_CANCELLED;
-        job->closed_us = job->seen_us;
-    }
-    mb_fleet_job_added(&node->fleet, job);
-    mb_scheduler_wake(node);
-}
-
-/* Takes a cancellation, also one read before its job. */
-static void
-apply_cancel(mb_scheduler_node_t *node, const mb_dag_record_t *record)
-{
-    mb_dag_job_t *job = mb_dag_find(&node->table, record->id);
-    if (job == NULL) {
-        (void)g_hash_table_add(node->cancels,
-                               g_memdup2(&record->id, sizeof(record->id)));
-        return;
-    }
-    if (job->cancelled || job->shown != MB_DAG_OPEN) {
-        return;
-    }
-    job->cancelled = true;
-    job->shown = MB_DAG_CANCELLED;
-    job->closed_us = mb_clock_us(&node->clock);
-    mb_fleet_job_cancelled(&node->fleet, job);
-    job->outcome = MB_DAG_CANCELLED;
-    mb_scheduler_wake(node);
-}
-
-/* Takes stored progress. The owner wrote it itself and knows more; only what
-   clients may be told is news to it. */
-static void
-apply_progress(mb_scheduler_node_t *node, const mb_dag_record_t *record)
-{
-    mb_dag_job_t *job = mb_dag_find(&node->table, record->id);
-    const mb_dag_progress_t *progress = &record->body.progress;
-    if (job == NULL) {
-        return;
-    }
-    job->started = job->started || progress->started;
-    if (!mb_fleet_owns(&node->fleet)) {
-        mb_dag_progress_apply(job, progress);
-        job->outcome = job->cancelled ? MB_DAG_CANCELLED : job->outcome;
-    }
-    if (job->shown == MB_DAG_OPEN && progress->outcome != MB_DAG_OPEN) {
-        job->shown = progress->outcome;
-        job->closed_us = mb_clock_us(&node->clock);
-    }
-}
-
-/* Takes a record of the owner. */
-static void
-apply_owner(mb_scheduler_node_t *node, const mb_dag_record_t *record,
-            bool fresh)
-{
-    mb_ownership_record_t former = node->ownership.latest;
-    if (!mb_ownership_apply(&node->ownership, &record->body.owner, fresh)) {
-        return;
-    }
-    if (node->ownership.state == MB_OWNERSHIP_OWNS) {
-        become_owner(node, &former);
-    }
-    else {
-        lose_ownership(node);
-    }
-}
-
-/* Forgets a job whose record was removed. */
-static void
-remove_job(mb_scheduler_node_t *node, mb_dag_id_t id)
-{
-    mb_dag_job_t *job = mb_dag_find(&node->table, id);
-    if (job != NULL && mb_fleet_job_idle(job)) {
-        mb_fleet_job_removed(&node->fleet, job);
-        mb_dag_remove(&node->table, id);
-    }
-}
-
-/* Takes one record of the job log. */
-static void
-apply_record(void *context, const mb_keyed_record_t *raw, bool fresh)
-{
-    mb_scheduler_node_t *node = context;
-    mb_dag_record_t record;
-    g_autoptr(GError) error = NULL;
-    if (!mb_dag_record_decode(&node->decoder, raw->key, raw->value, &record,
-                              &error)) {
-        mb_log_warning(&node->log, "record ignored: %s bytes=%zu",
-                       error->message, raw->value.len);
-        return;
-    }
-    switch (record.kind) {
-    case MB_DAG_RECORD_JOB:
-        if (record.removed) {
-            remove_job(node, record.id);
-        }
-        else {
-            apply_job(node, &record);
-        }
-        break;
-    case MB_DAG_RECORD_CANCEL:
-        if (!record.removed) {
-            apply_cancel(node, &record);
-        }
-        break;
-    case MB_DAG_RECORD_PROGRESS:
-        if (!record.removed) {
-            apply_progress(node, &record);
-        }
-        break;
-    case MB_DAG_RECORD_AGENT:
-        if (record.removed) {
-            mb_scheduler_agent_removed(node, record.body.agent.address);
-        }
-        else {
-            mb_scheduler_agent_known(node, record.body.agent.address);
-        }
-        break;
-    case MB_DAG_RECORD_OWNER:
-        if (!record.removed) {
-            apply_owner(node, &record, fresh);
-        }
-        break;
-    case MB_DAG_RECORD_KIND_COUNT:
-        break;
-    }
-}
-
-/* Everything was read that the job log held at a time. */
-static void
-jobs_current(void *context, uint64_t since_us)
-{
-    mb_scheduler_node_t *node = context;
-    mb_ownership_current(&node->ownership, since_us);
-}
-
-/* Puts a configuration in force, unless a newer one is. */
-static void
-take_config(void *context, const mb_queue_version_t *version)
-{
-    mb_scheduler_node_t *node = context;
-    if (mb_queue_table_publish(&node->queues, version)) {
-        mb_gauge_set(node->metrics.config_version, version->version);
-        mb_log_notice(&node->log,
-                      "configuration in force version=%" G_GUINT64_FORMAT
-                      " queues=%u services=%u",
-                      version->version, version->queue_count,
-                      version->pool_count);
-    }
-}
-
-/* Takes one record of the configuration log. One without a value says that
-   the record was removed; the configuration stays in force. */
-static void
-apply_config(void *context, const mb_keyed_record_t *raw, bool fresh)
-{
-    mb_scheduler_node_t *node = context;
-    g_autoptr(GError) error = NULL;
-    (void)fresh;
-    if (raw->value.len > 0 &&
-        !node->front.read_config(node->front.context, raw->key, raw->value,
-                                 take_config, node, &error) &&
-        error != NULL) {
-        mb_log_warning(&node->log, "configuration ignored: %s",
-                       error->message);
-    }
-}
-
-/* Nothing follows from a configuration being current. */
-static void
-config_current(void *context, uint64_t since_us)
-{
-    (void)context;
-    (void)since_us;
-}
-
 /* Removes the records of one closed job from the log. */
 static void
 remove_records(mb_scheduler_node_t *node, const mb_dag_job_t *job)
@@ -516,12 +113,12 @@
     }
     switch (mb_ownership_tick(&node->ownership)) {
     case MB_OWNERSHIP_CLAIM:
-        claim_fleet(node);
+        mb_scheduler_claim(node);
         break;
     case MB_OWNERSHIP_HEARTBEAT:
         if (node->owner_journal != NULL) {
-            (void)add_owner_record(node, node->ownership.latest.token, false,
-                                   NULL, NULL);
+            (void)mb_scheduler_owner_record(node, node->ownership.latest.token,
+                                            false, NULL, NULL);
         }
         break;
     case MB_OWNERSHIP_NOTHING:
@@ -569,7 +166,7 @@
     mb_scheduler_agents_tick(node);
     mb_fleet_tick(&node->fleet);
     mb_scheduler_requests_tick(node);
-    free_old_journals(node);
+    mb_scheduler_free_journals(node);
     sweep(node);
     update_ready(node);
     update_metrics(node);
@@ -666,25 +263,29 @@
 {
     mb_rng_t rng = mb_rng_system();
     mb_fleet_callbacks_t fleet = {.send = mb_scheduler_send,
-                                  .store = store_progress,
-                                  .store_group_end = store_group_end,
+                                  .store = mb_scheduler_store_progress,
+                                  .store_group_end =
+                                      mb_scheduler_store_group_end,
                                   .unix_ms = fleet_unix_ms,
                                   .context = node};
-    mb_follower_callbacks_t jobs = {apply_record, jobs_current, node};
-    mb_follower_callbacks_t configs = {apply_config, config_current, node};
-    mb_journal_config_t journal = {.stream = stream_jobs,
-                                   .producer = mb_buf_view(&node->producer),
-                                   .epoch = 1,
-                                   .sequence = 1,
-                                   .batch_records_max = BATCH_RECORDS_MAX,
-                                   .batch_bytes_max = BATCH_BYTES_MAX};
+    mb_follower_callbacks_t jobs = {mb_scheduler_apply_record,
+                                    mb_scheduler_jobs_current, node};
+    mb_follower_callbacks_t configs = {mb_scheduler_apply_config,
+                                       mb_scheduler_config_current, node};
+    mb_journal_config_t journal = {
+        .stream = mb_scheduler_stream_jobs,
+        .producer = mb_buf_view(&node->producer),
+        .epoch = 1,
+        .sequence = 1,
+        .batch_records_max = MB_SCHEDULER_BATCH_RECORDS,
+        .batch_bytes_max = MB_SCHEDULER_BATCH_BYTES};
     mb_fleet_init(&node->fleet, &node->table, &fleet, &node->clock,
                   &node->log);
     mb_ownership_init(&node->ownership, &node->clock, &rng,
                       node->config.incarnation);
-    mb_follower_init(&node->jobs, stream_jobs, &node->keyed_log, &jobs,
-                     &node->clock, &node->log);
-    mb_follower_set_gap(&node->jobs, FOLLOWER_GAP_MS);
+    mb_follower_init(&node->jobs, mb_scheduler_stream_jobs, &node->keyed_log,
+                     &jobs, &node->clock, &node->log);
+    mb_follower_set_gap(&node->jobs, MB_SCHEDULER_GAP_MS);
     mb_follower_init(&node->configs, stream_config, &node->keyed_log, &configs,
                      &node->clock, &node->log);
     mb_journal_init(&node->journal, &journal, &node->keyed_log, &node->clock,
@@ -749,8 +350,8 @@
         mb_log_notice(&node->log,
                       "resigning from the fleet token=%" G_GUINT64_FORMAT,
                       node->ownership.latest.token);
-        (void)add_owner_record(node, node->ownership.latest.token, true, NULL,
-                               NULL);
+        (void)mb_scheduler_owner_record(node, node->ownership.latest.token,
+                                        true, NULL, NULL);
         mb_scheduler_wake(node);
     }
     g_free(task);
@@ -805,8 +406,8 @@
 mb_scheduler_node_finish(mb_scheduler_node_t *node)
 {
     mb_scheduler_agents_close(node);
-    retire_owner_journal(node);
-    free_old_journals(node);
+    mb_scheduler_retire_journal(node);
+    mb_scheduler_free_journals(node);
     g_ptr_array_unref(node->old_journals);
     mb_journal_finish(&node->journal);
     mb_follower_finish(&node->jobs);
--- a/programs/magnoliabarrowd/job_roles.c
+++ b/programs/magnoliabarrowd/job_roles.c
@@ -6,6 +6,7 @@
 #include "mbp_jobs.h"
 #include "mbp_registration.h"
 #include "mbp_store.h"
+#include "roles.h"
 
 /* Calls to the log, and to the worker, at a time. */
 #define LOG_CALLS_MAX 16u
@@ -30,26 +31,12 @@
     mbp_registration_t registration;
 } agent_role_t;
 
-/* Returns a text setting. */
-static mb_str_t
-text(const mb_daemon_t *daemon, const char *section, const char *key)
-{
-    return mb_settings_text(&daemon->settings, section, key);
-}
-
-/* Returns a number setting that fits 32 bits. */
-static uint32_t
-number(const mb_daemon_t *daemon, const char *section, const char *key)
-{
-    return (uint32_t)mb_settings_number(&daemon->settings, section, key);
-}
-
 /* Reads an address setting; an empty one leaves 0. */
 static void
 address(const mb_daemon_t *daemon, const char *section, const char *key,
         uint32_t *ip, uint16_t *port)
 {
-    mb_str_t value = text(daemon, section, key);
+    mb_str_t value = daemon_text(daemon, section, key);
     if (value.len == 0 || !mb_address_parse(value, ip, port)) {
         *ip = 0;
         *port = 0;
@@ -94,12 +81,13 @@
 start_scheduler(mb_daemon_t *daemon, GError **error)
 {
     mb_scheduler_config_t config = {
-        .http_threads = number(daemon, "scheduler", "http_threads"),
-        .max_connections = number(daemon, "scheduler", "max_connections"),
+        .http_threads = daemon_number(daemon, "scheduler", "http_threads"),
+        .max_connections =
+            daemon_number(daemon, "scheduler", "max_connections"),
         .default_deadline_ms =
-            number(daemon, "scheduler", "default_deadline_ms"),
-        .retention_ms = number(daemon, "scheduler", "retention_ms"),
-        .name = text(daemon, "daemon", "name"),
+            daemon_number(daemon, "scheduler", "default_deadline_ms"),
+        .retention_ms = daemon_number(daemon, "scheduler", "retention_ms"),
+        .name = daemon_text(daemon, "daemon", "name"),
         .incarnation = daemon->incarnation};
     address(daemon, "scheduler", "client_address", &config.client_ip,
             &config.client_port);
@@ -116,7 +104,7 @@
         return NULL;
     }
     mbp_store_init(&role->store, &role->http,
-                   text(daemon, "job_log", "address"), &daemon->log);
+                   daemon_text(daemon, "job_log", "address"), &daemon->log);
     mb_keyed_log_t keyed_log = mbp_store_log(&role->store);
     if (!mb_scheduler_node_start(&role->node, &front, &keyed_log, error)) {
         /* Threads of a partial start may still use the node; the process
@@ -147,10 +135,10 @@
 void *
 start_agent(mb_daemon_t *daemon, GError **error)
 {
-    mb_agent_config_t config = {.link_address =
-                                    text(daemon, "agent", "link_address"),
-                                .name = text(daemon, "daemon", "name"),
-                                .incarnation = daemon->incarnation};
+    mb_agent_config_t config = {
+        .link_address = daemon_text(daemon, "agent", "link_address"),
+        .name = daemon_text(daemon, "daemon", "name"),
+        .incarnation = daemon->incarnation};
     address(daemon, "agent", "registration_address", &config.registration_ip,
             &config.registration_port);
     address(daemon, "agent", "link_address", &config.link_ip,
@@ -167,10 +155,11 @@
         return NULL;
     }
     mbp_store_init(&role->store, &role->log_http,
-                   text(daemon, "job_log", "address"), &daemon->log);
+                   daemon_text(daemon, "job_log", "address"), &daemon->log);
     mbp_executor_init(&role->executor, &role->worker_http,
-                      text(daemon, "agent", "worker_address"), &daemon->log);
-    role->registration.service = text(daemon, "agent", "service");
+                      daemon_text(daemon, "agent", "worker_address"),
+                      &daemon->log);
+    role->registration.service = daemon_text(daemon, "agent", "service");
     mb_keyed_log_t keyed_log = mbp_store_log(&role->store);
     mb_executor_t executor = mbp_executor_calls(&role->executor);
     mb_registration_front_t front =
--- a/programs/magnoliabarrowd/roles.c
+++ b/programs/magnoliabarrowd/roles.c
@@ -17,20 +17,6 @@
     mb_sidecar_node_t node;
 } sidecar_role_t;
 
-/* Returns a text setting. */
-static mb_str_t
-text(const mb_daemon_t *daemon, const char *section, const char *key)
-{
-    return mb_settings_text(&daemon->settings, section, key);
-}
-
-/* Returns a number setting that fits 32 bits. */
-static uint32_t
-number(const mb_daemon_t *daemon, const char *section, const char *key)
-{
-    return (uint32_t)mb_settings_number(&daemon->settings, section, key);
-}
-
 /* Prepares what all roles share; `sidecar` is NULL in the role entry. */
 static bool
 init_control(mb_daemon_t *daemon, control_t *control,
@@ -104,17 +90,18 @@
 start_entry(mb_daemon_t *daemon, GError **error)
 {
     mb_entry_config_t config = {
-        .http_threads = number(daemon, "entry", "http_threads"),
-        .link_threads = number(daemon, "entry", "link_threads"),
-        .max_connections = number(daemon, "entry", "max_connections"),
-        .default_deadline_ms = number(daemon, "entry", "default_deadline_ms"),
+        .http_threads = daemon_number(daemon, "entry", "http_threads"),
+        .link_threads = daemon_number(daemon, "entry", "link_threads"),
+        .max_connections = daemon_number(daemon, "entry", "max_connections"),
+        .default_deadline_ms =
+            daemon_number(daemon, "entry", "default_deadline_ms"),
         .process = daemon->process,
         .incarnation = daemon->incarnation,
-        .failure_domain = text(daemon, "daemon", "failure_domain"),
+        .failure_domain = daemon_text(daemon, "daemon", "failure_domain"),
     };
-    (void)mb_address_parse(text(daemon, "entry", "client_address"),
+    (void)mb_address_parse(daemon_text(daemon, "entry", "client_address"),
                            &config.client_ip, &config.client_port);
-    (void)mb_address_parse(text(daemon, "entry", "link_address"),
+    (void)mb_address_parse(daemon_text(daemon, "entry", "link_address"),
                            &config.link_ip, &config.link_port);
     entry_role_t *role = g_new0(entry_role_t, 1);
     if (!init_control(daemon, &role->control, NULL, error) ||
@@ -193,11 +180,11 @@
 start_sidecar(mb_daemon_t *daemon, GError **error)
 {
     mb_sidecar_config_t config = {
-        .service = text(daemon, "sidecar", "service"),
-        .upstream = text(daemon, "sidecar", "upstream_address"),
-        .entries = text(daemon, "sidecar", "entries"),
-        .failure_domain = text(daemon, "daemon", "failure_domain"),
-        .slots = number(daemon, "sidecar", "slots"),
+        .service = daemon_text(daemon, "sidecar", "service"),
+        .upstream = daemon_text(daemon, "sidecar", "upstream_address"),
+        .entries = daemon_text(daemon, "sidecar", "entries"),
+        .failure_domain = daemon_text(daemon, "daemon", "failure_domain"),
+        .slots = daemon_number(daemon, "sidecar", "slots"),
         .process = daemon->process,
         .incarnation = daemon->incarnation,
     };
