--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -69,7 +69,7 @@
     bool listing;
     uint64_t list_begun_us;
     uint64_t list_due_us;
-    uint64_t generation; /* rises with each incarnation */
+    uint64_t generation; /* rises when all runs are given up at once */
     mb_pacing_t pacing;
     /* The owner. */
     uint64_t token;
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -330,8 +330,8 @@
     pace_runs(agent, now_us);
 }
 
-/* Asks for the lists and extends the lease. The wait is short while ends are
-   not stored, because they would end it at once. */
+/* Asks for the lists, waits for an end, and extends the lease. A silent worker
+   is asked without a wait and gets no longer lease. */
 static void
 send_list(mb_agent_t *agent, uint64_t now_us)
 {
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -1,7 +1,7 @@
 /* Which waiting task starts next and on which worker. Answers a load of many
    short urgent tasks beside long tasks that fill what is left: urgent queues
-   first, then the job whose objective ends first; what can no longer be on
-   time stands behind what can. */
+   first; within a queue's priority, what can no longer be on time stands
+   behind what can, and the job whose objective ends first goes first. */
 #include <string.h>
 
 #include "mb_fleet_internal.h"
@@ -18,20 +18,23 @@
 /* Share of its declared processors that a long-running service uses, in
    thousandths; filling work gets the rest. */
 #define SERVICE_USE_MILLI 600u
-/* What a placement costs beside the load of the worker, in thousandths of its
-   capacity: another rack than the data's, filling work beside services, by
-   the share of their targets that their latencies reach, or that it disturbs
-   too much, a service on a worker without any, which filling work could
-   use alone, other work on such a worker, each recent failure, the worker
-   where the task failed before. */
+/* Load of a worker whose processors are all in use: the unit of the costs of a
+   placement, which are added to the load. */
+#define LOAD_FULL 1000u
+/* The data is on another rack. */
 #define COST_OTHER_RACK 400u
+/* Filling work beside services: at all, and for a latency at its target. */
 #define COST_BESIDE_SERVICE 200u
 #define COST_SHARE 1000.0
-#define LOAD_FULL 1000u
+/* A service, or another task, on a worker without services, which filling
+   work could use alone. */
 #define COST_FIRST_SERVICE 1500u
 #define COST_TAKES_FILLING_ROOM 500u
+/* Each of the worker's failures in a row, and the worker where the task failed
+   last. */
 #define COST_FAILURE 500u
 #define COST_FAILED_HERE 3000u
+/* The task may not go there. */
 #define COST_NONE UINT64_MAX
 /* Weight of filling work in the load that an urgent task meets, in
    thousandths. */
