Decide on the cancellation of an unknown job by a read of the log; no heartbeat after a resignation

Cause, both found by reading the code: a job that another scheduler accepted a moment ago was not known yet, so its cancellation was answered with 410 and the job ran on; and a heartbeat that came due between the resignation and its read took the resignation back, so that a stopping process owned the fleet again. Ruled out for the first: storing every cancellation of an unknown id, which would leave records that nothing removes. Tests: Ownership.AStoppingOwnerWritesNoHeartbeat fails without the change; the new steps of system_test_jobs pass with and without it, because the log is read within milliseconds there.

--- a/lib/coordination/mb_ownership.c
+++ b/lib/coordination/mb_ownership.c
@@ -96,7 +96,9 @@
         ownership->served_since_us = 0;
     }
     if (ownership->state == MB_OWNERSHIP_OWNS) {
-        if (waited_us < MB_OWNERSHIP_HEARTBEAT_MS * MB_US_PER_MS) {
+        /* A heartbeat after the resignation would take it back. */
+        if (ownership->withdrawn ||
+            waited_us < MB_OWNERSHIP_HEARTBEAT_MS * MB_US_PER_MS) {
             return MB_OWNERSHIP_NOTHING;
         }
         ownership->acted_us = now_us;
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -250,6 +250,7 @@
     node->old_journals = g_ptr_array_new();
     node->agents = g_ptr_array_new_with_free_func(g_free);
     node->requests = g_ptr_array_new();
+    node->undecided = g_ptr_array_new();
     mb_buf_printf(&node->producer, "%.*s-%016" G_GINT64_MODIFIER "x",
                   MB_STR_ARG(config->name), config->incarnation);
     return mb_dag_record_decoder_init(&node->decoder) &&
@@ -420,6 +421,7 @@
     g_hash_table_destroy(node->cancels);
     g_ptr_array_unref(node->agents);
     g_ptr_array_unref(node->requests);
+    g_ptr_array_unref(node->undecided);
     mb_buf_finish(&node->producer);
     mb_buf_finish(&node->key);
     mb_buf_finish(&node->value);
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -90,8 +90,9 @@
     GPtrArray *old_journals;     /* of earlier claims, with calls open */
     mb_dag_record_decoder_t decoder;
     mb_order_decoder_t orders;
-    GPtrArray *agents;   /* mb_scheduler_agent_t by worker */
-    GPtrArray *requests; /* that wait for the log */
+    GPtrArray *agents;    /* mb_scheduler_agent_t by worker */
+    GPtrArray *requests;  /* that wait for an append */
+    GPtrArray *undecided; /* that wait for a read of the log */
     mb_buf_t key;
     mb_buf_t value;
     mb_scheduler_group_t *group; /* of progress records being stored */
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -207,12 +207,18 @@
     append(request, MB_DAG_RECORD_JOB);
 }
 
-/* Stores a cancellation. */
+/* Stores a cancellation. A job that is not known may have been accepted by
+   another process a moment ago: a read of the log decides. */
 static void
 handle_cancel(request_t *request)
 {
     mb_scheduler_node_t *node = request->node;
     const mb_dag_job_t *job = mb_dag_find(&node->table, request->id);
+    if (job == NULL && knows_jobs(node) &&
+        node->ownership.current_us < request->begun_us) {
+        g_ptr_array_add(node->undecided, request);
+        return;
+    }
     if (job == NULL) {
         answer_unknown(request);
         return;
@@ -273,12 +279,37 @@
     }
 }
 
+/* Looks again at the cancellations that wait for a read of the log. */
+static void
+decide_cancellations(mb_scheduler_node_t *node, uint64_t now_us)
+{
+    for (guint i = 0; i < node->undecided->len;) {
+        request_t *request = g_ptr_array_index(node->undecided, i);
+        bool decided = mb_dag_find(&node->table, request->id) != NULL ||
+                       node->ownership.current_us >= request->begun_us ||
+                       !knows_jobs(node);
+        if (!decided && now_us < request->deadline_us) {
+            i++;
+            continue;
+        }
+        (void)g_ptr_array_remove_index_fast(node->undecided, i);
+        if (decided) {
+            handle_cancel(request);
+        }
+        else {
+            answer_request(request, 503, "log_not_read");
+            free_request(request);
+        }
+    }
+}
+
 /* Answers requests whose client is about to give up while the outcome of
    their append is not known. */
 void
 mb_scheduler_requests_tick(mb_scheduler_node_t *node)
 {
     uint64_t now_us = mb_clock_us(&node->clock);
+    decide_cancellations(node, now_us);
     for (guint i = 0; i < node->requests->len; i++) {
         request_t *request = g_ptr_array_index(node->requests, i);
         if (now_us >= request->deadline_us) {
--- a/tests/system/test_jobs.sh
+++ b/tests/system/test_jobs.sh
@@ -121,6 +121,16 @@
   fail "a bad job is not answered with 400"
 pass "unknown and bad requests are refused"
 
+for i in 1 2 3; do
+  [ "$(submit 1 "000000000000005$i")" = 200 ] || fail "the job was not accepted"
+  status=$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' -X DELETE "http://$(address 512)/q/000000000000005$i")
+  [ "$status" = 200 ] || fail "a cancellation right after the job is answered with $status"
+  wait_for_state 2 "000000000000005$i" cancelled
+done
+[ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' -X DELETE "http://$(address 512)/q/00000000000000ff")" = 410 ] ||
+  fail "the cancellation of an unknown job is not answered with 410"
+pass "a job is cancelled by a scheduler that has not read it yet"
+
 first=$(owner)
 for i in 1 2 3 4 5 6; do
   [ "$(submit $((i % 2 + 1)) "000000000000001$i")" = 200 ] || fail "job $i was not accepted"
--- a/tests/unit/test_journal.cc
+++ b/tests/unit/test_journal.cc
@@ -338,6 +338,18 @@
     EXPECT_EQ(world.ownership.state, MB_OWNERSHIP_FOLLOWS);
 }
 
+/* Guards against a heartbeat after the resignation, which would take it
+   back. */
+TEST(Ownership, AStoppingOwnerWritesNoHeartbeat)
+{
+    OwnershipWorld world(1);
+    world.pass(500, true);
+    world.apply(1, 1);
+    mb_ownership_withdraw(&world.ownership);
+    world.now_us += 2 * MB_OWNERSHIP_HEARTBEAT_MS * 1000;
+    EXPECT_EQ(mb_ownership_tick(&world.ownership), MB_OWNERSHIP_NOTHING);
+}
+
 /* Guards against a stopping process that claims the fleet it has just left. */
 TEST(Ownership, AStoppingProcessDoesNotClaim)
 {
