--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -10,9 +10,9 @@
 #define MB_AGENT_FULL_PACE 100u
 
 typedef enum mb_agent_run_state {
-    MB_AGENT_RUN_STARTING, /* its start has no answer yet */
-    MB_AGENT_RUN_RUNNING,  /* the worker has taken it */
-    MB_AGENT_RUN_DOUBTFUL  /* its start got no answer; it is stopped */
+    MB_AGENT_RUN_STARTING,   /* its start has no answer yet */
+    MB_AGENT_RUN_RUNNING,    /* the worker has taken it */
+    MB_AGENT_RUN_UNCONFIRMED /* its start got no answer; it is stopped */
 } mb_agent_run_state_t;
 
 /* One run as the agent knows it. */
--- a/lib/coordination/mb_agent_runs.c
+++ b/lib/coordination/mb_agent_runs.c
@@ -102,9 +102,9 @@
 /* Has an unanswered start stopped: the worker then refuses it for good, even
    if it arrives later. */
 static void
-doubt(mb_agent_run_t *run)
+stop_unconfirmed(mb_agent_run_t *run)
 {
-    run->state = MB_AGENT_RUN_DOUBTFUL;
+    run->state = MB_AGENT_RUN_UNCONFIRMED;
     run->stop_wanted = true;
     run->stop_due_us = 0;
 }
@@ -145,7 +145,7 @@
         mb_agent_drop_run(agent, run);
         break;
 #endif
-        doubt(run);
+        stop_unconfirmed(run);
         break;
     }
 }
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -167,7 +167,7 @@
     if (run->state == MB_AGENT_RUN_RUNNING) {
         return run->answered_us < begun_us;
     }
-    return run->state == MB_AGENT_RUN_DOUBTFUL && run->stopped_us != 0 &&
+    return run->state == MB_AGENT_RUN_UNCONFIRMED && run->stopped_us != 0 &&
            run->stopped_us + STOP_SETTLED_US < begun_us;
 }
 
@@ -181,7 +181,7 @@
             i++;
             continue;
         }
-        if (run->state == MB_AGENT_RUN_DOUBTFUL) {
+        if (run->state == MB_AGENT_RUN_UNCONFIRMED) {
             mb_agent_refuse(agent, &run->task, run->run,
                             MB_REFUSAL_UNANSWERED);
         }
--- a/lib/coordination/mb_contention.c
+++ b/lib/coordination/mb_contention.c
@@ -93,7 +93,7 @@
 
 /* Halves the loads of a scene and leaves out what is little. */
 void
-mb_contention_fade(mb_contention_scene_t *scene)
+mb_contention_decay(mb_contention_scene_t *scene)
 {
     uint32_t kept = 0;
     for (uint32_t i = 0; i < scene->count; i++) {
--- a/lib/coordination/mb_contention.h
+++ b/lib/coordination/mb_contention.h
@@ -38,7 +38,7 @@
                        uint32_t cpu_milli);
 /* Halves what a scene holds, as figures of the last while lag behind what
    works now. */
-void mb_contention_fade(mb_contention_scene_t *scene);
+void mb_contention_decay(mb_contention_scene_t *scene);
 /* Learns from a latency and the one that the service has undisturbed, both in
    the same unit. */
 void mb_contention_observe(mb_contention_t *contention,
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -391,7 +391,7 @@
                  const mb_report_t *report)
 {
     mb_contention_scene_t *recent = &worker->recent;
-    mb_contention_fade(recent);
+    mb_contention_decay(recent);
     for (guint i = 0; i < report->runs->len; i++) {
         const mb_report_run_t *listed =
             &g_array_index(report->runs, mb_report_run_t, i);
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -46,7 +46,7 @@
 /* Part of its objective that a job may spend waiting for a worker where its
    filling work disturbs nobody, in thousandths, and how much more a service
    may be disturbed for each further objective. */
-#define PATIENCE_MILLI 200u
+#define WAIT_MILLI 200u
 #define SHARE_RISE 8.0
 /* Time for which a run must have been slowed down before it is moved, in
    microseconds: a stop and a new start take most of a second. */
@@ -333,8 +333,8 @@
         return COST_NONE;
     }
     double share = SHARE_MAX;
-    if (used_milli > PATIENCE_MILLI) {
-        share += SHARE_RISE * (double)(used_milli - PATIENCE_MILLI) / MILLI;
+    if (used_milli > WAIT_MILLI) {
+        share += SHARE_RISE * (double)(used_milli - WAIT_MILLI) / MILLI;
     }
     return COST_BESIDE_SERVICE + LOAD_FULL + (uint64_t)(share * COST_SHARE);
 }
--- a/lib/coordination/mb_journal.c
+++ b/lib/coordination/mb_journal.c
@@ -84,7 +84,7 @@
 {
     g_autoptr(GPtrArray) ended = journal->batch;
     journal->batch = g_ptr_array_new();
-    journal->doubtful = false;
+    journal->uncertain = false;
     for (guint i = 0; i < ended->len; i++) {
         end_entry(g_ptr_array_index(ended, i), result);
     }
@@ -160,7 +160,7 @@
         finish_batch(journal, MB_KEYED_UNKNOWN);
         break;
     case MB_KEYED_UNKNOWN:
-        journal->doubtful = true;
+        journal->uncertain = true;
         note_failure(journal, result);
         break;
     case MB_KEYED_NOT_DONE:
@@ -197,11 +197,11 @@
 {
     uint64_t now_us = mb_clock_us(&journal->clock);
     g_autoptr(GPtrArray) ended = g_ptr_array_new();
-    bool doubtful = journal->doubtful;
-#ifdef MB_MUTANT_JOURNAL_DROPS_DOUBTFUL
-    doubtful = false;
+    bool uncertain = journal->uncertain;
+#ifdef MB_MUTANT_JOURNAL_DROPS_UNCERTAIN
+    uncertain = false;
 #endif
-    for (guint i = 0; !doubtful && i < journal->batch->len;) {
+    for (guint i = 0; !uncertain && i < journal->batch->len;) {
         entry_t *entry = g_ptr_array_index(journal->batch, i);
         if (entry->give_up_us <= now_us) {
             g_ptr_array_add(ended, g_ptr_array_steal_index(journal->batch, i));
@@ -267,7 +267,7 @@
         mb_clock_us(&journal->clock) < journal->retry_us) {
         return;
     }
-    if (!journal->doubtful) {
+    if (!journal->uncertain) {
         fill_batch(journal);
     }
     if (journal->batch->len > 0) {
--- a/lib/coordination/mb_journal.h
+++ b/lib/coordination/mb_journal.h
@@ -46,7 +46,7 @@
     GPtrArray *batch; /* records of the current append */
     uint64_t sequence;
     bool sending;
-    bool doubtful; /* a try of the current append has an unknown result */
+    bool uncertain; /* a try of the current append has an unknown result */
     bool fenced;
     uint64_t failing_since_us; /* 0: the latest append succeeded */
     uint64_t retry_us;
--- a/lib/coordination/mb_pacing.c
+++ b/lib/coordination/mb_pacing.c
@@ -31,7 +31,7 @@
     }
     pacing->held = false;
     pacing->missed_us = now_us;
-    pacing->pardoned_us = now_us + MB_PACING_PARDON_US;
+    pacing->cooldown_us = now_us + MB_PACING_COOLDOWN_US;
 }
 
 /* Takes the state of the worker; see the header. */
@@ -51,8 +51,8 @@
         pacing->missed_us = now_us;
     }
     if (pacing->missed_us == 0 || !filling ||
-        now_us - pacing->missed_us < MB_PACING_PATIENCE_US ||
-        now_us < pacing->pardoned_us) {
+        now_us - pacing->missed_us < MB_PACING_MISS_US ||
+        now_us < pacing->cooldown_us) {
         return false;
     }
     pacing->missed_us = 0;
--- a/lib/coordination/mb_pacing.h
+++ b/lib/coordination/mb_pacing.h
@@ -14,9 +14,9 @@
 #define MB_PACING_STOP_MILLI 950u
 #define MB_PACING_GO_MILLI 880u
 /* Time for which a target is missed before filling work stands still, in
-   microseconds. With the pardon below it stays under the 4 s after which the
-   operators count a service as harmed. */
-#define MB_PACING_PATIENCE_US UINT64_C(2000000)
+   microseconds. With the cool-down below it stays under the 4 s after which
+   the operators count a service as harmed. */
+#define MB_PACING_MISS_US UINT64_C(2000000)
 /* Time for which nothing works beside a service before its latency is judged,
    in microseconds: a figure covers the last half second and lags behind. */
 #define MB_PACING_TRIAL_US UINT64_C(1500000)
@@ -25,14 +25,14 @@
 #define MB_PACING_RECOVERED_MILLI 750u
 /* Time for which filling work goes on after a trial in vain, in
    microseconds. */
-#define MB_PACING_PARDON_US UINT64_C(1800000)
+#define MB_PACING_COOLDOWN_US UINT64_C(1800000)
 
 typedef struct mb_pacing {
     bool held;
     uint64_t held_us;     /* since when */
     uint32_t begin_milli; /* latency then */
     uint64_t missed_us;   /* since when a target is missed; 0: none is */
-    uint64_t pardoned_us; /* until then nothing is held */
+    uint64_t cooldown_us; /* until then nothing is held */
 } mb_pacing_t;
 
 void mb_pacing_init(mb_pacing_t *pacing);
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -12,7 +12,7 @@
 #define ANSWER_MARGIN_MS 150u
 /* Time after which a job that could not be appended is rejected, in
    milliseconds, so that the client can go elsewhere in time. */
-#define APPEND_PATIENCE_MS 800u
+#define APPEND_TIMEOUT_MS 800u
 /* When a client that was rejected may come back, in seconds. */
 #define RETRY_AFTER_TEXT "1"
 
@@ -124,9 +124,9 @@
 append(request_t *request, mb_dag_record_kind_t kind)
 {
     mb_scheduler_node_t *node = request->node;
-    uint64_t patience_us = APPEND_PATIENCE_MS * (uint64_t)MB_US_PER_MS;
+    uint64_t timeout_us = APPEND_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
     uint64_t give_up_us =
-        MIN(request->begun_us + patience_us, request->deadline_us);
+        MIN(request->begun_us + timeout_us, request->deadline_us);
     mb_buf_clear(&node->key);
     mb_dag_record_key(&node->key, kind, mb_dag_id_view(&request->id));
     if (mb_journal_stalled(&node->journal) ||
--- a/tests/unit/test_journal.cc
+++ b/tests/unit/test_journal.cc
@@ -49,10 +49,10 @@
         log.answers.clear();
         mb_journal_finish(&journal);
     }
-    void add(const std::string &key, uint64_t patience_us = UINT64_MAX)
+    void add(const std::string &key, uint64_t timeout_us = UINT64_MAX)
     {
         uint64_t until =
-            patience_us == UINT64_MAX ? UINT64_MAX : now_us + patience_us;
+            timeout_us == UINT64_MAX ? UINT64_MAX : now_us + timeout_us;
         EXPECT_TRUE(mb_journal_add(&journal, {key.data(), key.size()},
                                    MB_STR_LIT("value"), until, take_result,
                                    &results));
--- a/tests/unit/test_pacing.cc
+++ b/tests/unit/test_pacing.cc
@@ -80,10 +80,10 @@
     uint64_t now_us = 1000000;
     mb_pacing_init(&pacing);
     EXPECT_FALSE(mb_pacing_observe(&pacing, 1500, true, now_us));
-    now_us += MB_PACING_PATIENCE_US / 2;
+    now_us += MB_PACING_MISS_US / 2;
     EXPECT_FALSE(mb_pacing_observe(&pacing, 1500, true, now_us));
     EXPECT_EQ(mb_pacing_percent(&pacing), 100u);
-    now_us += MB_PACING_PATIENCE_US;
+    now_us += MB_PACING_MISS_US;
     EXPECT_TRUE(mb_pacing_observe(&pacing, 1500, true, now_us));
     EXPECT_EQ(mb_pacing_percent(&pacing), 0u);
 }
