Repeat the stop of a run after its connection was lost

An order to stop that is queued or sent while an agent's connection breaks is lost, and mb_fleet only repeated starts: a run of a cancelled job that the next complete report lists was known, and nothing stopped it again. Change: the decision to stop outlives the connection; a report that still lists such a run has the order sent again.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -110,7 +110,7 @@
         /* Orders of the old connection that were not carried out are lost: a
            complete report on the next one shows which. */
         run->order = 0;
-        run->stopping = false;
+        run->stop_sent = false;
     }
 }
 
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -62,10 +62,11 @@
     uint32_t step;
     uint32_t index; /* in the step */
     uint64_t number;
-    uint64_t order;      /* sequence of the order with its start */
-    uint64_t started_us; /* when it was chosen or adopted */
-    bool listed;         /* the agent has reported it */
-    bool stopping;
+    uint64_t order;       /* sequence of the order with its start */
+    uint64_t started_us;  /* when it was chosen or adopted */
+    bool listed;          /* the agent has reported it */
+    bool stopping;        /* it is to end */
+    bool stop_sent;       /* on the present connection */
     bool resumed;         /* from a checkpoint, or adopted */
     uint64_t kind;        /* of its image, for contention */
     uint32_t latency_ms;  /* of a service, as reported last; 0: unknown */
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -459,7 +459,13 @@
             }
             continue;
         }
-        if (!listed->described && listed->confirmed && !run->stopping) {
+        if (run->stopping) {
+#ifndef MB_MUTANT_FLEET_STOP_NOT_REPEATED
+            /* The order may have been lost with an earlier connection. */
+            mb_fleet_stop_run(fleet, worker, run);
+#endif
+        }
+        else if (!listed->described && listed->confirmed) {
             describe_run(worker, run);
         }
         run->listed = run->listed || listed->confirmed;
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -137,10 +137,11 @@
 {
     mb_order_stop_t stop = {mb_fleet_run_id(run), run->number};
     (void)fleet;
-    if (run->stopping) {
+    run->stopping = true;
+    if (run->stop_sent) {
         return;
     }
-    run->stopping = true;
+    run->stop_sent = true;
     worker->order_due = true;
     g_array_append_val(worker->pending.stops, stop);
 }
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -207,6 +207,29 @@
     EXPECT_TRUE(mb_fleet_job_idle(job));
 }
 
+/* Guards against tasks of a cancelled job that go on because the connection
+   broke before the order to stop them arrived. */
+TEST(Fleet, StopsTheTasksOfAJobCancelledWhileTheAgentIsAway)
+{
+    FleetWorld world(1);
+    mb_dag_step_t step;
+    world.task_ms = 60000;
+    world.take_over();
+    world.pass(2500);
+    mb_dag_job_t *job = world.submit(one_step(&step, first_id, 3, 1000));
+    world.pass(500);
+    EXPECT_EQ(world.running(), 3u);
+    world.unlink(*world.machines[0]);
+    job->cancelled = true;
+    mb_fleet_job_cancelled(&world.fleet, job);
+    world.pass(500);
+    EXPECT_EQ(world.running(), 3u);
+    world.link(*world.machines[0]);
+    world.pass(1500);
+    EXPECT_EQ(world.running(), 0u);
+    EXPECT_TRUE(mb_fleet_job_idle(job));
+}
+
 /* Guards against more tasks of a step on one worker than it allows. */
 TEST(Fleet, SpreadsAStepAsItAsks)
 {
