Take the fleet over after 1.2 s of silence instead of 2

Change: heartbeats every 300 ms, claims after 1.2 s. Silence now counts only up to the latest read that was answered, and anew after a gap between reads of more than 1.1 s: with the shorter time, a claim would fall into an outage of the log or right after one (Ownership.AnOutageOfTheLogIsNotSilenceOfTheOwner failed). Test: Ownership.AShortOutageOfTheLogIsNotSilenceOfTheOwner.

--- a/lib/coordination/mb_ownership.c
+++ b/lib/coordination/mb_ownership.c
@@ -50,11 +50,14 @@
 void
 mb_ownership_current(mb_ownership_t *ownership, uint64_t since_us)
 {
-    ownership->current_us = since_us;
-    ownership->contact_us = mb_clock_us(&ownership->clock);
-    if (ownership->served_since_us == 0) {
-        ownership->served_since_us = ownership->contact_us;
+    uint64_t now_us = mb_clock_us(&ownership->clock);
+    uint64_t gap_us = now_us - ownership->contact_us;
+    if (ownership->served_since_us == 0 ||
+        gap_us > MB_OWNERSHIP_READ_GAP_MS * (uint64_t)MB_US_PER_MS) {
+        ownership->served_since_us = now_us;
     }
+    ownership->current_us = since_us;
+    ownership->contact_us = now_us;
 }
 
 /* Tells whether the log answered lately. */
@@ -77,13 +80,14 @@
 }
 
 /* Tells whether the owner has been silent for long enough, while the log
-   answered. */
+   answered: the time since the latest read does not count, as it may not be
+   answered any more. */
 static bool
-may_claim(const mb_ownership_t *ownership, uint64_t now_us)
+may_claim(const mb_ownership_t *ownership)
 {
     uint64_t since_us = MAX(ownership->heard_us, ownership->served_since_us);
     return !ownership->withdrawn && mb_ownership_in_contact(ownership) &&
-           now_us >= since_us + silence_us(ownership);
+           ownership->contact_us >= since_us + silence_us(ownership);
 }
 
 /* Tells what is due now. A claim carries the token after the latest one. */
@@ -104,8 +108,7 @@
         ownership->acted_us = now_us;
         return MB_OWNERSHIP_HEARTBEAT;
     }
-    if (ownership->state == MB_OWNERSHIP_FOLLOWS &&
-        may_claim(ownership, now_us)) {
+    if (ownership->state == MB_OWNERSHIP_FOLLOWS && may_claim(ownership)) {
         ownership->state = MB_OWNERSHIP_CLAIMS;
         ownership->acted_us = now_us;
         return MB_OWNERSHIP_CLAIM;
--- a/lib/coordination/mb_ownership.h
+++ b/lib/coordination/mb_ownership.h
@@ -12,10 +12,11 @@
 #include "mb_rng.h"
 
 /* How often the owner writes a heartbeat, in milliseconds. */
-#define MB_OWNERSHIP_HEARTBEAT_MS 500u
-/* Silence of the owner after which others claim, in milliseconds: three
-   heartbeats and the time-out of one append. */
-#define MB_OWNERSHIP_SILENCE_MS 2000u
+#define MB_OWNERSHIP_HEARTBEAT_MS 300u
+/* Silence of the owner after which others claim, in milliseconds: a heartbeat
+   and the time-out of one append. Nothing is started until then, and a claim
+   too many costs a fraction of a second. */
+#define MB_OWNERSHIP_SILENCE_MS 1200u
 /* Longest random delay of a claim, in milliseconds, so that candidates rarely
    claim together. */
 #define MB_OWNERSHIP_JITTER_MS 300u
@@ -25,6 +26,10 @@
 /* A reader without an answer for this long has lost the log, in
    milliseconds. */
 #define MB_OWNERSHIP_CONTACT_MS 1500u
+/* Time between two complete reads above which the log was away and the silence
+   of the owner counts anew, in milliseconds: more than a read that waits in
+   vain takes on a slow log. */
+#define MB_OWNERSHIP_READ_GAP_MS 1100u
 
 typedef enum mb_ownership_state {
     MB_OWNERSHIP_FOLLOWS,
