Learn what filling work takes from services as headroom, and pace by it

The agents slowed down all filling work alike. Ruled out: a factor on the use (fits worse: 0.45 to 0.21 for one pair); a filter with a variance for each figure (it trusts reports that repeat each other and settles on wrong slopes; harmful kinds at 0.21 to 0.70 where a fit gives the same order without false ones). Change: headroom is target / latency and falls in proportion to use. Slopes of the pairs and the demand of each service are fitted to the reports of the last 40 s together. The owner orders a pace for each filling run, so that only what disturbs is slowed, and as far as needed; the agent's own hold after 2 s stays for the time without an owner. Harmful kinds get the workers without services. Misses are no longer a list of their own: the agent sends a complete report early instead. Tests: Fleet.SlowsDownWhatDisturbsAService fails before; test_pacing has the learning. The former tests of the factor went with it.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -215,6 +215,11 @@
             mb_agent_stop(agent,
                           &g_array_index(order->stops, mb_order_stop_t, i));
         }
+        for (guint i = 0; i < order->paces->len; i++) {
+            mb_agent_take_pace(
+                agent, &g_array_index(order->paces, mb_order_pace_t, i));
+        }
+        mb_agent_pace_runs(agent);
     }
     take_starts(agent, order, made_us);
 }
--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -1,6 +1,7 @@
 /* Parts of the agent that its files share. Calls go one way: mb_agent.c (the
    owner, time) uses mb_agent_worker.c (lists and lease), which uses
-   mb_agent_runs.c (starts and stops of single runs). */
+   mb_agent_pace.c (filling work beside services); all use mb_agent_runs.c
+   (calls about single runs). */
 #ifndef MB_AGENT_INTERNAL_H
 #define MB_AGENT_INTERNAL_H
 
@@ -26,14 +27,15 @@
     uint32_t latency_target_ms;
     uint64_t answered_us; /* when the worker took the start */
     bool stop_wanted;
-    bool stopping;        /* a stop has no answer yet */
-    uint64_t stop_due_us; /* when to send the next stop */
-    uint64_t stopped_us;  /* when a stop was confirmed; 0: not yet */
-    bool pace_lost;       /* the latest change got no answer */
-    bool pacing;          /* a change of pace has no answer yet */
-    uint32_t pace;        /* that was set last, in percent */
-    uint64_t kind;        /* of its image */
-    uint32_t progress;    /* that the worker lists, in percent */
+    bool stopping;         /* a stop has no answer yet */
+    uint64_t stop_due_us;  /* when to send the next stop */
+    uint64_t stopped_us;   /* when a stop was confirmed; 0: not yet */
+    bool pace_lost;        /* the latest change got no answer */
+    bool pacing;           /* a change of pace has no answer yet */
+    uint32_t ordered_pace; /* that the owner wants, in percent */
+    uint32_t pace;         /* that was set last, in percent */
+    uint64_t kind;         /* of its image */
+    uint32_t progress;     /* that the worker lists, in percent */
     uint32_t value;
     uint64_t seen_us; /* begin of the list that named it last */
     mb_buf_t checkpoint;
@@ -50,6 +52,7 @@
                      uint64_t run, mb_refusal_t reason);
 void mb_agent_start(mb_agent_t *agent, const mb_order_start_t *start);
 void mb_agent_stop(mb_agent_t *agent, const mb_order_stop_t *stop);
+void mb_agent_take_pace(mb_agent_t *agent, const mb_order_pace_t *pace);
 void mb_agent_runs_tick(mb_agent_t *agent, uint64_t now_us);
 void mb_agent_pace(mb_agent_t *agent, mb_agent_run_t *run, uint32_t percent);
 mb_executor_call_t mb_agent_call(const mb_agent_t *agent,
@@ -57,6 +60,10 @@
                                               const mb_executor_answer_t *),
                                  void *context);
 
+/* mb_agent_pace.c */
+void mb_agent_watch_latency(mb_agent_t *agent, uint64_t now_us);
+void mb_agent_pace_runs(mb_agent_t *agent);
+
 /* mb_agent_worker.c */
 uint64_t mb_agent_lease_end_ms(mb_agent_t *agent);
 void mb_agent_worker_tick(mb_agent_t *agent, uint64_t now_us);
--- a/lib/coordination/mb_agent_runs.c
+++ b/lib/coordination/mb_agent_runs.c
@@ -43,6 +43,7 @@
     run->task = *task;
     run->run = number;
     run->pace = MB_AGENT_FULL_PACE;
+    run->ordered_pace = MB_AGENT_FULL_PACE;
     g_ptr_array_add(agent->runs, run);
     return run;
 }
@@ -272,3 +273,14 @@
         run->pacing = false;
     }
 }
+
+/* Takes the pace that the owner wants of a run; it is set with the next
+   list. */
+void
+mb_agent_take_pace(mb_agent_t *agent, const mb_order_pace_t *pace)
+{
+    mb_agent_run_t *run = mb_agent_find_run(agent, &pace->task, pace->run);
+    if (run != NULL) {
+        run->ordered_pace = pace->percent;
+    }
+}
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -6,7 +6,6 @@
 /* Time after a confirmed stop after which a run that is not listed has never
    begun, in microseconds. */
 #define STOP_SETTLED_US UINT64_C(50000)
-#define MILLI 1000u
 
 /* Tells whether the worker answered lately. */
 bool
@@ -145,6 +144,8 @@
         if (run == NULL) {
             run = mb_agent_add_run(agent, &listed->task, listed->run);
             run->state = MB_AGENT_RUN_RUNNING;
+            /* An earlier agent may have slowed it down. */
+            run->pace_lost = true;
             agent->complete_due = true;
         }
         run->listed = true;
@@ -192,85 +193,6 @@
     }
 }
 
-/* Sums up the filling work at work, by kind. */
-static void
-collect_loads(const mb_agent_t *agent, mb_contention_scene_t *scene)
-{
-    for (guint i = 0; i < agent->runs->len; i++) {
-        const mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
-        if (run->fills && run->listed && run->pace > 0) {
-            mb_contention_add(scene, run->kind, run->value);
-        }
-    }
-}
-
-/* Returns the latency of a run in thousandths of its target; 0 for one that
-   serves nobody. */
-static uint32_t
-latency_milli(const mb_agent_run_t *run)
-{
-    return run->latency_target_ms == 0 || !run->listed
-               ? 0
-               : run->value * MILLI / run->latency_target_ms;
-}
-
-/* Returns the service that is worst off, or NULL. */
-static const mb_agent_run_t *
-find_worst(const mb_agent_t *agent)
-{
-    const mb_agent_run_t *worst = NULL;
-    for (guint i = 0; i < agent->runs->len; i++) {
-        const mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
-        if (latency_milli(run) > 0 &&
-            (worst == NULL || latency_milli(run) > latency_milli(worst))) {
-            worst = run;
-        }
-    }
-    return worst;
-}
-
-/* Tells the owner what worked beside a service that missed its target. */
-static void
-report_miss(mb_agent_t *agent, const mb_agent_run_t *service,
-            const mb_contention_scene_t *scene)
-{
-    mb_log_info(&agent->log,
-                "latency target missed, filling work held job=%.*s "
-                "task=%u.%u.%u value_ms=%u target_ms=%u kinds=%u",
-                MB_STR_ARG(mb_dag_id_view(&service->task.job)),
-                service->task.occurrence, service->task.step,
-                service->task.index, service->value,
-                service->latency_target_ms, scene->count);
-    for (uint32_t i = 0; i < scene->count; i++) {
-        mb_report_miss_t miss = {service->task, service->run, service->value,
-                                 scene->loads[i].kind,
-                                 scene->loads[i].cpu_milli};
-        g_array_append_val(agent->report.misses, miss);
-    }
-    agent->report_due = true;
-}
-
-/* Sets the pace of filling runs by the services beside them. */
-static void
-pace_runs(mb_agent_t *agent, uint64_t now_us)
-{
-    mb_contention_scene_t scene = {0};
-    const mb_agent_run_t *worst = find_worst(agent);
-    uint32_t latency = worst == NULL ? 0 : latency_milli(worst);
-    collect_loads(agent, &scene);
-    if (mb_pacing_observe(&agent->pacing, latency, scene.count > 0, now_us)) {
-        report_miss(agent, worst, &scene);
-    }
-    uint32_t percent = mb_pacing_percent(&agent->pacing);
-    for (guint i = 0; i < agent->runs->len; i++) {
-        mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
-        if (run->fills && run->listed && !run->pacing && !run->stop_wanted &&
-            (run->pace != percent || run->pace_lost)) {
-            mb_agent_pace(agent, run, percent);
-        }
-    }
-}
-
 /* Notes that another incarnation than the known one answered. Its heartbeat
    says the rest, and the next list what it runs. */
 static void
@@ -327,7 +249,7 @@
     take_ends(agent, answer->ends);
     take_runs(agent, answer->runs);
     drop_absent(agent);
-    pace_runs(agent, now_us);
+    mb_agent_watch_latency(agent, now_us);
 }
 
 /* Asks for the lists, waits for an end, and extends the lease. A silent worker
--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -111,6 +111,7 @@
            complete report on the next one shows which. */
         run->order = 0;
         run->stop_sent = false;
+        run->ordered_pace = MB_FLEET_PACE_UNKNOWN;
     }
 }
 
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -70,11 +70,15 @@
     bool resumed;         /* from a checkpoint, or adopted */
     uint64_t kind;        /* of its image, for contention */
     uint32_t latency_ms;  /* of a service, as reported last; 0: unknown */
-    uint64_t latency_us;  /* when */
-    uint32_t progress;    /* as reported last, in percent */
-    uint64_t progress_us; /* when that last changed */
-    uint64_t slowed_us;   /* since then the agent slows it down; 0: it does
-                             not */
+    uint32_t use_milli;   /* processors of filling work in use, in thousandths,
+                               as reported last; 0: unknown */
+    uint32_t wanted_pace; /* of filling work, in percent */
+    uint32_t ordered_pace; /* on the present connection */
+    uint32_t progress;     /* as reported last, in percent */
+    uint64_t progress_us;  /* when that last changed */
+    uint64_t slowed_us;    /* since then the agent slows it down; 0: it does
+                              not */
+    bool paced;            /* it was slowed down at some time */
 } mb_fleet_run_t;
 
 /* One worker and the connection to its agent. Text is owned. */
@@ -96,7 +100,8 @@
     GArray *runs;                 /* mb_fleet_run_t */
     mb_size_t used;               /* of runs that do not fill */
     mb_size_t filling;            /* of runs that fill */
-    mb_contention_scene_t recent; /* filling work of the last second */
+    mb_contention_scene_t recent; /* average of past filling work */
+    uint64_t recent_us;           /* when it was updated */
     mb_health_t health;
     uint64_t reported_us;  /* latest report */
     uint64_t echo;         /* its sequence */
--- a/lib/coordination/mb_fleet_estimate.c
+++ b/lib/coordination/mb_fleet_estimate.c
@@ -32,7 +32,7 @@
 {
     uint64_t run_us = mb_clock_us(&fleet->clock) - run->started_us;
     uint32_t run_ms = (uint32_t)MIN(run_us / MB_US_PER_MS, UINT32_MAX);
-    if (run->slowed_us != 0 || run->resumed) {
+    if (run->paced || run->resumed) {
         return;
     }
     mb_sizing_finished(&fleet->sizing, queue_kind(run->job), UNIT_MS, run_ms);
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -1,12 +1,16 @@
 /* Parts of the fleet's owner that its files share. Calls go one way:
    mb_fleet.c (ownership, time) uses mb_fleet_report.c (what agents say) and
-   mb_fleet_schedule.c (what to start); all use mb_fleet_state.c, which uses
+   mb_fleet_schedule.c (what to start), which use mb_fleet_contention.c (what
+   filling work does to services); all use mb_fleet_state.c, which uses
    mb_fleet_estimate.c (what to expect). */
 #ifndef MB_FLEET_INTERNAL_H
 #define MB_FLEET_INTERNAL_H
 
 #include "mb_fleet.h"
 
+/* Pace of a run that the agent was not told of on this connection. */
+#define MB_FLEET_PACE_UNKNOWN UINT32_MAX
+
 /* mb_fleet_state.c */
 mb_dag_task_t *mb_fleet_run_task(const mb_fleet_run_t *run);
 mb_dag_task_id_t mb_fleet_run_id(const mb_fleet_run_t *run);
@@ -26,8 +30,6 @@
 void mb_fleet_close_job(mb_fleet_t *fleet, mb_dag_job_t *job,
                         mb_dag_outcome_t outcome);
 void mb_fleet_wake_job(mb_fleet_t *fleet, mb_dag_job_t *job);
-uint32_t mb_fleet_undisturbed_ms(const mb_fleet_t *fleet,
-                                 const mb_fleet_run_t *run);
 bool mb_fleet_task_runs(const mb_dag_task_t *task);
 
 /* mb_fleet_report.c */
@@ -38,6 +40,14 @@
 void mb_fleet_schedule(mb_fleet_t *fleet);
 void mb_fleet_move_slowed(mb_fleet_t *fleet);
 
+/* mb_fleet_contention.c */
+void mb_fleet_learn_contention(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                               const mb_report_t *report);
+void mb_fleet_set_paces(mb_fleet_t *fleet, mb_fleet_worker_t *worker);
+double mb_fleet_headroom_with(const mb_fleet_t *fleet,
+                              const mb_fleet_worker_t *worker, uint64_t kind,
+                              uint32_t cpu_milli);
+
 /* mb_fleet_estimate.c */
 void mb_fleet_learn_run_time(mb_fleet_t *fleet, const mb_fleet_run_t *run);
 void mb_fleet_estimate(const mb_fleet_t *fleet, mb_dag_job_t *job);
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -5,6 +5,7 @@
 
 /* Pace at or below which a run counts as slowed down, in percent. */
 #define SLOW_PERCENT 35u
+#define FULL_PERCENT 100u
 /* Time without progress after which a run stands still, in microseconds: a
    hundred times the usual time for a percent. */
 #define STALLED_US UINT64_C(2000000)
@@ -334,6 +335,7 @@
 static void
 note_pace(const mb_fleet_t *fleet, mb_fleet_run_t *run, uint32_t pace)
 {
+    run->paced = run->paced || pace < FULL_PERCENT;
     if (pace > SLOW_PERCENT) {
         run->slowed_us = 0;
     }
@@ -373,75 +375,6 @@
     mb_fleet_stop_run(fleet, worker, run);
 }
 
-/* Notes the latency of a run that serves users. */
-static void
-note_latency(const mb_fleet_t *fleet, mb_fleet_run_t *run, uint32_t value_ms)
-{
-    if (run->job->steps[run->step].latency_target_ms > 0 && value_ms > 0) {
-        run->latency_ms = value_ms;
-        run->latency_us = mb_clock_us(&fleet->clock);
-    }
-}
-
-/* Learns from a complete report how much filling work raises the latencies of
-   services. Figures cover the last half second, so they are compared with an
-   average of what worked meanwhile. */
-static void
-learn_contention(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
-                 const mb_report_t *report)
-{
-    mb_contention_scene_t *recent = &worker->recent;
-    mb_contention_decay(recent);
-    for (guint i = 0; i < report->runs->len; i++) {
-        const mb_report_run_t *listed =
-            &g_array_index(report->runs, mb_report_run_t, i);
-        const mb_fleet_run_t *run =
-            mb_fleet_find_run(worker, &listed->task, listed->run);
-        if (run != NULL && run->job->steps[run->step].fills &&
-            listed->pace > 0) {
-            mb_contention_add(recent, run->kind, listed->value / 2);
-        }
-    }
-    for (guint i = 0; i < worker->runs->len && recent->count > 0; i++) {
-        const mb_fleet_run_t *run =
-            &g_array_index(worker->runs, mb_fleet_run_t, i);
-        if (run->latency_ms > 0) {
-            recent->service = run->kind;
-            mb_contention_observe(&fleet->contention, recent, run->latency_ms,
-                                  mb_fleet_undisturbed_ms(fleet, run));
-        }
-    }
-}
-
-/* Learns from the misses of latency targets; rows of one service stand
-   together. */
-static void
-take_misses(mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
-            const mb_report_t *report)
-{
-    guint i = 0;
-    while (i < report->misses->len) {
-        const mb_report_miss_t *first =
-            &g_array_index(report->misses, mb_report_miss_t, i);
-        const mb_fleet_run_t *run =
-            mb_fleet_find_run(worker, &first->service, first->run);
-        mb_contention_scene_t scene = {.service = run == NULL ? 0 : run->kind};
-        for (; i < report->misses->len; i++) {
-            const mb_report_miss_t *miss =
-                &g_array_index(report->misses, mb_report_miss_t, i);
-            if (!mb_dag_task_id_equal(&miss->service, &first->service)) {
-                break;
-            }
-            mb_contention_add(&scene, miss->kind, miss->cpu_milli);
-        }
-        if (run != NULL) {
-            mb_contention_observe(&fleet->contention, &scene, first->value,
-                                  mb_fleet_undisturbed_ms(fleet, run));
-            fleet->startable = true;
-        }
-    }
-}
-
 /* Takes the listed runs: confirms known ones, keeps their checkpoints, and
    adopts or stops the others. */
 static void
@@ -470,7 +403,6 @@
         }
         run->listed = run->listed || listed->confirmed;
         note_pace(fleet, run, listed->pace);
-        note_latency(fleet, run, listed->value);
         note_progress(fleet, worker, run, listed);
         if (run->job->steps[run->step].checkpoints) {
             mb_dag_set_checkpoint(mb_fleet_run_task(run), listed->checkpoint);
@@ -599,10 +531,10 @@
     take_ends(fleet, worker, report);
     take_refusals(fleet, worker, report);
     take_runs(fleet, worker, report);
-    take_misses(fleet, worker, report);
     if (report->complete) {
-        learn_contention(fleet, worker, report);
+        mb_fleet_learn_contention(fleet, worker, report);
         drop_missing(fleet, worker, report);
+        mb_fleet_set_paces(fleet, worker);
         if (!worker->complete) {
             mb_log_info(&fleet->log,
                         "worker listed worker=%.*s service=%.*s runs=%u "
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -30,6 +30,9 @@
    work could use alone. */
 #define COST_FIRST_SERVICE 1500u
 #define COST_TAKES_FILLING_ROOM 500u
+/* Filling work on a worker without services, which work that disturbs services
+   needs. */
+#define COST_TAKES_FREE_WORKER 1000u
 /* Each of the worker's failures in a row, and the worker where the task failed
    last. */
 #define COST_FAILURE 500u
@@ -39,15 +42,16 @@
 /* Weight of filling work in the load that an urgent task meets, in
    thousandths. */
 #define FILLING_WEIGHT_MILLI 300u
-/* Share of its latency target that a service may be expected to reach, and the
-   share without filling work of one that has reported nothing yet. */
-#define SHARE_MAX 0.8
-#define UNKNOWN_SHARE 0.5
+/* Least headroom of a service that costs are told apart for. */
+#define HEADROOM_MIN 0.1
+/* Share of its latency target that a service may be expected to reach. */
+#define SHARE_MAX 0.87
 /* Part of its objective that a job may spend waiting for a worker where its
    filling work disturbs nobody, in thousandths, and how much more a service
    may be disturbed for each further objective. */
 #define WAIT_MILLI 200u
 #define SHARE_RISE 8.0
+#define SHARE_LATE_MAX 1.0
 /* Time for which a run must have been slowed down before it is moved, in
    microseconds: a stop and a new start take most of a second. */
 #define SLOWED_US UINT64_C(1500000)
@@ -57,6 +61,7 @@
 /* Time after which a job with nothing running gets one task started even
    beside a service that it may disturb, in microseconds. */
 #define IDLE_US UINT64_C(1200000)
+#define FULL_PERCENT 100u
 #define MILLI 1000u
 
 /* What the order of the jobs looks at. */
@@ -217,39 +222,15 @@
     return used > bound && !alone ? COST_NONE : used * MILLI / capacity;
 }
 
-/* Returns what filling work costs the services on a worker, with `more` of a
-   kind added: the share of its target that the worst latency is expected to
-   reach. */
+/* Returns what a filling task would cost the services on a worker: the share
+   of its target that the worst latency is expected to reach. */
 static uint64_t
 cost_for_services(const pass_t *pass, const mb_fleet_worker_t *worker,
-                  uint64_t kind, uint32_t more)
+                  const mb_dag_step_t *step)
 {
-    mb_contention_scene_t scene = {0};
-    double worst = 0;
-    for (guint i = 0; i < worker->runs->len; i++) {
-        const mb_fleet_run_t *run =
-            &g_array_index(worker->runs, mb_fleet_run_t, i);
-        const mb_dag_step_t *step = &run->job->steps[run->step];
-        if (step->fills) {
-            mb_contention_add(&scene, run->kind, step->size.cpu_milli);
-        }
-    }
-    mb_contention_add(&scene, kind, more);
-    for (guint i = 0; i < worker->runs->len; i++) {
-        const mb_fleet_run_t *run =
-            &g_array_index(worker->runs, mb_fleet_run_t, i);
-        uint32_t target_ms = run->job->steps[run->step].latency_target_ms;
-        if (target_ms == 0) {
-            continue;
-        }
-        uint32_t base_ms = mb_fleet_undisturbed_ms(pass->fleet, run);
-        double base =
-            base_ms == 0 ? UNKNOWN_SHARE : (double)base_ms / target_ms;
-        scene.service = run->kind;
-        worst = MAX(worst, base * mb_contention_predict(
-                                      &pass->fleet->contention, &scene));
-    }
-    return (uint64_t)(worst * COST_SHARE);
+    double headroom = mb_fleet_headroom_with(
+        pass->fleet, worker, mb_str_hash(step->image), step->size.cpu_milli);
+    return (uint64_t)(COST_SHARE / MAX(headroom, HEADROOM_MIN));
 }
 
 /* Returns what a task costs beside what else the worker runs. Services and
@@ -260,11 +241,9 @@
 {
     bool serves = has_service(worker);
     if (step->fills) {
-        return !serves ? 0
+        return !serves ? COST_TAKES_FREE_WORKER
                        : COST_BESIDE_SERVICE +
-                             cost_for_services(pass, worker,
-                                               mb_str_hash(step->image),
-                                               step->size.cpu_milli);
+                             cost_for_services(pass, worker, step);
     }
     if (serves) {
         return 0;
@@ -273,13 +252,15 @@
                                        : COST_TAKES_FILLING_ROOM;
 }
 
-/* Tells whether a worker's agent holds its filling work: what is added would
-   work until it is held as well. */
+/* Tells whether a worker's agent holds its filling work of its own accord:
+   what is added would work until it is held as well. */
 static bool
 holds_filling(const mb_fleet_worker_t *worker)
 {
     for (guint i = 0; i < worker->runs->len; i++) {
-        if (g_array_index(worker->runs, mb_fleet_run_t, i).slowed_us != 0) {
+        const mb_fleet_run_t *run =
+            &g_array_index(worker->runs, mb_fleet_run_t, i);
+        if (run->slowed_us != 0 && run->ordered_pace >= FULL_PERCENT) {
             return true;
         }
     }
@@ -336,6 +317,7 @@
     if (used_milli > WAIT_MILLI) {
         share += SHARE_RISE * (double)(used_milli - WAIT_MILLI) / MILLI;
     }
+    share = MIN(share, SHARE_LATE_MAX);
     return COST_BESIDE_SERVICE + LOAD_FULL + (uint64_t)(share * COST_SHARE);
 }
 
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -4,9 +4,6 @@
 #include "mb_assert.h"
 #include "mb_fleet_internal.h"
 
-/* Age up to which a latency counts, in microseconds. */
-#define LATENCY_FRESH_US UINT64_C(1500000)
-
 /* Returns the longest time that a lease granted now may last on a worker
    whose clock is slow, in microseconds. */
 uint64_t
@@ -103,6 +100,7 @@
     add_copy(run, worker->number);
     account(worker, run, true);
     run->kind = mb_str_hash(run->job->steps[run->step].image);
+    run->ordered_pace = MB_FLEET_PACE_UNKNOWN;
     run->job->running++;
     fleet->running++;
     g_array_append_val(worker->runs, *run);
@@ -202,34 +200,6 @@
     }
 }
 
-/* Returns the latency that a service has undisturbed, in milliseconds: the
-   lowest of the tasks of its step, which share their demand. 0 when no figure
-   is fresh. */
-uint32_t
-mb_fleet_undisturbed_ms(const mb_fleet_t *fleet, const mb_fleet_run_t *run)
-{
-    uint64_t now_us = mb_clock_us(&fleet->clock);
-    uint32_t lowest = 0;
-    mb_fleet_run_t other = *run;
-    for (other.index = 0; other.index < run->job->steps[run->step].count;
-         other.index++) {
-        const mb_dag_run_t *copy = &mb_fleet_run_task(&other)->runs[0];
-        mb_dag_task_id_t id = mb_fleet_run_id(&other);
-        if (copy->number == 0) {
-            continue;
-        }
-        const mb_fleet_run_t *found = mb_fleet_find_run(
-            mb_fleet_worker_at(fleet, copy->worker), &id, copy->number);
-        if (found == NULL || found->latency_ms == 0 ||
-            now_us - found->latency_us > LATENCY_FRESH_US) {
-            continue;
-        }
-        lowest =
-            lowest == 0 ? found->latency_ms : MIN(lowest, found->latency_ms);
-    }
-    return lowest;
-}
-
 /* Has the progress of a job stored with the next group. */
 void
 mb_fleet_mark_dirty(mb_fleet_t *fleet, mb_dag_job_t *job)
--- a/lib/coordination/mb_order.c
+++ b/lib/coordination/mb_order.c
@@ -36,6 +36,7 @@
     memset(order, 0, sizeof(*order));
     order->starts = g_array_new(FALSE, FALSE, sizeof(mb_order_start_t));
     order->stops = g_array_new(FALSE, FALSE, sizeof(mb_order_stop_t));
+    order->paces = g_array_new(FALSE, FALSE, sizeof(mb_order_pace_t));
 }
 
 /* Empties an order and keeps its memory. */
@@ -44,6 +45,7 @@
 {
     (void)g_array_set_size(order->starts, 0);
     (void)g_array_set_size(order->stops, 0);
+    (void)g_array_set_size(order->paces, 0);
 }
 
 /* Frees an order. */
@@ -52,6 +54,7 @@
 {
     g_array_unref(order->starts);
     g_array_unref(order->stops);
+    g_array_unref(order->paces);
 }
 
 /* Prepares an empty report. */
@@ -62,7 +65,6 @@
     report->runs = g_array_new(FALSE, FALSE, sizeof(mb_report_run_t));
     report->ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
     report->refusals = g_array_new(FALSE, FALSE, sizeof(mb_report_refusal_t));
-    report->misses = g_array_new(FALSE, FALSE, sizeof(mb_report_miss_t));
 }
 
 /* Empties a report and keeps its memory. */
@@ -72,7 +74,6 @@
     (void)g_array_set_size(report->runs, 0);
     (void)g_array_set_size(report->ends, 0);
     (void)g_array_set_size(report->refusals, 0);
-    (void)g_array_set_size(report->misses, 0);
 }
 
 /* Frees a report. */
@@ -82,5 +83,4 @@
     g_array_unref(report->runs);
     g_array_unref(report->ends);
     g_array_unref(report->refusals);
-    g_array_unref(report->misses);
 }
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -65,6 +65,13 @@
     uint64_t run;
 } mb_order_stop_t;
 
+/* Share of its full speed at which filling work may go on. */
+typedef struct mb_order_pace {
+    mb_dag_task_id_t task;
+    uint64_t run;
+    uint32_t percent;
+} mb_order_pace_t;
+
 typedef struct mb_order {
     uint64_t token;
     uint64_t sequence;     /* rises with each order of one connection */
@@ -74,6 +81,7 @@
     uint64_t acknowledged; /* ends up to this number are stored */
     GArray *starts;        /* mb_order_start_t */
     GArray *stops;         /* mb_order_stop_t */
+    GArray *paces;         /* mb_order_pace_t */
 } mb_order_t;
 
 /* Something that runs, or may come to run, on a worker. */
@@ -103,15 +111,6 @@
     mb_refusal_t reason;
 } mb_report_refusal_t;
 
-/* Filling work beside a service that missed its latency target. */
-typedef struct mb_report_miss {
-    mb_dag_task_id_t service;
-    uint64_t run;
-    uint32_t value; /* its latency in milliseconds */
-    uint64_t kind;  /* hash of the image of the filling work */
-    uint32_t cpu_milli;
-} mb_report_miss_t;
-
 /* What a worker says of itself. */
 typedef struct mb_worker_info {
     mb_worker_state_t state;
@@ -136,7 +135,6 @@
     GArray *runs;     /* mb_report_run_t */
     GArray *ends;     /* mb_report_end_t */
     GArray *refusals; /* mb_report_refusal_t */
-    GArray *misses;   /* mb_report_miss_t; those of one service together */
 } mb_report_t;
 
 const char *mb_run_end_name(mb_run_end_t how);
--- a/lib/protocol/mb_order_codec.c
+++ b/lib/protocol/mb_order_codec.c
@@ -8,6 +8,8 @@
 #define OBJECTS_MAX (MB_ORDER_ROWS_MAX * 64u)
 /* Longest approval, in bytes. */
 #define APPROVAL_MAX 1024u
+/* Largest pace, in percent. */
+#define PACE_MAX 100u
 
 /* Prepares the memory for decoding; false when there is none. */
 bool
@@ -57,7 +59,7 @@
     RUN_ELEMENTS = 11,
     END_ELEMENTS = 8,
     REFUSAL_ELEMENTS = 6,
-    MISS_ELEMENTS = 8
+    PACE_ELEMENTS = 6
 };
 
 /* Begins to read a list of rows; false when its shape is wrong. */
@@ -135,14 +137,41 @@
     reader->failed = reader->failed || rows.failed;
 }
 
+/* Packs the paces of an order. */
+static void
+pack_paces(msgpack_packer *packer, const GArray *paces)
+{
+    (void)msgpack_pack_array(packer, (size_t)paces->len * PACE_ELEMENTS);
+    for (guint i = 0; i < paces->len; i++) {
+        const mb_order_pace_t *pace =
+            &g_array_index(paces, mb_order_pace_t, i);
+        pack_run(packer, &pace->task, pace->run);
+        (void)msgpack_pack_uint32(packer, pace->percent);
+    }
+}
+
+/* Reads the paces of an order. */
+static void
+unpack_paces(mb_unpack_t *reader, GArray *paces)
+{
+    mb_unpack_t rows = unpack_rows(reader, PACE_ELEMENTS);
+    while (rows.left > 0 && !rows.failed) {
+        mb_order_pace_t pace = {0};
+        unpack_run(&rows, &pace.task, &pace.run);
+        pace.percent = (uint32_t)mb_unpack_u64(&rows, PACE_MAX);
+        g_array_append_val(paces, pace);
+    }
+    reader->failed = reader->failed || rows.failed;
+}
+
 /* Appends an order: token, sequence, echo, lease, incarnation, ends that are
-   stored, starts, stops. */
+   stored, starts, stops, paces. */
 void
 mb_order_encode(mb_buf_t *out, const mb_order_t *order)
 {
     msgpack_packer packer;
     mb_pack_init(&packer, out);
-    (void)msgpack_pack_array(&packer, 8);
+    (void)msgpack_pack_array(&packer, 9);
     (void)msgpack_pack_uint64(&packer, order->token);
     (void)msgpack_pack_uint64(&packer, order->sequence);
     (void)msgpack_pack_uint64(&packer, order->echo);
@@ -151,6 +180,7 @@
     (void)msgpack_pack_uint64(&packer, order->acknowledged);
     pack_starts(&packer, order->starts);
     pack_stops(&packer, order->stops);
+    pack_paces(&packer, order->paces);
 }
 
 /* Packs what a worker says of itself. */
@@ -293,46 +323,14 @@
     reader->failed = reader->failed || rows.failed;
 }
 
-/* Packs the misses of a report. */
-static void
-pack_misses(msgpack_packer *packer, const GArray *misses)
-{
-    (void)msgpack_pack_array(packer, (size_t)misses->len * MISS_ELEMENTS);
-    for (guint i = 0; i < misses->len; i++) {
-        const mb_report_miss_t *miss =
-            &g_array_index(misses, mb_report_miss_t, i);
-        pack_run(packer, &miss->service, miss->run);
-        (void)msgpack_pack_uint32(packer, miss->value);
-        (void)msgpack_pack_uint64(packer, miss->kind);
-        (void)msgpack_pack_uint32(packer, miss->cpu_milli);
-    }
-}
-
-/* Reads the misses of a report. */
-static void
-unpack_misses(mb_unpack_t *reader, GArray *misses)
-{
-    mb_unpack_t rows = unpack_rows(reader, MISS_ELEMENTS);
-    while (rows.left > 0 && !rows.failed) {
-        mb_report_miss_t miss = {0};
-        unpack_run(&rows, &miss.service, &miss.run);
-        miss.value = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
-        miss.kind = mb_unpack_u64(&rows, UINT64_MAX);
-        miss.cpu_milli = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
-        g_array_append_val(misses, miss);
-    }
-    reader->failed = reader->failed || rows.failed;
-}
-
 /* Appends a report: token, sequence, order that was read, whether it is
-   complete, whether the agent leaves, the worker, runs, ends, refusals,
-   misses. */
+   complete, whether the agent leaves, the worker, runs, ends, refusals. */
 void
 mb_report_encode(mb_buf_t *out, const mb_report_t *report)
 {
     msgpack_packer packer;
     mb_pack_init(&packer, out);
-    (void)msgpack_pack_array(&packer, 10);
+    (void)msgpack_pack_array(&packer, 9);
     (void)msgpack_pack_uint64(&packer, report->token);
     (void)msgpack_pack_uint64(&packer, report->sequence);
     (void)msgpack_pack_uint64(&packer, report->processed);
@@ -342,7 +340,6 @@
     pack_runs(&packer, report->runs);
     pack_ends(&packer, report->ends);
     pack_refusals(&packer, report->refusals);
-    pack_misses(&packer, report->misses);
 }
 
 /* Unpacks the array of a message. */
@@ -377,6 +374,7 @@
     order->acknowledged = mb_unpack_u64(&reader, UINT64_MAX);
     unpack_starts(&reader, order->starts);
     unpack_stops(&reader, order->stops);
+    unpack_paces(&reader, order->paces);
     if (!mb_unpack_done(&reader)) {
         mb_error_set(error, MB_KIND_PROTOCOL, "order has wrong fields");
         return false;
@@ -404,7 +402,6 @@
     unpack_runs(&reader, report->runs);
     unpack_ends(&reader, report->ends);
     unpack_refusals(&reader, report->refusals);
-    unpack_misses(&reader, report->misses);
     if (!mb_unpack_done(&reader)) {
         mb_error_set(error, MB_KIND_PROTOCOL, "report has wrong fields");
         return false;
--- a/tests/unit/fleet_world.h
+++ b/tests/unit/fleet_world.h
@@ -45,6 +45,7 @@
         uint64_t run;
         uint64_t end_ms;
         bool fails;
+        uint32_t pace = 100;
     };
     struct End {
         uint64_t number;
@@ -111,6 +112,8 @@
     uint32_t capacity_milli = 4000;
     uint32_t task_ms = 300;
     uint32_t fail_percent = 0;
+    /* What a worker reports of a run: latency or processors in use. */
+    std::function<uint32_t(const FakeWorker &, const FakeWorker::Run &)> value;
 
     explicit FleetWorld(uint32_t count, uint64_t seed = 1);
     ~FleetWorld();
@@ -243,7 +246,8 @@
     }
     lease_ms = std::max(lease_ms, lease_end_ms);
     bool fails = world->random() % 100 < world->fail_percent;
-    runs.push_back({start.task, start.run, now_ms + world->task_ms, fails});
+    runs.push_back(
+        {start.task, start.run, now_ms + world->task_ms, fails, 100});
     world->starts[task]++;
     answer.result = MB_EXECUTOR_OK;
     return answer;
@@ -383,6 +387,8 @@
             row.task = run.task;
             row.run = run.run;
             row.confirmed = true;
+            row.value =
+                worker->world->value ? worker->world->value(*worker, run) : 0;
             row.progress =
                 worker->hangs ? 10 : worker->world->now_us / 20000 % 100;
             g_array_append_val(answer->runs, row);
@@ -405,12 +411,18 @@
           const mb_executor_run_t *run, uint32_t percent)
 {
     Machine *machine = static_cast<Machine *>(context);
-    (void)run;
-    (void)percent;
-    answer_call(
-        machine->world, call,
-        [](mb_executor_answer_t *answer) { answer->result = MB_EXECUTOR_OK; },
-        true, 1000);
+    FakeWorker *worker = &machine->worker;
+    mb_executor_run_t copy = *run;
+    auto act = [=](mb_executor_answer_t *answer) {
+        answer->result = MB_EXECUTOR_OK;
+        for (auto &other : worker->runs) {
+            if (other.run == copy.run &&
+                mb_dag_task_id_equal(&other.task, &copy.task)) {
+                other.pace = percent;
+            }
+        }
+    };
+    answer_call(machine->world, call, act, true, 1000);
     return true;
 }
 
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -230,6 +230,89 @@
     EXPECT_TRUE(mb_fleet_job_idle(job));
 }
 
+/* A job of one service task whose users wait up to 50 ms. */
+static mb_dag_spec_t
+service(mb_dag_step_t *step, const char *id, uint32_t cpu)
+{
+    mb_dag_spec_t spec = one_step(step, id, 1, cpu);
+    step->long_running = true;
+    step->latency_target_ms = 50;
+    step->image = MB_STR_LIT("web");
+    return spec;
+}
+
+/* A job of filling work. */
+static mb_dag_spec_t
+filling(mb_dag_step_t *step, const char *id, uint32_t count, const char *image)
+{
+    mb_dag_spec_t spec = one_step(step, id, count, 1500);
+    step->fills = true;
+    step->image = mb_str_from_cstr(image);
+    return spec;
+}
+
+/* Reports latencies of queues: a service uses half of what it has, and filling
+   work of a harmful kind takes an eighth for each processor. */
+static void
+report_latencies(FleetWorld &world, const char *harmful)
+{
+    world.value = [&world, harmful](const FakeWorker &worker,
+                                    const FakeWorker::Run &run) {
+        double use = 0.5;
+        auto step_of = [&world](const FakeWorker::Run &of) {
+            return mb_dag_find(&world.table, of.task.job)->steps[of.task.step];
+        };
+        if (step_of(run).fills) {
+            return 15 * run.pace;
+        }
+        for (const auto &other : worker.runs) {
+            if (step_of(other).fills &&
+                mb_str_equal(step_of(other).image,
+                             mb_str_from_cstr(harmful))) {
+                use += 0.125 * 1.5 * other.pace / 100;
+            }
+        }
+        return (uint32_t)(10 / std::max(1 - use, 0.02));
+    };
+}
+
+/* Guards against a service that misses its target beside filling work, and
+   against harmless work that is slowed down with the harmful. */
+TEST(Fleet, SlowsDownWhatDisturbsAService)
+{
+    FleetWorld world(1);
+    mb_dag_step_t steps[3];
+    world.capacity_milli = 12000;
+    world.task_ms = 60000;
+    report_latencies(world, "harmful");
+    world.take_over();
+    world.pass(2500);
+    world.submit(service(&steps[0], "aaaaaaaaaaaaaaaa", 1000));
+    world.pass(2000);
+    world.submit(filling(&steps[1], "bbbbbbbbbbbbbbbb", 1, "harmless"));
+    world.pass(6000);
+    world.submit(filling(&steps[2], "cccccccccccccccc", 2, "harmful"));
+    world.pass(12000);
+    const FakeWorker &worker = world.machines[0]->worker;
+    uint32_t harmful = 0;
+    uint32_t started = 0;
+    for (const auto &run : worker.runs) {
+        char job = run.task.job.text[0];
+        if (job == 'a') {
+            EXPECT_LE(world.value(worker, run), 50u);
+        }
+        if (job == 'b') {
+            EXPECT_EQ(run.pace, 100u);
+        }
+        if (job == 'c') {
+            harmful += run.pace;
+            started++;
+        }
+    }
+    EXPECT_GE(started, 1u);
+    EXPECT_GE(harmful, 80u);
+}
+
 /* Guards against more tasks of a step on one worker than it allows. */
 TEST(Fleet, SpreadsAStepAsItAsks)
 {
--- a/tests/unit/test_pacing.cc
+++ b/tests/unit/test_pacing.cc
@@ -1,5 +1,7 @@
 /* Tests of what is learned of filling work beside services, and of its
    pace. */
+#include <cmath>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -8,11 +10,11 @@
 #include "mb_pacing.h"
 }
 
+/* One kind of filling work on a worker. */
 static mb_contention_scene_t
-scene_of(uint64_t service, uint64_t kind, uint32_t cpu_milli)
+scene_of(uint64_t kind, uint32_t cpu_milli)
 {
     mb_contention_scene_t scene = {};
-    scene.service = service;
     mb_contention_add(&scene, kind, cpu_milli);
     return scene;
 }
@@ -27,48 +29,117 @@
     {
         mb_contention_finish(&contention);
     }
+    /* Reports the headroom of a service every half second. */
+    void report(const mb_contention_scene_t &scene, double headroom,
+                int reports = 4, uint64_t demand = 100)
+    {
+        mb_contention_service_t service = {demand, 1};
+        for (int i = 0; i < reports; i++) {
+            mb_contention_observe(&contention, &service, &scene, headroom, 0,
+                                  now_us);
+            mb_contention_fit(&contention, now_us);
+            now_us += 500000;
+        }
+    }
     mb_contention_t contention;
+    uint64_t now_us = 1000000;
+    mb_contention_scene_t none = {};
 };
 
 /* Guards against filling work that is placed again beside a service that it
-   has ruined. */
-TEST_F(Contention, LearnsAHarmfulPairWithinAFewSamples)
+   has disturbed. */
+TEST_F(Contention, LearnsAHarmfulPairWithinAFewReports)
+{
+    report(none, 3.0);
+    report(scene_of(7, 2000), 1.6);
+    report(none, 3.0);
+    report(scene_of(8, 2000), 2.9);
+    EXPECT_NEAR(mb_contention_slope(&contention, 1, 7, 0), 0.7, 0.2);
+    EXPECT_LT(mb_contention_slope(&contention, 1, 8, 0), 0.15);
+}
+
+/* Guards against filling work that is blamed for users who come and go: what
+   they take is the same with and without it. */
+TEST_F(Contention, PutsASwingOfDemandDownToTheUsers)
+{
+    mb_contention_service_t service = {100, 1};
+    mb_contention_scene_t scene = scene_of(7, 2000);
+    for (int i = 0; i < 200; i++) {
+        double demand = 2.7 + 1.1 * sin(i * 2 * 3.14159 / 28);
+        bool beside = i % 6 < 3;
+        mb_contention_observe(&contention, &service, beside ? &scene : &none,
+                              demand - (beside ? 0.1 : 0), 0, now_us);
+        mb_contention_fit(&contention, now_us);
+        now_us += 500000;
+    }
+    EXPECT_LT(mb_contention_slope(&contention, 1, 7, 0), 0.25);
+}
+
+/* Guards against an estimate that follows a service only while nothing works
+   beside it. */
+TEST_F(Contention, FollowsTheDemandBesideKnownWork)
 {
-    mb_contention_scene_t harmful = scene_of(1, 7, 3000);
-    mb_contention_scene_t other = scene_of(1, 8, 3000);
-    for (int i = 0; i < 4; i++) {
-        mb_contention_observe(&contention, &harmful, 300, 20);
-        mb_contention_observe(&contention, &other, 21, 20);
+    mb_contention_service_t service = {100, 1};
+    for (int i = 0; i < 10; i++) {
+        report(none, 3.0, 2);
+        report(scene_of(7, 2000), 2.0, 2);
+    }
+    for (int i = 0; i < 12; i++) {
+        report(scene_of(7, 2000), 2.0 - i * 0.08, 1);
     }
-    EXPECT_GT(mb_contention_predict(&contention, &harmful), 4.0);
-    EXPECT_LT(mb_contention_predict(&contention, &other), 1.3);
+    EXPECT_NEAR(mb_contention_undisturbed(&contention, &service), 2.1, 0.35);
+    EXPECT_NEAR(mb_contention_slope(&contention, 1, 7, 0), 0.5, 0.15);
 }
 
 /* Guards against blame that spreads to another service. */
 TEST_F(Contention, KeepsPairsApart)
 {
-    mb_contention_scene_t harmful = scene_of(1, 7, 3000);
-    mb_contention_scene_t before = scene_of(2, 7, 3000);
-    double unknown = mb_contention_predict(&contention, &before);
-    for (int i = 0; i < 4; i++) {
-        mb_contention_observe(&contention, &harmful, 300, 20);
-    }
-    EXPECT_DOUBLE_EQ(mb_contention_predict(&contention, &before), unknown);
+    double unknown = mb_contention_slope(&contention, 2, 7, 1);
+    report(none, 3.0);
+    report(scene_of(7, 3000), 0.5);
+    EXPECT_DOUBLE_EQ(mb_contention_slope(&contention, 2, 7, 1), unknown);
+    EXPECT_GT(mb_contention_slope(&contention, 1, 7, 0), unknown / 2);
+}
+
+/* Guards against a harmful pair that counts as harmless because a service that
+   is overloaded can't become much slower. */
+TEST_F(Contention, LearnsNothingGoodFromAnOverload)
+{
+    report(none, 2.0);
+    report(scene_of(7, 2000), 0.9, 6);
+    double before = mb_contention_slope(&contention, 1, 7, 0);
+    report(scene_of(7, 8000), 0.1, 6);
+    EXPECT_GE(mb_contention_slope(&contention, 1, 7, 0), before - 0.01);
+}
+
+/* Guards against services that are kept in memory for good. */
+TEST_F(Contention, ForgetsSilentServices)
+{
+    mb_contention_service_t service = {100, 1};
+    report(none, 5.0, 8);
+    EXPECT_GT(mb_contention_undisturbed(&contention, &service), 4.0);
+    mb_contention_fit(&contention, now_us + UINT64_C(600000000));
+    EXPECT_LT(mb_contention_undisturbed(&contention, &service), 4.0);
 }
 
-/* Guards against factors below 1, without a bound or not a number, whatever
-   is reported. */
-RC_GTEST_FIXTURE_PROP(Contention, FactorsStayWithinBounds,
+/* Guards against estimates that are negative, without a bound or not a number,
+   whatever is reported. */
+RC_GTEST_FIXTURE_PROP(Contention, EstimatesStayWithinBounds,
                       (const std::vector<std::pair<uint16_t, uint16_t>> &seen))
 {
+    mb_contention_service_t service = {100, 1};
     for (const auto &sample : seen) {
         mb_contention_scene_t scene =
-            scene_of(1, sample.first % 3, sample.second);
+            scene_of(sample.first % 3, sample.second);
         mb_contention_add(&scene, 9, sample.first);
-        mb_contention_observe(&contention, &scene, sample.second,
-                              sample.first);
-        double factor = mb_contention_predict(&contention, &scene);
-        RC_ASSERT(factor >= 1.0 && factor < 40.0);
+        mb_contention_observe(&contention, &service, &scene,
+                              sample.second / 100.0, 0, now_us);
+        mb_contention_fit(&contention, now_us);
+        now_us += sample.first * UINT64_C(100);
+        double loss = mb_contention_loss(&contention, 1, &scene, 1);
+        double headroom = mb_contention_undisturbed(&contention, &service);
+        RC_ASSERT(loss >= 0 && loss < 2000);
+        RC_ASSERT(headroom > 0 && headroom <= 50);
     }
 }
 
