Start first what can still be on time, with the least work left

The log shows nearly every job begin at an age of 1.2 s: a job with nothing running got one task whatever it disturbs, so a full fleet was shared out among all jobs. Behind it, the order by the end of the objective works longest on jobs that miss it anyway. Change: that start comes after 1.2 s only while less than 0.6 of the fleet is in use, else after 8 s, so that nothing starves. A job counts as late once what is left of its longest chain no longer fits, and among the others the one with the least work left comes first.

--- a/lib/coordination/mb_fleet_estimate.c
+++ b/lib/coordination/mb_fleet_estimate.c
@@ -58,26 +58,62 @@
            (WEIGHT_QUEUE + WEIGHT_DECLARED);
 }
 
-/* Estimates the time within which a job should be completed: the stretch of
-   its longest chain of run times, and the latency objective. */
+/* Returns the part of a step's run time that is still to come at least: half
+   of it when all of its tasks run. */
+static uint64_t
+remaining_ms(const mb_dag_job_t *job, uint32_t step, uint64_t run_ms)
+{
+    const mb_dag_occurrence_t *occurrence = &job->occurrences[0];
+    if (occurrence->left[step] == 0) {
+        return 0;
+    }
+    for (uint32_t i = 0; i < job->steps[step].count; i++) {
+        const mb_dag_task_t *task = mb_dag_task(job, 0, step, i);
+        if (!task->done && !mb_fleet_task_runs(task)) {
+            return run_ms;
+        }
+    }
+    return run_ms / 2;
+}
+
+/* Returns the longest of the chains that a step depends on. */
+static uint64_t
+longest_before(const mb_dag_step_t *step, const uint64_t *chains,
+               uint32_t count)
+{
+    uint64_t longest = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        if (step->depends_on & (UINT64_C(1) << i)) {
+            longest = MAX(longest, chains[i]);
+        }
+    }
+    return longest;
+}
+
+/* Estimates the time within which a job should be completed, the stretch of
+   its longest chain of run times and the latency objective, and how long what
+   is left of that chain takes. */
 void
 mb_fleet_estimate(const mb_fleet_t *fleet, mb_dag_job_t *job)
 {
     uint64_t chains[MB_DAG_STEPS_MAX];
+    uint64_t left[MB_DAG_STEPS_MAX];
     uint64_t longest_ms = 0;
+    uint64_t longest_left_ms = 0;
+    uint64_t work = 0;
     for (uint32_t i = 0; i < job->spec.step_count; i++) {
         const mb_dag_step_t *step = &job->steps[i];
-        uint64_t before_ms = 0;
-        for (uint32_t k = 0; k < i; k++) {
-            if (step->depends_on & (UINT64_C(1) << k)) {
-                before_ms = MAX(before_ms, chains[k]);
-            }
-        }
-        chains[i] = before_ms + expected_ms(fleet, job, i);
+        uint64_t run_ms = expected_ms(fleet, job, i);
+        chains[i] = longest_before(step, chains, i) + run_ms;
+        left[i] = longest_before(step, left, i) + remaining_ms(job, i, run_ms);
         longest_ms = MAX(longest_ms, chains[i]);
+        longest_left_ms = MAX(longest_left_ms, left[i]);
+        work += job->occurrences[0].left[i] * run_ms * step->size.cpu_milli;
     }
     uint64_t objective_ms =
         longest_ms * job->spec.policy.stretch_milli / MILLI +
         job->spec.policy.latency_objective_ms;
     job->objective_us = objective_ms * MB_US_PER_MS;
+    job->left_us = longest_left_ms * MB_US_PER_MS;
+    job->left_work = work;
 }
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -59,14 +59,19 @@
    thousandths of its own: tasks begin and end with a while without work. */
 #define FILLING_OVERCOMMIT_MILLI 1250u
 /* Time after which a job with nothing running gets one task started even
-   beside a service that it may disturb, in microseconds. */
+   beside a service that it may disturb, in microseconds: while less than this
+   share of the fleet's processors is in use, in thousandths, and in a fuller
+   fleet. That one would else be shared out among all jobs, and none would be
+   on time. */
 #define IDLE_US UINT64_C(1200000)
+#define IDLE_FLEET_MILLI 600u
+#define IDLE_FULL_US UINT64_C(8000000)
 #define FULL_PERCENT 100u
 #define MILLI 1000u
 
 /* What the order of the jobs looks at. */
 typedef struct rank {
-    uint32_t lateness; /* 0: on time, 1: late, 2: worth little */
+    uint32_t lateness; /* 0: can be on time, 1: late, 2: worth little */
     uint32_t priority;
     uint64_t due_us;
 } rank_t;
@@ -76,11 +81,12 @@
 rank_job(const mb_dag_job_t *job, uint64_t now_us)
 {
     uint64_t age_us = now_us - MIN(now_us, job->arrived_us);
+    uint64_t end_us = age_us + job->left_us;
     uint32_t lateness = 0;
-    if (age_us > job->objective_us * LATE_FACTOR) {
+    if (end_us > job->objective_us * LATE_FACTOR) {
         lateness = 2;
     }
-    else if (age_us > job->objective_us) {
+    else if (end_us > job->objective_us) {
         lateness = 1;
     }
     return (rank_t){lateness, job->spec.policy.priority,
@@ -102,6 +108,9 @@
     if (first.lateness != second.lateness) {
         return first.lateness < second.lateness ? -1 : 1;
     }
+    if (left->left_work != right->left_work) {
+        return left->left_work < right->left_work ? -1 : 1;
+    }
     if (first.due_us != second.due_us) {
         return first.due_us < second.due_us ? -1 : 1;
     }
@@ -113,6 +122,7 @@
     mb_fleet_t *fleet;
     uint64_t now_us;
     uint32_t misses; /* in a row */
+    bool idle_fleet; /* little of it is in use */
 } pass_t;
 
 /* Tells whether a worker has a label. */
@@ -309,7 +319,9 @@
     const mb_dag_job_t *job = run->job;
     uint64_t age_us = pass->now_us - MIN(pass->now_us, job->arrived_us);
     uint64_t used_milli = age_us * MILLI / MAX(job->objective_us, 1u);
-    bool idle = job->running == 0 && pass->now_us - job->idle_us >= IDLE_US;
+    bool idle =
+        job->running == 0 && pass->now_us - job->idle_us >=
+                                 (pass->idle_fleet ? IDLE_US : IDLE_FULL_US);
     if (!job->steps[run->step].fills || idle) {
         return COST_NONE;
     }
@@ -368,7 +380,7 @@
 void
 mb_fleet_move_slowed(mb_fleet_t *fleet)
 {
-    pass_t pass = {fleet, mb_clock_us(&fleet->clock), 0};
+    pass_t pass = {fleet, mb_clock_us(&fleet->clock), 0, false};
     for (guint w = 0; w < fleet->workers->len; w++) {
         mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, w);
         for (guint i = 0; i < worker->runs->len; i++) {
@@ -616,12 +628,26 @@
     g_ptr_array_sort_with_data(fleet->open, compare_jobs, &now_us);
 }
 
+/* Tells whether little of the fleet is in use. */
+static bool
+is_idle_fleet(const mb_fleet_t *fleet)
+{
+    uint64_t used = 0;
+    uint64_t capacity = 0;
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        const mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, i);
+        used += (uint64_t)worker->used.cpu_milli + worker->filling.cpu_milli;
+        capacity += worker->complete ? worker->capacity.cpu_milli : 0;
+    }
+    return used * MILLI < capacity * IDLE_FLEET_MILLI;
+}
+
 /* Starts the waiting tasks in order, until the fleet is full. Tasks that a
    former owner may have started wait until the fleet has settled. */
 void
 mb_fleet_schedule(mb_fleet_t *fleet)
 {
-    pass_t pass = {fleet, mb_clock_us(&fleet->clock), 0};
+    pass_t pass = {fleet, mb_clock_us(&fleet->clock), 0, is_idle_fleet(fleet)};
     fleet->counts.passes++;
     sort_jobs(fleet, pass.now_us);
     for (guint i = 0; i < fleet->open->len && pass.misses < MISSES_MAX; i++) {
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -313,6 +313,76 @@
     EXPECT_GE(harmful, 80u);
 }
 
+/* Guards against a full fleet that is shared out among all filling jobs,
+   against services that this disturbs, and against a job that never runs. */
+TEST(Fleet, LeavesFillingWorkWaitingBesideAServiceAtItsTarget)
+{
+    FleetWorld world(1);
+    mb_dag_step_t steps[2];
+    world.task_ms = 60000;
+    world.value = [](const FakeWorker &, const FakeWorker::Run &) {
+        return 48u;
+    };
+    world.take_over();
+    world.pass(2500);
+    world.submit(service(&steps[0], "aaaaaaaaaaaaaaaa", 3000));
+    world.pass(2000);
+    world.submit(filling(&steps[1], "bbbbbbbbbbbbbbbb", 2, "batch"));
+    world.pass(5000);
+    EXPECT_EQ(world.running(), 1u);
+    world.pass(5000);
+    EXPECT_EQ(world.running(), 2u);
+}
+
+/* Guards against jobs that are all late: the one whose objective ends first
+   was started although it could not be met any more. */
+TEST(Fleet, StartsFirstWhatCanStillBeOnTime)
+{
+    FleetWorld world(1);
+    mb_dag_step_t steps[3];
+    world.task_ms = 500;
+    world.take_over();
+    world.pass(2500);
+    world.submit(one_step(&steps[0], "aaaaaaaaaaaaaaaa", 1, 4000));
+    uint64_t now_ms = world.now_us / 1000;
+    mb_dag_spec_t hopeless = one_step(&steps[1], "bbbbbbbbbbbbbbbb", 1, 4000);
+    steps[1].estimate_ms = 1000;
+    hopeless.policy.queue = MB_STR_LIT("other");
+    hopeless.submitted_ms = now_ms - 2200;
+    mb_dag_spec_t timely = one_step(&steps[2], "cccccccccccccccc", 1, 4000);
+    steps[2].estimate_ms = 1000;
+    timely.policy.queue = MB_STR_LIT("other");
+    timely.submitted_ms = now_ms;
+    world.pass(100);
+    world.submit(hopeless);
+    world.submit(timely);
+    world.pass(700);
+    ASSERT_EQ(world.running(), 1u);
+    EXPECT_EQ(world.machines[0]->worker.runs[0].task.job.text[0], 'c');
+}
+
+/* Guards against a long job that keeps several short ones from being on
+   time. */
+TEST(Fleet, StartsTheLeastWorkFirst)
+{
+    FleetWorld world(1);
+    mb_dag_step_t steps[3];
+    world.task_ms = 500;
+    world.take_over();
+    world.pass(2500);
+    world.submit(one_step(&steps[0], "aaaaaaaaaaaaaaaa", 1, 4000));
+    world.pass(100);
+    mb_dag_spec_t large = one_step(&steps[1], "bbbbbbbbbbbbbbbb", 8, 4000);
+    large.submitted_ms = world.now_us / 1000 - 200;
+    mb_dag_spec_t small = one_step(&steps[2], "cccccccccccccccc", 1, 4000);
+    small.submitted_ms = world.now_us / 1000;
+    world.submit(large);
+    world.submit(small);
+    world.pass(700);
+    ASSERT_EQ(world.running(), 1u);
+    EXPECT_EQ(world.machines[0]->worker.runs[0].task.job.text[0], 'c');
+}
+
 /* Guards against more tasks of a step on one worker than it allows. */
 TEST(Fleet, SpreadsAStepAsItAsks)
 {
