Slow down what a service's latency does not explain yet

The long ones begin with several tasks of kinds that were not seen beside the service; the pace follows 1 to 1.5 s later and slows the wrong kind first, because all unknown ones count alike. Change: the part of a reported latency that the fit does not explain is added to the headroom that the paces leave, and what is slowed first is judged with a standard deviation on top. That allows more when placing: less caution, up to 0.95 of a target. Open: work that turns harmful after a long while without harm is put down to the users; then only the agent's hold after 2 s helps, again and again.

--- a/lib/coordination/mb_fleet_contention.c
+++ b/lib/coordination/mb_fleet_contention.c
@@ -13,6 +13,11 @@
    it that a service without filling work can be brought back to. */
 #define PACE_HEADROOM 1.10
 #define PACE_ATTAINABLE 0.95
+/* Most headroom that is put down to filling work of which little is known, and
+   the standard deviations by which it is taken to disturb more than
+   expected. */
+#define PACE_UNEXPLAINED_MAX 0.6
+#define PACE_CAUTION 1.0
 /* Least headroom that slowing down one run has to give back. */
 #define PACE_GAIN_MIN 0.03
 /* Paces are multiples of this; smaller changes are left out. In percent. */
@@ -20,7 +25,7 @@
 #define PACE_FULL 100u
 /* Standard deviations by which a pair counts as worse than expected when
    filling work is placed. */
-#define PLACE_CAUTION 0.5
+#define PLACE_CAUTION 0.4
 
 /* Returns the service that a run gives; its kind of image and its users. */
 static mb_contention_service_t
@@ -202,7 +207,7 @@
             continue;
         }
         double slope = mb_contention_slope(&fleet->contention, service_kind,
-                                           run->kind, 0);
+                                           run->kind, PACE_CAUTION);
         if (slope * use_of(run) / 1000 >= PACE_GAIN_MIN &&
             slope > worst_slope) {
             worst = run;
@@ -212,6 +217,24 @@
     return worst;
 }
 
+/* Returns by how much the headroom that a service reports falls short of what
+   the filling work of the last while explains: one that was not seen beside
+   the service before may disturb it. */
+static double
+unexplained_loss(const mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
+                 const mb_fleet_run_t *run,
+                 const mb_contention_service_t *service)
+{
+    if (run->latency_ms == 0) {
+        return 0;
+    }
+    double expected = mb_contention_undisturbed(&fleet->contention, service) -
+                      mb_contention_loss(&fleet->contention, service->kind,
+                                         &worker->recent, 0);
+    double reported = (double)target_of(run) / run->latency_ms;
+    return CLAMP(expected - reported, 0, PACE_UNEXPLAINED_MAX);
+}
+
 /* Slows filling work down until a service is expected to meet its target. */
 static void
 spare_service(const mb_fleet_t *fleet, mb_fleet_worker_t *worker,
@@ -220,7 +243,8 @@
     mb_contention_service_t service = service_of(run);
     double undisturbed =
         mb_contention_undisturbed(&fleet->contention, &service);
-    double goal = MIN(PACE_HEADROOM, PACE_ATTAINABLE * undisturbed);
+    double goal = MIN(PACE_HEADROOM, PACE_ATTAINABLE * undisturbed) +
+                  unexplained_loss(fleet, worker, run, &service);
     if (undisturbed <= 1) {
         /* It misses its target without filling work as well. */
         return;
@@ -235,7 +259,7 @@
         }
         double per_percent =
             mb_contention_slope(&fleet->contention, service.kind,
-                                harmful->kind, 0) *
+                                harmful->kind, PACE_CAUTION) *
             use_of(harmful) / 1000 / PACE_FULL;
         double percent = harmful->wanted_pace - lacking / per_percent;
         harmful->wanted_pace = percent < PACE_STEP
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -45,7 +45,7 @@
 /* Least headroom of a service that costs are told apart for. */
 #define HEADROOM_MIN 0.1
 /* Share of its latency target that a service may be expected to reach. */
-#define SHARE_MAX 0.87
+#define SHARE_MAX 0.95
 /* Part of its objective that a job may spend waiting for a worker where its
    filling work disturbs nobody, in thousandths, and how much more a service
    may be disturbed for each further objective. */
