Store what was learned of filling work for the next owner

Change: the owner writes its pairs under one key of the job log every 2 s, in the appends that it makes anyway; followers take them over, and go on from them as owners. Tests: Dag.LearnedPairsSurviveTheLog, Contention.GoesOnFromWhatAnEarlierOwnerLearned.

--- a/lib/coordination/mb_contention.c
+++ b/lib/coordination/mb_contention.c
@@ -130,9 +130,8 @@
 /* Returns the record of a pair, made if there is none; NULL when there are too
    many. */
 static pair_t *
-pair_of(mb_contention_t *contention, uint64_t service_kind, uint64_t kind)
+pair_of(mb_contention_t *contention, uint64_t key)
 {
-    uint64_t key = key_of(service_kind, kind);
     pair_t *pair = g_hash_table_lookup(contention->pairs, &key);
     if (pair != NULL ||
         g_hash_table_size(contention->pairs) == MB_CONTENTION_PAIRS_MAX) {
@@ -294,7 +293,7 @@
                          .weight = weight_of(headroom, changed)};
     for (uint32_t i = 0; i < scene->count; i++) {
         pair_t *pair =
-            pair_of(contention, service->kind, scene->loads[i].kind);
+            pair_of(contention, key_of(service->kind, scene->loads[i].kind));
         if (pair != NULL) {
             sample->shares[sample->count++] =
                 (share_t){pair, scene->loads[i].cpu_milli / MILLI};
@@ -467,6 +466,37 @@
     }
 }
 
+/* Lists what was learned. */
+void
+mb_contention_export(const mb_contention_t *contention, GArray *pairs,
+                     guint max)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, contention->pairs);
+    while (pairs->len < max && g_hash_table_iter_next(&iter, NULL, &value)) {
+        const pair_t *pair = value;
+        double weight = pair->anchor_weight + pair->slope.weight;
+        mb_contention_pair_t row = {pair->key, pair->slope.value,
+                                    (uint32_t)MIN(weight, ANCHOR_WEIGHT_MAX)};
+        g_array_append_val(pairs, row);
+    }
+}
+
+/* Takes what was learned of a pair. */
+void
+mb_contention_import(mb_contention_t *contention,
+                     const mb_contention_pair_t *known)
+{
+    pair_t *pair = pair_of(contention, known->key);
+    if (pair != NULL) {
+        pair->slope.value = CLAMP(known->slope, 0.0, SLOPE_MAX);
+        pair->anchor = pair->slope.value;
+        pair->anchor_weight =
+            CLAMP(known->weight, PRIOR_WEIGHT, ANCHOR_WEIGHT_MAX);
+    }
+}
+
 /* Returns the headroom to expect of a service without filling work in the
    worst case within a short while. */
 double
--- a/lib/coordination/mb_contention.h
+++ b/lib/coordination/mb_contention.h
@@ -40,6 +40,13 @@
     uint64_t kind;   /* tasks of the same kind are disturbed alike */
 } mb_contention_service_t;
 
+/* What is learned of one pair, for the next owner of the fleet. */
+typedef struct mb_contention_pair {
+    uint64_t key;    /* of the two kinds */
+    double slope;    /* headroom that a processor takes */
+    uint32_t weight; /* of the reports behind it */
+} mb_contention_pair_t;
+
 typedef struct mb_contention {
     GHashTable *pairs;
     GHashTable *demands;
@@ -69,6 +76,14 @@
 /* Fits the estimates to the reports if that is due. */
 void mb_contention_fit(mb_contention_t *contention, uint64_t now_us);
 
+/* Appends what was learned of pairs to an array of mb_contention_pair_t, at
+   most up to `max` of them. */
+void mb_contention_export(const mb_contention_t *contention, GArray *pairs,
+                          guint max);
+/* Takes what an earlier owner learned of a pair; reports go on from there. */
+void mb_contention_import(mb_contention_t *contention,
+                          const mb_contention_pair_t *known);
+
 /* Returns the headroom of a service without filling work. */
 double mb_contention_undisturbed(const mb_contention_t *contention,
                                  const mb_contention_service_t *service);
--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -10,18 +10,22 @@
 #define OBJECTS_MAX (1u << 19)
 /* Longest name of a queue, a service, a label or an image, in bytes. */
 #define TEXT_MAX 255u
+/* Elements of a pair, and parts into which a slope is divided. */
+#define PAIR_ELEMENTS 3u
+#define SLOPE_UNIT 1000.0
 /* Version of the records; another one is refused. */
 #define RECORD_VERSION 1u
 
 /* Letter of each kind at the start of a key. */
-static const char letters[MB_DAG_RECORD_KIND_COUNT] = {'j', 'c', 's', 'w',
-                                                       'o'};
+static const char letters[MB_DAG_RECORD_KIND_COUNT] = {'j', 'c', 's',
+                                                       'w', 'o', 'l'};
 
 /* Prepares the memory for decoding; false when there is none. */
 bool
 mb_dag_record_decoder_init(mb_dag_record_decoder_t *decoder)
 {
     decoder->rows = g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
+    decoder->pairs = g_array_new(FALSE, FALSE, sizeof(mb_contention_pair_t));
     return msgpack_zone_init(&decoder->zone, ZONE_BYTES);
 }
 
@@ -31,6 +35,7 @@
 {
     msgpack_zone_destroy(&decoder->zone);
     g_array_unref(decoder->rows);
+    g_array_unref(decoder->pairs);
 }
 
 /* Appends the key of a record. */
@@ -286,6 +291,47 @@
     record->body.owner.resigned = mb_unpack_bool(reader);
 }
 
+/* Appends the value of the record of what owners learned of pairs. */
+void
+mb_dag_record_encode_pairs(mb_buf_t *out, const GArray *pairs)
+{
+    msgpack_packer packer;
+    mb_pack_init(&packer, out);
+    (void)msgpack_pack_array(&packer, 2);
+    (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
+    (void)msgpack_pack_array(&packer, (size_t)pairs->len * PAIR_ELEMENTS);
+    for (guint i = 0; i < pairs->len; i++) {
+        const mb_contention_pair_t *pair =
+            &g_array_index(pairs, mb_contention_pair_t, i);
+        (void)msgpack_pack_uint64(&packer, pair->key);
+        (void)msgpack_pack_uint32(&packer,
+                                  (uint32_t)(pair->slope * SLOPE_UNIT));
+        (void)msgpack_pack_uint32(&packer, pair->weight);
+    }
+}
+
+/* Reads the value of such a record. */
+static void
+unpack_pairs(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader,
+             mb_dag_record_t *record)
+{
+    mb_unpack_t rows = mb_unpack_next_array(reader);
+    (void)g_array_set_size(decoder->pairs, 0);
+    record->body.pairs = decoder->pairs;
+    if (rows.left > MB_DAG_PAIRS_MAX * PAIR_ELEMENTS) {
+        reader->failed = true;
+        return;
+    }
+    while (rows.left > 0 && !rows.failed) {
+        mb_contention_pair_t pair = {0};
+        pair.key = mb_unpack_u64(&rows, UINT64_MAX);
+        pair.slope = (double)mb_unpack_u64(&rows, UINT32_MAX) / SLOPE_UNIT;
+        pair.weight = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
+        g_array_append_val(decoder->pairs, pair);
+    }
+    reader->failed = reader->failed || rows.failed;
+}
+
 /* Reads the fields of a record's value. */
 static void
 unpack_body(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader,
@@ -308,6 +354,9 @@
     case MB_DAG_RECORD_OWNER:
         unpack_owner(reader, record);
         break;
+    case MB_DAG_RECORD_CONTENTION:
+        unpack_pairs(decoder, reader, record);
+        break;
     case MB_DAG_RECORD_CANCEL:
     case MB_DAG_RECORD_KIND_COUNT:
         break;
@@ -333,6 +382,7 @@
     }
     return record->kind == MB_DAG_RECORD_AGENT ||
            record->kind == MB_DAG_RECORD_OWNER ||
+           record->kind == MB_DAG_RECORD_CONTENTION ||
            mb_dag_id_parse(name, &record->id);
 }
 
--- a/lib/protocol/mb_dag_record.h
+++ b/lib/protocol/mb_dag_record.h
@@ -1,15 +1,19 @@
 /* Records of the job log: what clients asked for, what was cancelled, how far
-   jobs are, who owns the fleet and where agents listen. A key is one letter
-   for the kind and the name of the thing. */
+   jobs are, who owns the fleet, where agents listen and what owners learned of
+   filling work beside services. A key is one letter for the kind and the name
+   of the thing. */
 #ifndef MB_DAG_RECORD_H
 #define MB_DAG_RECORD_H
 
 #include <msgpack.h>
 
+#include "mb_contention.h"
 #include "mb_dag.h"
 #include "mb_error.h"
 #include "mb_ownership.h"
 
+/* Most pairs of a service and filling work in one record. */
+#define MB_DAG_PAIRS_MAX 4096u
 /* Longest key, in bytes. */
 #define MB_DAG_KEY_MAX 64u
 
@@ -19,6 +23,7 @@
     MB_DAG_RECORD_PROGRESS,
     MB_DAG_RECORD_AGENT,
     MB_DAG_RECORD_OWNER,
+    MB_DAG_RECORD_CONTENTION,
     MB_DAG_RECORD_KIND_COUNT
 } mb_dag_record_kind_t;
 
@@ -38,6 +43,7 @@
         mb_dag_progress_t progress;
         mb_dag_agent_record_t agent;
         mb_ownership_record_t owner;
+        const GArray *pairs; /* mb_contention_pair_t */
     } body;
 } mb_dag_record_t;
 
@@ -45,6 +51,7 @@
 typedef struct mb_dag_record_decoder {
     msgpack_zone zone;
     GArray *rows;
+    GArray *pairs;
     mb_dag_step_t steps[MB_DAG_STEPS_MAX];
 } mb_dag_record_decoder_t;
 
@@ -64,5 +71,6 @@
                                 const mb_dag_agent_record_t *agent);
 void mb_dag_record_encode_owner(mb_buf_t *out,
                                 const mb_ownership_record_t *owner);
+void mb_dag_record_encode_pairs(mb_buf_t *out, const GArray *pairs);
 
 #endif
--- a/lib/transport/mb_scheduler_apply.c
+++ b/lib/transport/mb_scheduler_apply.c
@@ -90,6 +90,19 @@
     }
 }
 
+/* Takes what an earlier owner learned. The owner itself knows more. */
+static void
+apply_contention(mb_scheduler_node_t *node, const mb_dag_record_t *record)
+{
+    for (guint i = 0; i < record->body.pairs->len; i++) {
+        if (!mb_fleet_owns(&node->fleet)) {
+            mb_contention_import(
+                &node->fleet.contention,
+                &g_array_index(record->body.pairs, mb_contention_pair_t, i));
+        }
+    }
+}
+
 /* Takes one record of the job log. */
 void
 mb_scheduler_apply_record(void *context, const mb_keyed_record_t *raw,
@@ -136,6 +149,11 @@
             apply_owner(node, &record, fresh);
         }
         break;
+    case MB_DAG_RECORD_CONTENTION:
+        if (!record.removed) {
+            apply_contention(node, &record);
+        }
+        break;
     case MB_DAG_RECORD_KIND_COUNT:
         break;
     }
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -25,6 +25,7 @@
 void mb_scheduler_become_owner(mb_scheduler_node_t *node,
                                const mb_ownership_record_t *former);
 void mb_scheduler_lose_ownership(mb_scheduler_node_t *node);
+void mb_scheduler_store_contention(mb_scheduler_node_t *node);
 void mb_scheduler_store_progress(void *context,
                                  const mb_dag_progress_t *progress);
 void mb_scheduler_store_group_end(void *context);
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -167,6 +167,7 @@
     mb_fleet_tick(&node->fleet);
     mb_scheduler_requests_tick(node);
     mb_scheduler_free_journals(node);
+    mb_scheduler_store_contention(node);
     sweep(node);
     update_ready(node);
     update_metrics(node);
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -97,6 +97,7 @@
     mb_buf_t value;
     mb_scheduler_group_t *group; /* of progress records being stored */
     uint64_t swept_ms;
+    uint64_t contention_stored_us;
     /* Read by all threads: */
     uint64_t is_ready;
     uint64_t draining;
--- a/lib/transport/mb_scheduler_owner.c
+++ b/lib/transport/mb_scheduler_owner.c
@@ -1,6 +1,9 @@
 /* Claims of the fleet, and what its owner writes into the job log. */
 #include "mb_scheduler_internal.h"
 
+/* How often what was learned is stored, in milliseconds. */
+#define CONTENTION_STORE_MS 2000u
+
 static const mb_str_t producer_owner = {"owner", 5};
 
 /* Puts a journal aside whose claim or ownership has ended; it is freed when
@@ -167,6 +170,33 @@
     mb_scheduler_wake(node);
 }
 
+/* Stores what was learned of filling work beside services, for the next
+   owner. It is not worth a retry. */
+void
+mb_scheduler_store_contention(mb_scheduler_node_t *node)
+{
+    uint64_t now_us = mb_clock_us(&node->clock);
+    uint64_t period_us = CONTENTION_STORE_MS * (uint64_t)MB_US_PER_MS;
+    if (!mb_fleet_owns(&node->fleet) || node->owner_journal == NULL ||
+        now_us < node->contention_stored_us + period_us) {
+        return;
+    }
+    g_autoptr(GArray) pairs =
+        g_array_new(FALSE, FALSE, sizeof(mb_contention_pair_t));
+    mb_contention_export(&node->fleet.contention, pairs, MB_DAG_PAIRS_MAX);
+    node->contention_stored_us = now_us;
+    if (pairs->len == 0) {
+        return;
+    }
+    mb_buf_clear(&node->key);
+    mb_buf_clear(&node->value);
+    mb_dag_record_key(&node->key, MB_DAG_RECORD_CONTENTION, MB_STR_EMPTY);
+    mb_dag_record_encode_pairs(&node->value, pairs);
+    (void)mb_journal_add(node->owner_journal, mb_buf_view(&node->key),
+                         mb_buf_view(&node->value), now_us + period_us, NULL,
+                         NULL);
+}
+
 /* Begins to own the fleet: the claim was read from the log, and with it
    everything that the former owner stored. */
 void
--- a/tests/unit/test_dag.cc
+++ b/tests/unit/test_dag.cc
@@ -200,6 +200,39 @@
     mb_dag_table_clear(&table);
 }
 
+/* Guards against an owner that has to disturb services again to learn what the
+   one before it knew. */
+RC_GTEST_FIXTURE_PROP(Dag, LearnedPairsSurviveTheLog, ())
+{
+    auto slopes = *rc::gen::container<std::vector<uint32_t>>(
+        rc::gen::inRange<uint32_t>(0, 5000));
+    mb_buf_t key = {};
+    mb_buf_t value = {};
+    mb_dag_record_t record;
+    GArray *pairs = g_array_new(FALSE, FALSE, sizeof(mb_contention_pair_t));
+    for (uint32_t i = 0; i < slopes.size(); i++) {
+        mb_contention_pair_t pair = {UINT64_MAX - i, slopes[i] / 1000.0, i};
+        g_array_append_val(pairs, pair);
+    }
+    mb_dag_record_key(&key, MB_DAG_RECORD_CONTENTION, MB_STR_EMPTY);
+    mb_dag_record_encode_pairs(&value, pairs);
+    RC_ASSERT(mb_dag_record_decode(&decoder, mb_buf_view(&key),
+                                   mb_buf_view(&value), &record, nullptr));
+    RC_ASSERT(record.body.pairs->len == pairs->len);
+    for (guint i = 0; i < pairs->len; i++) {
+        const mb_contention_pair_t *read =
+            &g_array_index(record.body.pairs, mb_contention_pair_t, i);
+        const mb_contention_pair_t *written =
+            &g_array_index(pairs, mb_contention_pair_t, i);
+        RC_ASSERT(read->key == written->key);
+        RC_ASSERT(std::abs(read->slope - written->slope) < 0.0011);
+        RC_ASSERT(read->weight == written->weight);
+    }
+    mb_buf_finish(&key);
+    mb_buf_finish(&value);
+    g_array_unref(pairs);
+}
+
 /* Guards against records of another writer that end the process or change
    something. */
 RC_GTEST_FIXTURE_PROP(Dag, AnyBytesAreRefusedOrRead,
--- a/tests/unit/test_pacing.cc
+++ b/tests/unit/test_pacing.cc
@@ -91,6 +91,32 @@
     EXPECT_NEAR(mb_contention_slope(&contention, 1, 7, 0), 0.5, 0.15);
 }
 
+/* Guards against a new owner that takes a harmful pair for an unknown one, or
+   drops what it was told with its first reports. */
+TEST_F(Contention, GoesOnFromWhatAnEarlierOwnerLearned)
+{
+    mb_contention_t next;
+    GArray *pairs = g_array_new(FALSE, FALSE, sizeof(mb_contention_pair_t));
+    for (int i = 0; i < 4; i++) {
+        report(none, 3.0);
+        report(scene_of(7, 2000), 1.6);
+    }
+    mb_contention_export(&contention, pairs, 10);
+    ASSERT_EQ(pairs->len, 1u);
+    mb_contention_init(&next);
+    mb_contention_import(&next,
+                         &g_array_index(pairs, mb_contention_pair_t, 0));
+    double slope = mb_contention_slope(&contention, 1, 7, 0);
+    EXPECT_NEAR(mb_contention_slope(&next, 1, 7, 0), slope, 0.01);
+    mb_contention_service_t service = {200, 1};
+    mb_contention_scene_t scene = scene_of(7, 2000);
+    mb_contention_observe(&next, &service, &scene, 2.0, 0, now_us);
+    mb_contention_fit(&next, now_us);
+    EXPECT_NEAR(mb_contention_slope(&next, 1, 7, 0), slope, 0.1);
+    mb_contention_finish(&next);
+    g_array_unref(pairs);
+}
+
 /* Guards against blame that spreads to another service. */
 TEST_F(Contention, KeepsPairsApart)
 {
