Leave filling work what services do not use; move slowed runs after 0.7 s

Cause: filling jobs wait while the workers beside services report processors to spare: a service task uses 0.23 to 0.68 of what its latency was dimensioned for, 0.45 in the mean, and 0.6 of the declared processors were kept free. A run that was slowed down held its place for 1.5 s, which is most of its run time, though a stop yields a checkpoint and costs 0.1 to 0.6 s.

--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -17,7 +17,7 @@
 #define LATE_FACTOR 3u
 /* Share of its declared processors that a long-running service uses, in
    thousandths; filling work gets the rest. */
-#define SERVICE_USE_MILLI 600u
+#define SERVICE_USE_MILLI 450u
 /* Load of a worker whose processors are all in use: the unit of the costs of a
    placement, which are added to the load. */
 #define LOAD_FULL 1000u
@@ -54,7 +54,7 @@
 #define SHARE_LATE_MAX 1.0
 /* Time for which a run must have been slowed down before it is moved, in
    microseconds: a stop and a new start take most of a second. */
-#define SLOWED_US UINT64_C(1500000)
+#define SLOWED_US UINT64_C(700000)
 /* Declared processors of filling work on a worker without services, in
    thousandths of its own: tasks begin and end with a while without work. */
 #define FILLING_OVERCOMMIT_MILLI 1250u
