Claim at once when the owner was an earlier incarnation of this process

Change: the owner's record holds a hash of the process's name. A process that reads its own name with another incarnation does not wait. A second process under the same name would be fenced by the token as before. A follower whose read failed asks without a wait whether the log is back. Test: Ownership.AnEarlierIncarnationIsNotWaitedFor fails without the change.

--- a/lib/coordination/mb_follower.c
+++ b/lib/coordination/mb_follower.c
@@ -149,8 +149,9 @@
     follower->reads++;
     if (follower->following) {
         read.from = follower->next;
-        read.wait_ms = MB_FOLLOWER_WAIT_MS;
-        read.timeout_ms = MB_FOLLOWER_WAIT_MS + MB_FOLLOWER_TIMEOUT_MS;
+        /* After a failure the log is asked whether it is back. */
+        read.wait_ms = follower->failing ? 0 : MB_FOLLOWER_WAIT_MS;
+        read.timeout_ms = read.wait_ms + MB_FOLLOWER_TIMEOUT_MS;
         read.done = read_done;
         begun = follower->log.read(follower->log.context, &read);
     }
--- a/lib/coordination/mb_ownership.c
+++ b/lib/coordination/mb_ownership.c
@@ -11,16 +11,17 @@
         mb_rng_below(&ownership->rng, MB_OWNERSHIP_JITTER_MS * MB_US_PER_MS);
 }
 
-/* Prepares a process that knows of no owner. `self` tells it from its earlier
-   incarnations. */
+/* Prepares a process that knows of no owner. `member` stands for its name, and
+   `self` tells it from its earlier incarnations. */
 void
 mb_ownership_init(mb_ownership_t *ownership, const mb_clock_t *clock,
-                  const mb_rng_t *rng, uint64_t self)
+                  const mb_rng_t *rng, uint64_t self, uint64_t member)
 {
     memset(ownership, 0, sizeof(*ownership));
     ownership->clock = *clock;
     ownership->rng = *rng;
     ownership->self = self;
+    ownership->member = member;
     draw_jitter(ownership);
 }
 
@@ -69,10 +70,22 @@
                MB_OWNERSHIP_CONTACT_MS * MB_US_PER_MS;
 }
 
+/* Tells whether the owner was an earlier incarnation of this process, which
+   has ended. */
+static bool
+was_owner(const mb_ownership_t *ownership)
+{
+    return ownership->latest.member == ownership->member &&
+           ownership->latest.holder != ownership->self;
+}
+
 /* Returns how long the owner must have been silent before a claim. */
 static uint64_t
 silence_us(const mb_ownership_t *ownership)
 {
+    if (was_owner(ownership)) {
+        return 0;
+    }
     bool vacant = ownership->latest.token == 0 || ownership->latest.resigned;
     uint64_t silence =
         vacant ? 0 : MB_OWNERSHIP_SILENCE_MS * (uint64_t)MB_US_PER_MS;
--- a/lib/coordination/mb_ownership.h
+++ b/lib/coordination/mb_ownership.h
@@ -41,6 +41,7 @@
 typedef struct mb_ownership_record {
     uint64_t token;
     uint64_t holder; /* incarnation of the process */
+    uint64_t member; /* hash of its name, which outlives its incarnations */
     bool resigned;
 } mb_ownership_record_t;
 
@@ -54,6 +55,7 @@
     mb_clock_t clock;
     mb_rng_t rng;
     uint64_t self;
+    uint64_t member;
     mb_ownership_state_t state;
     mb_ownership_record_t latest;
     uint64_t heard_us;        /* latest record of the owner read in order */
@@ -66,7 +68,7 @@
 } mb_ownership_t;
 
 void mb_ownership_init(mb_ownership_t *ownership, const mb_clock_t *clock,
-                       const mb_rng_t *rng, uint64_t self);
+                       const mb_rng_t *rng, uint64_t self, uint64_t member);
 /* Returns true when the record makes this process the owner, or ends that it
    is; the state tells which. */
 bool mb_ownership_apply(mb_ownership_t *ownership,
--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -275,10 +275,11 @@
 {
     msgpack_packer packer;
     mb_pack_init(&packer, out);
-    (void)msgpack_pack_array(&packer, 4);
+    (void)msgpack_pack_array(&packer, 5);
     (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
     (void)msgpack_pack_uint64(&packer, owner->token);
     (void)msgpack_pack_uint64(&packer, owner->holder);
+    (void)msgpack_pack_uint64(&packer, owner->member);
     mb_pack_bool(&packer, owner->resigned);
 }
 
@@ -288,6 +289,7 @@
 {
     record->body.owner.token = mb_unpack_u64(reader, UINT64_MAX);
     record->body.owner.holder = mb_unpack_u64(reader, UINT64_MAX);
+    record->body.owner.member = mb_unpack_u64(reader, UINT64_MAX);
     record->body.owner.resigned = mb_unpack_bool(reader);
 }
 
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -284,7 +284,8 @@
     mb_fleet_init(&node->fleet, &node->table, &fleet, &node->clock,
                   &node->log);
     mb_ownership_init(&node->ownership, &node->clock, &rng,
-                      node->config.incarnation);
+                      node->config.incarnation,
+                      mb_str_hash(node->config.name));
     mb_follower_init(&node->jobs, mb_scheduler_stream_jobs, &node->keyed_log,
                      &jobs, &node->clock, &node->log);
     mb_follower_set_gap(&node->jobs, MB_SCHEDULER_GAP_MS);
--- a/lib/transport/mb_scheduler_owner.c
+++ b/lib/transport/mb_scheduler_owner.c
@@ -39,7 +39,8 @@
 mb_scheduler_owner_record(mb_scheduler_node_t *node, uint64_t token,
                           bool resigned, mb_journal_done_t done, void *context)
 {
-    mb_ownership_record_t record = {token, node->config.incarnation, resigned};
+    mb_ownership_record_t record = {token, node->config.incarnation,
+                                    mb_str_hash(node->config.name), resigned};
     mb_buf_clear(&node->key);
     mb_buf_clear(&node->value);
     mb_dag_record_key(&node->key, MB_DAG_RECORD_OWNER, MB_STR_EMPTY);
--- a/tests/unit/test_journal.cc
+++ b/tests/unit/test_journal.cc
@@ -257,6 +257,8 @@
 }
 
 struct OwnershipWorld {
+    static const uint64_t MEMBER = 71;
+    static const uint64_t OTHER_MEMBER = 72;
     uint64_t now_us = 1000000;
     mb_rng_seeded_t seeded;
     mb_ownership_t ownership;
@@ -266,7 +268,7 @@
         mb_clock_t clock = {read_clock, &now_us};
         mb_rng_seeded_init(&seeded, 7);
         mb_rng_t rng = mb_rng_from_seeded(&seeded);
-        mb_ownership_init(&ownership, &clock, &rng, self);
+        mb_ownership_init(&ownership, &clock, &rng, self, MEMBER);
     }
     /* Lets time pass; true when a claim was due. */
     bool pass(uint64_t ms, bool served)
@@ -281,9 +283,10 @@
         }
         return claimed;
     }
-    bool apply(uint64_t token, uint64_t holder, bool resigned = false)
+    bool apply(uint64_t token, uint64_t holder, bool resigned = false,
+               uint64_t member = OTHER_MEMBER)
     {
-        mb_ownership_record_t record = {token, holder, resigned};
+        mb_ownership_record_t record = {token, holder, member, resigned};
         return mb_ownership_apply(&ownership, &record, true);
     }
 };
@@ -322,6 +325,15 @@
     EXPECT_TRUE(world.pass(500, true));
 }
 
+/* Guards against an owner that is killed, starts again and then waits for
+   itself. */
+TEST(Ownership, AnEarlierIncarnationIsNotWaitedFor)
+{
+    OwnershipWorld world(1);
+    world.apply(5, 2, false, OwnershipWorld::MEMBER);
+    EXPECT_TRUE(world.pass(200, true));
+}
+
 /* Guards against an owner that acts for ever on what it read last. */
 TEST(Ownership, ActsOnlyForAWhileWithoutTheLog)
 {
