Let Retry-After grow with the outage of the log

Cause: a client that is rejected while the log is away was told to come back after 1 s, whatever is known of the outage: one with four retries has used them up within the 4 to 9 s that such outages last. Change: the wait is the time that the outage has lasted and a second, at most 4 s (mb_outage, without a clock or a network of its own).

--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -141,6 +141,23 @@
     }
 }
 
+/* Notes whether the log is away, for the clients that are rejected. */
+static void
+update_outage(mb_scheduler_node_t *node)
+{
+    uint64_t now_us = mb_clock_us(&node->clock);
+    bool away = mb_follower_loaded(&node->jobs) &&
+                (!mb_ownership_in_contact(&node->ownership) ||
+                 mb_journal_stalled(&node->journal));
+    uint64_t answered_us = node->ownership.contact_us;
+    if (node->journal.failing_since_us != 0) {
+        answered_us = MIN(answered_us, node->journal.failing_since_us);
+    }
+    mb_outage_note(&node->outage, away, answered_us);
+    mb_atomic_store(&node->retry_after_s,
+                    mb_outage_retry_s(&node->outage, now_us));
+}
+
 /* Writes the figures that modules keep themselves into the metrics. */
 static void
 update_metrics(mb_scheduler_node_t *node)
@@ -170,6 +187,7 @@
     mb_scheduler_store_contention(node);
     sweep(node);
     update_ready(node);
+    update_outage(node);
     update_metrics(node);
     run_flush(node);
 }
@@ -242,6 +260,8 @@
     node->counters = counters;
     node->clock = mb_clock_monotonic();
     node->log = mb_log_for(log, "scheduler");
+    mb_outage_init(&node->outage);
+    node->retry_after_s = MB_OUTAGE_RETRY_MIN_S;
     node->flush = (mb_loop_deferred_t){run_flush, node, NULL, false};
     add_metrics(node);
     mb_queue_table_init(&node->queues, epoch);
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -15,6 +15,7 @@
 #include "mb_journal.h"
 #include "mb_link.h"
 #include "mb_order_codec.h"
+#include "mb_outage.h"
 #include "mb_ownership.h"
 
 typedef struct mb_scheduler_config {
@@ -96,11 +97,13 @@
     mb_buf_t key;
     mb_buf_t value;
     mb_scheduler_group_t *group; /* of progress records being stored */
+    mb_outage_t outage;
     uint64_t swept_ms;
     uint64_t contention_stored_us;
     /* Read by all threads: */
     uint64_t is_ready;
     uint64_t draining;
+    uint64_t retry_after_s; /* for clients that are rejected */
 } mb_scheduler_node_t;
 
 bool mb_scheduler_node_init(mb_scheduler_node_t *node,
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -1,5 +1,6 @@
 /* Requests of clients. An HTTP thread finds the queue and reads a job; the
    scheduler's thread stores, looks up and answers. */
+#include <stdio.h>
 #include <string.h>
 
 #include "mb_atomic.h"
@@ -13,8 +14,9 @@
 /* Time after which a job that could not be appended is rejected, in
    milliseconds, so that the client can go elsewhere in time. */
 #define APPEND_TIMEOUT_MS 800u
-/* When a client that was rejected may come back, in seconds. */
-#define RETRY_AFTER_TEXT "1"
+
+/* Longest text of a number of seconds, in bytes. */
+#define RETRY_TEXT_MAX 12
 
 typedef enum request_kind {
     REQUEST_SUBMIT,
@@ -51,11 +53,14 @@
        uint32_t status, mb_str_t body)
 {
     mb_headers_t headers = {.count = 1};
+    char retry_text[RETRY_TEXT_MAX];
     headers.items[0] = (mb_header_t){MB_STR_LIT("Content-Type"),
                                      MB_STR_LIT("application/json")};
     if (status == 503 || status == 429) {
+        (void)snprintf(retry_text, sizeof(retry_text), "%u",
+                       (unsigned)mb_atomic_load(&node->retry_after_s));
         headers.items[headers.count++] = (mb_header_t){
-            MB_STR_LIT("Retry-After"), MB_STR_LIT(RETRY_AFTER_TEXT)};
+            MB_STR_LIT("Retry-After"), mb_str_from_cstr(retry_text)};
     }
     if (mb_atomic_load(&node->draining) != 0) {
         headers.items[headers.count++] =
--- /dev/null
+++ b/tests/unit/test_outage.cc
@@ -0,0 +1,58 @@
+/* Tests of when a rejected client is asked to come back. */
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "mb_outage.h"
+}
+
+static const uint64_t SECOND_US = 1000000;
+
+/* Plays a client that comes back when it is told to; returns its tries until
+   the log answers again. */
+static int
+tries_through(uint64_t outage_s)
+{
+    mb_outage_t outage;
+    mb_outage_init(&outage);
+    uint64_t begin_us = 100 * SECOND_US;
+    uint64_t now_us = begin_us;
+    int tries = 0;
+    while (now_us < begin_us + outage_s * SECOND_US) {
+        mb_outage_note(&outage, true, begin_us);
+        now_us += mb_outage_retry_s(&outage, now_us) * SECOND_US;
+        tries++;
+    }
+    return tries;
+}
+
+/* Guards against a client that has used its four retries when the log is back
+   after 9 s, the longest outage that the operators name. */
+TEST(Outage, FourRetriesOutlastNineSeconds)
+{
+    EXPECT_LE(tries_through(9), 4);
+}
+
+/* Guards against a client that waits long after a short outage. */
+TEST(Outage, AsksForAWaitOfAboutTheTimeThatTheOutageLasted)
+{
+    mb_outage_t outage;
+    mb_outage_init(&outage);
+    mb_outage_note(&outage, true, 100 * SECOND_US);
+    EXPECT_EQ(mb_outage_retry_s(&outage, 100 * SECOND_US), 1u);
+    EXPECT_EQ(mb_outage_retry_s(&outage, 102 * SECOND_US), 3u);
+    EXPECT_EQ(mb_outage_retry_s(&outage, 500 * SECOND_US),
+              MB_OUTAGE_RETRY_MAX_S);
+    mb_outage_note(&outage, false, 500 * SECOND_US);
+    EXPECT_EQ(mb_outage_retry_s(&outage, 500 * SECOND_US), 1u);
+}
+
+/* Guards against an outage that counts from the one before it. */
+TEST(Outage, EachOutageBeginsAnew)
+{
+    mb_outage_t outage;
+    mb_outage_init(&outage);
+    mb_outage_note(&outage, true, 100 * SECOND_US);
+    mb_outage_note(&outage, false, 110 * SECOND_US);
+    mb_outage_note(&outage, true, 120 * SECOND_US);
+    EXPECT_EQ(mb_outage_retry_s(&outage, 120 * SECOND_US), 1u);
+}
