Do not wait for workers that have left, nor for an owner that has ended

Ruled out: late agents (ten list within 50 ms), a late claim (0.1 s after the schedulers are ready). Change: an agent that can't be reached for 1 s is taken off the log when nothing runs there by the list that the owner has; an ended owner (resigned, or an earlier incarnation of this process) is not waited for.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -450,6 +450,21 @@
     }
 }
 
+/* Tells whether a worker that can't be reached may be left out. Only this
+   owner could start something there; an agent that is alive announces itself
+   again. */
+bool
+mb_fleet_worker_gone(const mb_fleet_t *fleet, uint32_t number,
+                     uint64_t lost_us)
+{
+    const mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, number);
+    uint32_t gone_ms =
+        worker->suspect ? MB_FLEET_GONE_UNKNOWN_MS : MB_FLEET_GONE_MS;
+    return worker->runs->len == 0 &&
+           mb_clock_us(&fleet->clock) >=
+               lost_us + gone_ms * (uint64_t)MB_US_PER_MS;
+}
+
 /* Forgets a worker whose agent is gone for good: it is not waited for. */
 void
 mb_fleet_worker_removed(mb_fleet_t *fleet, uint32_t number)
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -28,6 +28,11 @@
 #define MB_FLEET_ORDER_MS 300u
 /* A worker without a report for this long gets no starts, in milliseconds. */
 #define MB_FLEET_SILENT_MS 1000u
+/* Time after which an agent that can't be reached counts as gone, in
+   milliseconds: when nothing runs there, and when it is not known what does
+   (longer than a former owner may act and its leases hold). */
+#define MB_FLEET_GONE_MS 1000u
+#define MB_FLEET_GONE_UNKNOWN_MS 20000u
 /* Pause before a task is started again after a failure, in milliseconds. */
 #define MB_FLEET_RETRY_MS 100u
 
@@ -166,6 +171,10 @@
 void mb_fleet_disconnected(mb_fleet_t *fleet, uint32_t worker);
 void mb_fleet_report(mb_fleet_t *fleet, uint32_t worker,
                      const mb_report_t *report);
+/* Whether a worker whose agent can't be reached since a time may be left out
+   by this owner and those after it. */
+bool mb_fleet_worker_gone(const mb_fleet_t *fleet, uint32_t worker,
+                          uint64_t lost_us);
 void mb_fleet_worker_removed(mb_fleet_t *fleet, uint32_t worker);
 
 /* Time: does what is due. Called several times a second, and after events. */
--- a/lib/coordination/mb_ownership.c
+++ b/lib/coordination/mb_ownership.c
@@ -70,20 +70,21 @@
                MB_OWNERSHIP_CONTACT_MS * MB_US_PER_MS;
 }
 
-/* Tells whether the owner was an earlier incarnation of this process, which
-   has ended. */
+/* Tells whether an owner was an earlier incarnation of this process, which has
+   ended. */
 static bool
-was_owner(const mb_ownership_t *ownership)
+is_earlier_self(const mb_ownership_t *ownership,
+                const mb_ownership_record_t *owner)
 {
-    return ownership->latest.member == ownership->member &&
-           ownership->latest.holder != ownership->self;
+    return owner->member == ownership->member &&
+           owner->holder != ownership->self;
 }
 
 /* Returns how long the owner must have been silent before a claim. */
 static uint64_t
 silence_us(const mb_ownership_t *ownership)
 {
-    if (was_owner(ownership)) {
+    if (is_earlier_self(ownership, &ownership->latest)) {
         return 0;
     }
     bool vacant = ownership->latest.token == 0 || ownership->latest.resigned;
@@ -154,3 +155,17 @@
            mb_clock_us(&ownership->clock) <
                ownership->current_us + MB_OWNERSHIP_ACT_MS * MB_US_PER_MS;
 }
+
+/* Returns until when the former owner may act; see the header. One that has
+   resigned or ended does not. */
+uint64_t
+mb_ownership_former_acts_us(const mb_ownership_t *ownership,
+                            const mb_ownership_record_t *former)
+{
+    uint64_t now_us = mb_clock_us(&ownership->clock);
+    if (former->token == 0 || former->resigned ||
+        is_earlier_self(ownership, former)) {
+        return now_us;
+    }
+    return now_us + MB_OWNERSHIP_ACT_MS * (uint64_t)MB_US_PER_MS;
+}
--- a/lib/coordination/mb_ownership.h
+++ b/lib/coordination/mb_ownership.h
@@ -78,6 +78,10 @@
 void mb_ownership_claim_failed(mb_ownership_t *ownership);
 void mb_ownership_withdraw(mb_ownership_t *ownership);
 bool mb_ownership_acts(const mb_ownership_t *ownership);
+/* Returns until when the owner before this one may act, given its last
+   record. */
+uint64_t mb_ownership_former_acts_us(const mb_ownership_t *ownership,
+                                     const mb_ownership_record_t *former);
 bool mb_ownership_in_contact(const mb_ownership_t *ownership);
 
 #endif
--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -6,9 +6,6 @@
 
 /* Pause before a connection is tried again, in milliseconds. */
 #define RETRY_MS 200u
-/* An agent that can't be reached for this long is taken off the log, in
-   milliseconds; one that is alive announces itself again. */
-#define FORGET_MS 20000u
 
 /* Ends the connection to an agent. */
 static void
@@ -139,8 +136,9 @@
     if (!agent->open && now_ms >= agent->retry_ms) {
         open_agent(agent, now_ms);
     }
-    if (agent->lost_ms != 0 && now_ms >= agent->lost_ms + FORGET_MS &&
-        node->owner_journal != NULL) {
+    if (agent->lost_ms != 0 && node->owner_journal != NULL &&
+        mb_fleet_worker_gone(&node->fleet, agent->worker,
+                             agent->lost_ms * (uint64_t)MB_US_PER_MS)) {
         forget_agent(node, agent);
     }
 }
--- a/lib/transport/mb_scheduler_owner.c
+++ b/lib/transport/mb_scheduler_owner.c
@@ -204,14 +204,9 @@
 mb_scheduler_become_owner(mb_scheduler_node_t *node,
                           const mb_ownership_record_t *former)
 {
-    uint64_t now_us = mb_clock_us(&node->clock);
-    uint64_t act_us = MB_OWNERSHIP_ACT_MS * (uint64_t)MB_US_PER_MS;
-    uint64_t settle_us = now_us + mb_fleet_lease_us();
-    if (former->token == 0) {
-        settle_us = now_us;
-    }
-    else if (!former->resigned) {
-        settle_us += act_us;
+    uint64_t settle_us = mb_ownership_former_acts_us(&node->ownership, former);
+    if (former->token > 0) {
+        settle_us += mb_fleet_lease_us();
     }
     mb_log_notice(&node->log,
                   "owning the fleet token=%" G_GUINT64_FORMAT
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -117,6 +117,45 @@
     expect_no_violations(world);
 }
 
+/* Guards against a new owner that waits for a worker which left with nothing
+   running, and against one that does not wait for a worker with runs. */
+TEST(Fleet, AWorkerThatIsGoneIsLeftOutOnceNothingRunsThere)
+{
+    FleetWorld world(2);
+    mb_dag_step_t step;
+    world.task_ms = 60000;
+    world.take_over();
+    world.pass(2500);
+    world.submit(one_step(&step, first_id, 1, 3000));
+    world.pass(500);
+    uint32_t busy = world.machines[0]->worker.runs.empty() ? 1 : 0;
+    world.unlink(*world.machines[0]);
+    world.unlink(*world.machines[1]);
+    uint64_t lost_us = world.now_us;
+    EXPECT_FALSE(mb_fleet_worker_gone(&world.fleet, 1 - busy, lost_us));
+    world.pass(MB_FLEET_GONE_MS + 100);
+    EXPECT_TRUE(mb_fleet_worker_gone(&world.fleet, 1 - busy, lost_us));
+    EXPECT_FALSE(mb_fleet_worker_gone(&world.fleet, busy, lost_us));
+    world.pass(mb_fleet_lease_us() / 1000);
+    EXPECT_TRUE(mb_fleet_worker_gone(&world.fleet, busy, lost_us));
+}
+
+/* Guards against a worker that is left out although a former owner may have
+   started something there. */
+TEST(Fleet, AWorkerThatHasNotListedItsRunsIsWaitedFor)
+{
+    FleetWorld world(2);
+    world.take_over();
+    world.pass(2500);
+    world.take_over();
+    world.unlink(*world.machines[0]);
+    uint64_t lost_us = world.now_us;
+    world.pass(5000);
+    EXPECT_FALSE(mb_fleet_worker_gone(&world.fleet, 0, lost_us));
+    EXPECT_GT(MB_FLEET_GONE_UNKNOWN_MS * UINT64_C(1000),
+              MB_OWNERSHIP_ACT_MS * UINT64_C(1000) + mb_fleet_lease_us());
+}
+
 /* Guards against attempts beyond the bound: the former owner could not store
    a failure, and the next one learned of a newer run first. */
 TEST(Fleet, CountsAFailureThatTheFormerOwnerCouldNotStore)
--- a/tests/unit/test_journal.cc
+++ b/tests/unit/test_journal.cc
@@ -334,6 +334,23 @@
     EXPECT_TRUE(world.pass(200, true));
 }
 
+/* Guards against a fleet that waits for the time in which a process could act
+   that has ended, and against one that does not wait for one that may live. */
+TEST(Ownership, OnlyAnOwnerThatMayLiveIsWaitedFor)
+{
+    OwnershipWorld world(1);
+    mb_ownership_record_t ended = {5, 2, OwnershipWorld::MEMBER, false};
+    mb_ownership_record_t resigned = {5, 2, OwnershipWorld::OTHER_MEMBER,
+                                      true};
+    mb_ownership_record_t silent = {5, 2, OwnershipWorld::OTHER_MEMBER, false};
+    EXPECT_EQ(mb_ownership_former_acts_us(&world.ownership, &ended),
+              world.now_us);
+    EXPECT_EQ(mb_ownership_former_acts_us(&world.ownership, &resigned),
+              world.now_us);
+    EXPECT_EQ(mb_ownership_former_acts_us(&world.ownership, &silent),
+              world.now_us + MB_OWNERSHIP_ACT_MS * UINT64_C(1000));
+}
+
 /* Guards against an owner that acts for ever on what it read last. */
 TEST(Ownership, ActsOnlyForAWhileWithoutTheLog)
 {
