Let a probe that runs on prove its worker; count services that fail at once

Two faults in the health of a worker as the fleet uses it: the failure of a service never counts, so the next one is started there 250 ms later; and a suspended worker is probed with one start, which when it is a service reports no success for as long as it runs, so that the worker gets nothing any more. Change: the fleet takes a probe that has run for 3 s for a success; the failure of a service within 1 s of its start counts as one of its worker. Tests: Health.AProbeThatRunsOnProvesTheWorker, Fleet.StartsServicesElsewhereWhileAWorkerFailsThem; mutant HEALTH_PROBE_NEVER_PROVEN is caught by both.

--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -6,6 +6,9 @@
 /* Pace at or below which a run counts as slowed down, in percent. */
 #define SLOW_PERCENT 35u
 #define FULL_PERCENT 100u
+/* Time within which the failure of a service counts as one of its worker, in
+   microseconds: longer than services take to begin. */
+#define SERVICE_START_US UINT64_C(1000000)
 /* Time without progress after which a run stands still, in microseconds: a
    hundred times the usual time for a percent. */
 #define STALLED_US UINT64_C(2000000)
@@ -64,9 +67,10 @@
     mb_dag_job_t *job = run->job;
     mb_dag_task_t *task = mb_fleet_run_task(run);
     mb_dag_task_t *counter = failure_counter(run);
-    if (job->steps[run->step].long_running) {
-        /* Such tasks fail at any time, and never succeed: their failures say
-           little of the worker. */
+    if (job->steps[run->step].long_running &&
+        now_us - run->started_us >= SERVICE_START_US) {
+        /* Such tasks fail at any time, and never succeed: once they have
+           begun, their failures say little of the worker. */
         mb_health_abandoned(&worker->health, run->started_us);
     }
     else {
--- a/lib/coordination/mb_health.c
+++ b/lib/coordination/mb_health.c
@@ -10,6 +10,18 @@
     *health = (mb_health_t){.interval_us = MB_HEALTH_PROBE_FIRST_US};
 }
 
+/* Tells whether a probe has run for so long that it proves the worker; one
+   that is a service reports no success for as long as it runs. */
+static bool
+is_proven(const mb_health_t *health, uint64_t now_us)
+{
+#ifdef MB_MUTANT_HEALTH_PROBE_NEVER_PROVEN
+    return false;
+#endif
+    return health->state == MB_HEALTH_PROBING &&
+           now_us - health->probed_us >= MB_HEALTH_PROVEN_US;
+}
+
 /* Tells whether a start may go there now. A good one is refused only while
    the last MB_HEALTH_STARTS_MAX starts are all young and without a success:
    the outcomes may be failures that have not arrived yet. */
@@ -38,7 +50,8 @@
 bool
 mb_health_suspended(const mb_health_t *health, uint64_t now_us)
 {
-    return health->state == MB_HEALTH_PROBING ||
+    return (health->state == MB_HEALTH_PROBING &&
+            !is_proven(health, now_us)) ||
            (health->state == MB_HEALTH_SUSPENDED && now_us < health->probe_us);
 }
 
@@ -57,8 +70,12 @@
 {
     if (health->state == MB_HEALTH_SUSPENDED) {
         health->state = MB_HEALTH_PROBING;
+        health->probed_us = now_us;
         return;
     }
+    if (is_proven(health, now_us)) {
+        mb_health_init(health);
+    }
     if (health->unproven == MB_HEALTH_STARTS_MAX) {
         forget(health, 1);
     }
@@ -92,6 +109,9 @@
 void
 mb_health_failed(mb_health_t *health, uint64_t started_us, uint64_t now_us)
 {
+    if (is_proven(health, now_us)) {
+        mb_health_init(health);
+    }
     if (health->state == MB_HEALTH_GOOD) {
         health->failures++;
         health->failed_start_us = MAX(health->failed_start_us, started_us);
--- a/lib/coordination/mb_health.h
+++ b/lib/coordination/mb_health.h
@@ -36,7 +36,8 @@
     uint32_t unproven; /* latest starts without a success, oldest first */
     uint64_t starts_us[MB_HEALTH_STARTS_MAX];
     uint64_t suspended_us;
-    uint64_t probe_us; /* earliest time of the next probe */
+    uint64_t probe_us;  /* earliest time of the next probe */
+    uint64_t probed_us; /* start of the probe that runs */
     uint64_t interval_us;
 } mb_health_t;
 
@@ -45,7 +46,8 @@
 bool mb_health_allows(const mb_health_t *health, uint64_t now_us);
 /* Whether failures in a row keep starts away now, apart from a probe that is
    due. Unlike mb_health_allows it does not bound the unproven starts, for
-   workers that hold many short tasks at a time. */
+   workers that hold many short tasks at a time, and takes a probe that has run
+   for MB_HEALTH_PROVEN_US for a success, as it may be a service. */
 bool mb_health_suspended(const mb_health_t *health, uint64_t now_us);
 void mb_health_started(mb_health_t *health, uint64_t now_us);
 /* `started_us` is the time given to mb_health_started. */
--- a/tests/unit/fleet_world.h
+++ b/tests/unit/fleet_world.h
@@ -59,6 +59,7 @@
     uint64_t born_ms = 1;
     bool up = true;
     bool hangs = false; /* what it runs stands still */
+    bool fails = false; /* what it starts fails after 30 ms */
     uint64_t lease_ms = 0;
     uint64_t numbers = 0;
     uint64_t token = 0;
@@ -245,9 +246,9 @@
         world->violate("started before its dependencies: " + task);
     }
     lease_ms = std::max(lease_ms, lease_end_ms);
-    bool fails = world->random() % 100 < world->fail_percent;
-    runs.push_back(
-        {start.task, start.run, now_ms + world->task_ms, fails, 100});
+    bool run_fails = fails || world->random() % 100 < world->fail_percent;
+    uint64_t run_ms = fails ? 30 : world->task_ms;
+    runs.push_back({start.task, start.run, now_ms + run_ms, run_fails, 100});
     world->starts[task]++;
     answer.result = MB_EXECUTOR_OK;
     return answer;
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -352,6 +352,32 @@
     EXPECT_GE(harmful, 80u);
 }
 
+/* Guards against services that are started again and again on a worker that
+   fails them at once, and against one that gets nothing any more after it has
+   been healthy again. */
+TEST(Fleet, StartsServicesElsewhereWhileAWorkerFailsThem)
+{
+    FleetWorld world(2);
+    mb_dag_step_t steps[3];
+    world.task_ms = 600000;
+    world.take_over();
+    world.pass(2500);
+    world.machines[0]->worker.fails = true;
+    mb_dag_spec_t spec = service(&steps[0], "aaaaaaaaaaaaaaaa", 600);
+    steps[0].count = 12;
+    world.submit(spec);
+    world.pass(8000);
+    EXPECT_EQ(world.machines[1]->worker.runs.size(), 6u);
+    uint32_t starts = 0;
+    for (const auto &item : world.starts) {
+        starts += item.second;
+    }
+    EXPECT_LE(starts, 6u + 2 * MB_HEALTH_STARTS_MAX);
+    world.machines[0]->worker.fails = false;
+    world.pass(20000);
+    EXPECT_EQ(world.machines[0]->worker.runs.size(), 6u);
+}
+
 /* Guards against a full fleet that is shared out among all filling jobs,
    against services that this disturbs, and against a job that never runs. */
 TEST(Fleet, LeavesFillingWorkWaitingBesideAServiceAtItsTarget)
--- a/tests/unit/test_health.cc
+++ b/tests/unit/test_health.cc
@@ -43,6 +43,25 @@
     ASSERT_EQ(health->state, MB_HEALTH_SUSPENDED);
 }
 
+/* Guards against a worker that gets nothing any more because its probe is a
+   service, which runs on without a success. */
+TEST(Health, AProbeThatRunsOnProvesTheWorker)
+{
+    mb_health_t health;
+    uint64_t now = 1000;
+    suspend(&health, now);
+    now += MB_HEALTH_PROBE_FIRST_US;
+    ASSERT_FALSE(mb_health_suspended(&health, now));
+    mb_health_started(&health, now);
+    EXPECT_TRUE(mb_health_suspended(&health, now + MB_HEALTH_PROVEN_US / 2));
+    now += MB_HEALTH_PROVEN_US;
+    EXPECT_FALSE(mb_health_suspended(&health, now));
+    mb_health_started(&health, now);
+    EXPECT_EQ(health.state, MB_HEALTH_GOOD);
+    mb_health_failed(&health, now, now + 1);
+    EXPECT_EQ(health.state, MB_HEALTH_GOOD);
+}
+
 /* Guards against probes that run in parallel or at a constant rate, and
    against a worker that stays suspended although it is healthy again. */
 TEST(Health, ProbesAtGrowingIntervalsAndRestores)
