Count searches in vain by service, and filling work apart

Cause: a pass over the waiting jobs ended after 24 searches in a row that found no worker. Test: Fleet.AFullServiceKeepsNoOtherWaiting fails without the change.

--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -6,9 +6,12 @@
 
 #include "mb_fleet_internal.h"
 
-/* Placements in a row that find no worker, after which a pass ends: the fleet
-   is full, and looking at every job would cost more than it finds. */
+/* Placements in a row that find no worker of a service, after which a pass
+   leaves its jobs out: its workers are full, and looking at every job would
+   cost more than it finds. */
 #define MISSES_MAX 24u
+/* Services that a pass tells apart; further ones count as one. */
+#define SERVICES_MAX 32u
 /* Time after which the order of the jobs is made anew, as deadlines pass, in
    microseconds. */
 #define SORT_US UINT64_C(200000)
@@ -117,14 +120,44 @@
     return 0;
 }
 
+/* Placements in a row that found no worker of a service. Filling work uses
+   what other work leaves, and finds room when that does not. */
+typedef struct misses {
+    mb_str_t service;
+    bool fills;
+    uint32_t count;
+} misses_t;
+
 /* One pass over the waiting jobs. */
 typedef struct pass {
     mb_fleet_t *fleet;
     uint64_t now_us;
-    uint32_t misses; /* in a row */
     bool idle_fleet; /* little of it is in use */
+    uint32_t service_count;
+    misses_t misses[SERVICES_MAX];
 } pass_t;
 
+/* Returns the count of misses of the work like that of a step. */
+static uint32_t *
+misses_of(pass_t *pass, const mb_fleet_run_t *run)
+{
+    mb_str_t service = run->job->spec.policy.service;
+    bool fills = run->job->steps[run->step].fills;
+    uint32_t at = 0;
+    while (at < pass->service_count &&
+           !(pass->misses[at].fills == fills &&
+             mb_str_equal(pass->misses[at].service, service))) {
+        at++;
+    }
+    if (at == SERVICES_MAX) {
+        return &pass->misses[SERVICES_MAX - 1].count;
+    }
+    if (at == pass->service_count) {
+        pass->misses[pass->service_count++] = (misses_t){service, fills, 0};
+    }
+    return &pass->misses[at].count;
+}
+
 /* Tells whether a worker has a label. */
 static bool
 has_label(const mb_fleet_worker_t *worker, mb_str_t label)
@@ -380,7 +413,7 @@
 void
 mb_fleet_move_slowed(mb_fleet_t *fleet)
 {
-    pass_t pass = {fleet, mb_clock_us(&fleet->clock), 0, false};
+    pass_t pass = {.fleet = fleet, .now_us = mb_clock_us(&fleet->clock)};
     for (guint w = 0; w < fleet->workers->len; w++) {
         mb_fleet_worker_t *worker = mb_fleet_worker_at(fleet, w);
         for (guint i = 0; i < worker->runs->len; i++) {
@@ -465,10 +498,10 @@
 {
     mb_fleet_worker_t *worker = choose_worker(pass, run, MB_STR_EMPTY);
     if (worker == NULL) {
-        pass->misses++;
+        (*misses_of(pass, run))++;
         return false;
     }
-    pass->misses = 0;
+    *misses_of(pass, run) = 0;
     run->number = next_run(pass->fleet, mb_fleet_run_task(run));
     start_run(pass, worker, run);
     return true;
@@ -575,10 +608,10 @@
         return false;
     }
     if (!find_gang_places(pass, run, places)) {
-        pass->misses++;
+        (*misses_of(pass, run))++;
         return false;
     }
-    pass->misses = 0;
+    *misses_of(pass, run) = 0;
     mb_fleet_run_t member = *run;
     member.number = next_gang_run(pass, run);
     for (member.index = 0; member.index < places->len; member.index++) {
@@ -588,6 +621,14 @@
     return true;
 }
 
+/* Starts what can be started of a step; false when something has to wait. */
+static bool
+start_step(pass_t *pass, mb_fleet_run_t *run)
+{
+    return run->job->steps[run->step].gang ? start_gang(pass, run)
+                                           : start_tasks(pass, run);
+}
+
 /* Starts what can be started of a job; notes whether something still waits
    for more than the end of a run. */
 static void
@@ -605,9 +646,8 @@
                 continue;
             }
             mb_fleet_run_t run = {.job = job, .occurrence = k, .step = s};
-            bool started = job->steps[s].gang ? start_gang(pass, &run)
-                                              : start_tasks(pass, &run);
-            all = all && started;
+            bool full = *misses_of(pass, &run) >= MISSES_MAX;
+            all = !full && start_step(pass, &run) && all;
         }
     }
     job->waits = !all;
@@ -647,10 +687,12 @@
 void
 mb_fleet_schedule(mb_fleet_t *fleet)
 {
-    pass_t pass = {fleet, mb_clock_us(&fleet->clock), 0, is_idle_fleet(fleet)};
+    pass_t pass = {.fleet = fleet,
+                   .now_us = mb_clock_us(&fleet->clock),
+                   .idle_fleet = is_idle_fleet(fleet)};
     fleet->counts.passes++;
     sort_jobs(fleet, pass.now_us);
-    for (guint i = 0; i < fleet->open->len && pass.misses < MISSES_MAX; i++) {
+    for (guint i = 0; i < fleet->open->len; i++) {
         mb_dag_job_t *job = g_ptr_array_index(fleet->open, i);
         bool blocked = job->inherited && !fleet->settled;
         if (job->outcome == MB_DAG_OPEN && job->waits && !blocked) {
--- a/tests/unit/fleet_world.h
+++ b/tests/unit/fleet_world.h
@@ -56,6 +56,7 @@
     };
     FleetWorld *world;
     std::string name;
+    std::string service = "service";
     uint64_t born_ms = 1;
     bool up = true;
     bool hangs = false; /* what it runs stands still */
@@ -149,7 +150,9 @@
 cpu_of(FleetWorld *world, const mb_dag_task_id_t &task)
 {
     mb_dag_job_t *job = mb_dag_find(&world->table, task.job);
-    return job == nullptr ? 0 : job->steps[task.step].size.cpu_milli;
+    return job == nullptr || job->steps[task.step].fills
+               ? 0
+               : job->steps[task.step].size.cpu_milli;
 }
 
 inline void
@@ -683,7 +686,7 @@
             info.name = {worker.name.data(), worker.name.size()};
             info.incarnation = worker.born_ms;
             info.born_ms = worker.born_ms;
-            info.service = MB_STR_LIT("service");
+            info.service = {worker.service.data(), worker.service.size()};
             info.capacity = {capacity_milli, 100000, 0};
             mb_agent_heartbeat(&machine->agent, &info, ++machine->beats);
         }
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -378,6 +378,42 @@
     EXPECT_EQ(world.machines[0]->worker.runs.size(), 6u);
 }
 
+/* Guards against a service, and against filling work, whose jobs are not
+   looked at because many other jobs wait for workers that are full. */
+TEST(Fleet, AFullServiceKeepsNoOtherWaiting)
+{
+    FleetWorld world(2);
+    std::vector<mb_dag_step_t> steps(102);
+    world.task_ms = 60000;
+    world.machines[1]->worker.service = "other";
+    world.take_over();
+    world.pass(2500);
+    for (int i = 0; i < 101; i++) {
+        char id[MB_DAG_ID_LEN + 1];
+        (void)snprintf(id, sizeof(id), "%016x", i + 1);
+        mb_dag_spec_t spec = one_step(&steps[(size_t)i], id, 1, 4000);
+        spec.submitted_ms = world.now_us / 1000;
+        world.submit(spec);
+    }
+    world.pass(500);
+    EXPECT_EQ(world.running(), 1u);
+    mb_dag_spec_t spec = one_step(&steps[101], "ffffffffffffffff", 1, 4000);
+    spec.policy.service = MB_STR_LIT("other");
+    spec.submitted_ms = world.now_us / 1000;
+    steps[101].estimate_ms = 100000;
+    world.submit(spec);
+    world.pass(500);
+    EXPECT_EQ(world.machines[1]->worker.runs.size(), 1u);
+    mb_dag_step_t batch;
+    mb_dag_spec_t fills = filling(&batch, "eeeeeeeeeeeeeeee", 1, "batch");
+    batch.size.cpu_milli = 200;
+    fills.policy.priority = 2;
+    fills.submitted_ms = world.now_us / 1000;
+    world.submit(fills);
+    world.pass(500);
+    EXPECT_EQ(world.machines[0]->worker.runs.size(), 2u);
+}
+
 /* Guards against a full fleet that is shared out among all filling jobs,
    against services that this disturbs, and against a job that never runs. */
 TEST(Fleet, LeavesFillingWorkWaitingBesideAServiceAtItsTarget)
