Write the log to standard output from a thread with a bounded buffer

Change: mb_log_writer collects lines for 10 ms, drops what does not fit into 128 KiB, leaves out what exceeds 1,000 lines a second of one event below the severity notice, and counts both in a line. Rejected submissions and failed runs are notices now, so that their ids are never limited. Lines before the start and invariants still go to standard error. The tests of whole processes read both in one file; the dump on SIGUSR1 is a line of its own there. Tests: test_log_writer (order, a stalled reader, limits); system_test_daemon and system_test_jobs run.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -42,7 +42,7 @@
 start() {
   local log=$1
   shift
-  "$@" > "$dir/$log.out" 2> "$dir/$log.log" &
+  "$@" > "$dir/$log.log" 2>&1 &
   started=$!
   pids+=("$started")
 }
--- a/lib/base/mb_log.c
+++ b/lib/base/mb_log.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "mb_assert.h"
+#include "mb_cleanup.h"
 
 /* Longest log line in bytes; the rest is cut. */
 #define MB_LOG_LINE_MAX 1024
@@ -26,27 +27,39 @@
     [MB_SEVERITY_DEBUG] = {7, "debug"},
 };
 
-/* Writes a whole line with one call, so that lines of several threads do
-   not mix. */
-static void
-write_stderr(void *context, mb_severity_t severity, mb_str_t line)
+/* Appends one line to a buffer; see the header. */
+void
+mb_log_append_line(mb_buf_t *out, mb_severity_t severity, const char *format,
+                   ...)
 {
-    char out[MB_LOG_LINE_MAX + 128];
+    char line[MB_LOG_LINE_MAX];
     char when[32];
     struct timespec now;
     struct tm parts;
-    (void)context;
+    va_list args;
+    va_start(args, format);
+    int len = vsnprintf(line, sizeof(line), format, args);
+    va_end(args);
+    if (len < 0) {
+        return;
+    }
     (void)clock_gettime(CLOCK_REALTIME, &now);
     (void)gmtime_r(&now.tv_sec, &parts);
     (void)strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &parts);
-    int len =
-        snprintf(out, sizeof(out), "<%d>%s.%03ldZ magnoliabarrow[%d]: %.*s\n",
-                 MB_LOG_FACILITY_DAEMON | severities[severity].number, when,
-                 now.tv_nsec / 1000000, (int)getpid(), MB_STR_ARG(line));
-    if (len > 0) {
-        size_t size = (size_t)len < sizeof(out) ? (size_t)len : sizeof(out);
-        (void)!write(STDERR_FILENO, out, size);
-    }
+    mb_buf_printf(out, "<%d>%s.%03ldZ magnoliabarrow[%d]: %s\n",
+                  MB_LOG_FACILITY_DAEMON | severities[severity].number, when,
+                  now.tv_nsec / 1000000, (int)getpid(), line);
+}
+
+/* Writes a whole line with one call, so that lines of several threads do
+   not mix. */
+static void
+write_stderr(void *context, mb_severity_t severity, mb_str_t line)
+{
+    MB_AUTO_BUF mb_buf_t out = {0};
+    (void)context;
+    mb_log_append_line(&out, severity, "%.*s", MB_STR_ARG(line));
+    (void)!write(STDERR_FILENO, out.data, out.len);
 }
 
 /* Drops the line. */
--- a/lib/base/mb_log.h
+++ b/lib/base/mb_log.h
@@ -26,6 +26,10 @@
 mb_log_t mb_log_stderr(const char *component, mb_severity_t most_verbose);
 mb_log_t mb_log_null(void);
 mb_log_t mb_log_for(const mb_log_t *parent, const char *component);
+/* Appends a line as it is written: priority, time, process, text. */
+void mb_log_append_line(mb_buf_t *out, mb_severity_t severity,
+                        const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
 bool mb_severity_from_name(mb_str_t name, mb_severity_t *severity);
 
 /* Writes one line: the message, then key=value pairs as part of the format.
--- /dev/null
+++ b/lib/base/mb_log_writer.c
@@ -0,0 +1,166 @@
+#include "mb_log_writer.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+/* Time in which lines are collected for one write, in nanoseconds. */
+#define COLLECT_NS 10000000L
+/* Time for which the end of the thread is waited for, in nanoseconds. */
+#define FINISH_NS 500000000L
+#define NS_PER_S 1000000000L
+/* First memory for the lines that wait, in bytes. */
+#define LINES_BYTES 4096u
+
+/* Writes all of a buffer; a reader that is gone ends it. */
+static void
+write_all(int fd, mb_str_t bytes)
+{
+    while (bytes.len > 0) {
+        ssize_t written = write(fd, bytes.data, bytes.len);
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written <= 0) {
+            return;
+        }
+        bytes.data += written;
+        bytes.len -= (size_t)written;
+    }
+}
+
+/* Appends the number of lines that are missing. Called with the mutex held. */
+static void
+note_missing(mb_log_writer_t *writer)
+{
+    if (writer->dropped + writer->limited == 0) {
+        return;
+    }
+    mb_log_append_line(&writer->lines, MB_SEVERITY_WARNING,
+                       "warning log: lines left out dropped=%" G_GUINT64_FORMAT
+                       " limited=%" G_GUINT64_FORMAT,
+                       writer->dropped, writer->limited);
+    writer->dropped = 0;
+    writer->limited = 0;
+}
+
+/* Waits for lines and writes them, until the writer is stopped. */
+static void *
+run(void *context)
+{
+    mb_log_writer_t *writer = context;
+    struct timespec collect = {0, COLLECT_NS};
+    mb_buf_t lines = {0};
+    bool stopping = false;
+    while (!stopping) {
+        (void)pthread_mutex_lock(&writer->mutex);
+        while (writer->lines.len == 0 && !writer->stopping) {
+            (void)pthread_cond_wait(&writer->waiting, &writer->mutex);
+        }
+        stopping = writer->stopping;
+        (void)pthread_mutex_unlock(&writer->mutex);
+        if (!stopping) {
+            (void)nanosleep(&collect, NULL);
+        }
+        (void)pthread_mutex_lock(&writer->mutex);
+        note_missing(writer);
+        mb_buf_t taken = writer->lines;
+        writer->lines = lines;
+        (void)pthread_mutex_unlock(&writer->mutex);
+        write_all(writer->fd, mb_buf_view(&taken));
+        mb_buf_clear(&taken);
+        lines = taken;
+    }
+    mb_buf_finish(&lines);
+    return NULL;
+}
+
+/* Starts the writer; see the header. */
+bool
+mb_log_writer_init(mb_log_writer_t *writer, int fd, GError **error)
+{
+    memset(writer, 0, sizeof(*writer));
+    writer->fd = fd;
+    (void)pthread_mutex_init(&writer->mutex, NULL);
+    (void)pthread_cond_init(&writer->waiting, NULL);
+    mb_buf_reserve(&writer->lines, LINES_BYTES);
+    int failed = pthread_create(&writer->thread, NULL, run, writer);
+    if (failed != 0) {
+        mb_error_set(error, MB_KIND_INTERNAL, "no thread for the log: %s",
+                     g_strerror(failed));
+        mb_buf_finish(&writer->lines);
+        return false;
+    }
+    return true;
+}
+
+/* Stops the writer; see the header. */
+void
+mb_log_writer_finish(mb_log_writer_t *writer)
+{
+    struct timespec until;
+    (void)pthread_mutex_lock(&writer->mutex);
+    writer->stopping = true;
+    (void)pthread_cond_signal(&writer->waiting);
+    (void)pthread_mutex_unlock(&writer->mutex);
+    (void)clock_gettime(CLOCK_REALTIME, &until);
+    until.tv_nsec += FINISH_NS;
+    until.tv_sec += until.tv_nsec / NS_PER_S;
+    until.tv_nsec %= NS_PER_S;
+    if (pthread_timedjoin_np(writer->thread, NULL, &until) == 0) {
+        (void)pthread_mutex_destroy(&writer->mutex);
+        (void)pthread_cond_destroy(&writer->waiting);
+        mb_buf_finish(&writer->lines);
+    }
+}
+
+/* Returns the hash of a line's event: its text before the first key. */
+static uint64_t
+event_of(mb_str_t line)
+{
+    size_t end = 0;
+    for (size_t i = 0; i < line.len && line.data[i] != '='; i++) {
+        if (line.data[i] == ' ') {
+            end = i;
+        }
+    }
+    return mb_str_hash((mb_str_t){line.data, end == 0 ? line.len : end});
+}
+
+/* Tells whether an event has used up its lines of this second. Called with the
+   mutex held. */
+static bool
+is_limited(mb_log_writer_t *writer, mb_str_t line)
+{
+    uint64_t event = event_of(line);
+    uint64_t second = (uint64_t)(g_get_monotonic_time() / G_USEC_PER_SEC);
+    mb_log_event_t *entry = &writer->events[event % MB_LOG_WRITER_EVENTS];
+    if (entry->event != event || entry->second != second) {
+        *entry = (mb_log_event_t){event, second, 0};
+    }
+    return ++entry->count > MB_LOG_WRITER_EVENT_MAX;
+}
+
+/* Takes one line; see the header. */
+void
+mb_log_writer_write(mb_log_writer_t *writer, mb_severity_t severity,
+                    mb_str_t line)
+{
+    (void)pthread_mutex_lock(&writer->mutex);
+    bool idle = writer->lines.len == 0;
+    if (severity > MB_SEVERITY_NOTICE && is_limited(writer, line)) {
+        writer->limited++;
+    }
+    else if (writer->lines.len + line.len > MB_LOG_WRITER_BYTES_MAX) {
+        writer->dropped++;
+    }
+    else {
+        mb_log_append_line(&writer->lines, severity, "%.*s", MB_STR_ARG(line));
+    }
+    if (idle) {
+        (void)pthread_cond_signal(&writer->waiting);
+    }
+    (void)pthread_mutex_unlock(&writer->mutex);
+}
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -78,13 +78,13 @@
     }
     task->failed_on = worker->number + 1;
     task->not_before_us = now_us + MB_FLEET_RETRY_MS * MB_US_PER_MS;
-    mb_log_info(&fleet->log,
-                "run failed job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
-                " worker=%.*s failures=%u of=%u",
-                MB_STR_ARG(mb_dag_id_view(&job->spec.id)), run->occurrence,
-                run->step, run->index, run->number,
-                MB_STR_ARG(mb_buf_view(&worker->name)), counter->failures + 1u,
-                job->spec.policy.max_attempts);
+    mb_log_notice(&fleet->log,
+                  "run failed job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
+                  " worker=%.*s failures=%u of=%u",
+                  MB_STR_ARG(mb_dag_id_view(&job->spec.id)), run->occurrence,
+                  run->step, run->index, run->number,
+                  MB_STR_ARG(mb_buf_view(&worker->name)),
+                  counter->failures + 1u, job->spec.policy.max_attempts);
     /* A failure that the former owner has stored may be listed again. */
     if (job->steps[run->step].long_running || task->done ||
         !mb_dag_add_failure(counter, run->number)) {
--- a/lib/magnoliabarrow.h
+++ b/lib/magnoliabarrow.h
@@ -17,7 +17,7 @@
 #include "mb_counter.h"
 #include "mb_epoch.h"
 #include "mb_error.h"
-#include "mb_log.h"
+#include "mb_log_writer.h"
 #include "mb_settings.h"
 
 #define MB_VERSION "0.1.0"
@@ -53,6 +53,8 @@
     void *node;            /* NULL unless started */
     uint64_t most_verbose; /* severity, read by every thread that logs */
     bool verbosity_fixed;
+    mb_log_writer_t log_writer; /* while `writes_log` is not 0 */
+    uint64_t writes_log;
 };
 
 bool mb_daemon_init(mb_daemon_t *daemon, const char *path, GError **error);
@@ -62,7 +64,8 @@
 void mb_daemon_set_verbosity(mb_daemon_t *daemon, mb_severity_t severity);
 
 /* Starts, handles signals until SIGTERM or SIGINT, and drains. SIGHUP reloads
-   the settings, SIGUSR1 dumps the state to standard output. */
+   the settings, SIGUSR1 dumps the state to standard output, to which the log
+   goes as well. */
 bool mb_daemon_run(mb_daemon_t *daemon, GError **error);
 
 /* The steps of mb_daemon_run, for a caller with a loop of its own. */
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -86,7 +86,9 @@
     if (request->exchange == NULL) {
         return;
     }
-    mb_log_info(&node->log,
+    mb_severity_t severity =
+        status < 400 ? MB_SEVERITY_INFO : MB_SEVERITY_NOTICE;
+    mb_log_line(&node->log, severity,
                 "%s answered job=%.*s queue=%.*s status=%u reason=%s "
                 "age_ms=%" G_GUINT64_FORMAT,
                 request->kind == REQUEST_SUBMIT ? "submission"
--- a/programs/magnoliabarrowd/daemon.c
+++ b/programs/magnoliabarrowd/daemon.c
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "magnoliabarrow.h"
 #include "mb_atomic.h"
@@ -10,16 +11,22 @@
 #include "options.h"
 #include "roles.h"
 
-/* Passes on the lines within the severity in force. The nodes copy their log
-   when they start, so a reload reaches them only through this context. */
+/* Passes on the lines within the severity in force: to standard output while
+   the daemon runs, to standard error before and after. The nodes copy their
+   log when they start, so a reload reaches them only through this context. */
 static void
 write_line(void *context, mb_severity_t severity, mb_str_t line)
 {
-    const mb_daemon_t *daemon = context;
-    if (severity <= mb_atomic_load(&daemon->most_verbose)) {
-        mb_log_t log = mb_log_stderr(daemon->log.component, severity);
-        log.write(log.context, severity, line);
+    mb_daemon_t *daemon = context;
+    if (severity > mb_atomic_load(&daemon->most_verbose)) {
+        return;
+    }
+    if (mb_atomic_load(&daemon->writes_log) != 0) {
+        mb_log_writer_write(&daemon->log_writer, severity, line);
+        return;
     }
+    mb_log_t log = mb_log_stderr(daemon->log.component, severity);
+    log.write(log.context, severity, line);
 }
 
 /* Takes the severity of log_level, unless the command line fixed one. */
@@ -74,6 +81,14 @@
     return true;
 }
 
+/* Writes the rest of the log; later lines go to standard error. */
+static void
+stop_log(mb_daemon_t *daemon)
+{
+    mb_atomic_store(&daemon->writes_log, 0);
+    mb_log_writer_finish(&daemon->log_writer);
+}
+
 /* Ends a daemon that is drained or was never started, and frees it. */
 void
 mb_daemon_finish(mb_daemon_t *daemon)
@@ -82,6 +97,9 @@
         daemon->role->finish(daemon->node);
         daemon->node = NULL;
     }
+    if (mb_atomic_load(&daemon->writes_log) != 0) {
+        stop_log(daemon);
+    }
     mb_epoch_finish(&daemon->epoch);
     mb_counters_finish(&daemon->counters);
     mb_settings_finish(&daemon->settings);
@@ -212,6 +230,10 @@
 {
     sigset_t signals = block_signals();
     int received = 0;
+    if (!mb_log_writer_init(&daemon->log_writer, STDOUT_FILENO, error)) {
+        return false;
+    }
+    mb_atomic_store(&daemon->writes_log, 1);
     if (!mb_daemon_start(daemon, error)) {
         return false;
     }
--- a/tests/system/common.sh
+++ b/tests/system/common.sh
@@ -37,11 +37,11 @@
 }
 
 # Starts a program: start NAME PROGRAM ARGS... Its process id is then in
-# $started, its standard error in $dir/NAME.log.
+# $started, its output in $dir/NAME.log.
 start() {
   local name=$1 program=$2
   shift 2
-  "$bin/$program" "$@" 2>> "$dir/$name.log" &
+  "$bin/$program" "$@" >> "$dir/$name.log" 2>&1 &
   started=$!
   pids+=("$started")
 }
--- a/tests/system/test_config.sh
+++ b/tests/system/test_config.sh
@@ -179,7 +179,7 @@
 kill -TERM "$entry1" "$sidecar"
 wait "$entry1" || fail "entry-1 exit code $?"
 wait "$sidecar" || fail "sidecar exit code $?"
-start entry1 magnoliabarrowd -c "$dir/entry-1.ini" > "$dir/entry1.out"
+start entry1 magnoliabarrowd -c "$dir/entry-1.ini"
 entry1=$started
 wait_for_url "http://$api1/healthz"
 kill -TERM "$entry2"
@@ -194,7 +194,7 @@
 
 kill -USR1 "$entry1"
 sleep 0.3
-grep -q '"members":{' "$dir/entry1.out" || fail "no dump on SIGUSR1"
+grep -q '^{.*"members":{' "$dir/entry1.log" || fail "no dump on SIGUSR1"
 timeout 1 "$bin/magnoliabarrow" -s "$api1" watch team > "$dir/watch.out" || true
 grep -q '"name":"red"' "$dir/watch.out" || fail "watch from the start"
 cli "$api1" dump > "$dir/out" || fail "dump exit code $?"
--- a/tests/system/test_daemon.sh
+++ b/tests/system/test_daemon.sh
@@ -42,7 +42,7 @@
 grep -qF '[sidecar] entries' "$dir/err" || fail "the refusal does not name the key"
 pass "a bad command line ends with 2, bad settings with 78"
 
-start entry magnoliabarrowd -c "$dir/entry.ini" > "$dir/dump.json"
+start entry magnoliabarrowd -c "$dir/entry.ini"
 entry=$started
 log=$dir/entry.log
 wait_for_line "$log" "entry serves clients"
@@ -56,7 +56,8 @@
 pass "SIGHUP applies what it can, names what needs a restart, refuses a bad file whole"
 
 kill -USR1 "$entry"
-wait_for_line "$dir/dump.json" '"role":"entry"'
+wait_for_line "$log" '"role":"entry"'
+grep '^{' "$log" > "$dir/dump.json" || fail "the dump is not a line of its own"
 grep -qF "\"client_address\":\"$(address 81)\"" "$dir/dump.json" || fail "the dump has a value not in force"
 grep -qF '"log_level":"error"' "$dir/dump.json" || fail "the dump lacks the value in force"
 pass "SIGUSR1 writes one line of JSON with the values in force"
--- /dev/null
+++ b/tests/unit/test_log_writer.cc
@@ -0,0 +1,124 @@
+/* Tests of the log that never waits for its reader. */
+#include <chrono>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <string>
+#include <thread>
+#include <unistd.h>
+
+extern "C" {
+#include "mb_log_writer.h"
+}
+
+struct Pipe {
+    int ends[2];
+    Pipe()
+    {
+        EXPECT_EQ(pipe(ends), 0);
+    }
+    ~Pipe()
+    {
+        (void)close(ends[0]);
+        (void)close(ends[1]);
+    }
+    /* Returns everything that was written. */
+    std::string read_all()
+    {
+        std::string text;
+        char bytes[65536];
+        (void)fcntl(ends[0], F_SETFL, O_NONBLOCK);
+        ssize_t got;
+        while ((got = read(ends[0], bytes, sizeof(bytes))) > 0) {
+            text.append(bytes, (size_t)got);
+        }
+        return text;
+    }
+};
+
+static size_t
+count_of(const std::string &text, const std::string &part)
+{
+    size_t count = 0;
+    for (size_t at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + 1)) {
+        count++;
+    }
+    return count;
+}
+
+/* Guards against lines that are lost, mixed or out of order. */
+TEST(LogWriter, WritesEveryLineInOrder)
+{
+    Pipe pipe;
+    mb_log_writer_t writer;
+    ASSERT_TRUE(mb_log_writer_init(&writer, pipe.ends[1], nullptr));
+    for (int i = 0; i < 100; i++) {
+        std::string line = "notice test: event number=" + std::to_string(i);
+        mb_log_writer_write(&writer, MB_SEVERITY_NOTICE,
+                            {line.data(), line.size()});
+    }
+    mb_log_writer_finish(&writer);
+    std::string text = pipe.read_all();
+    EXPECT_EQ(count_of(text, "\n"), 100u);
+    EXPECT_LT(text.find("number=42\n"), text.find("number=43\n"));
+}
+
+/* Guards against a process that stands still because nobody reads its log, and
+   against lines that are missing without a word. */
+TEST(LogWriter, AStalledReaderDelaysNobody)
+{
+    Pipe pipe;
+    mb_log_writer_t writer;
+    std::string line(200, 'x');
+    ASSERT_TRUE(mb_log_writer_init(&writer, pipe.ends[1], nullptr));
+    auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < 5000; i++) {
+        mb_log_writer_write(&writer, MB_SEVERITY_NOTICE,
+                            {line.data(), line.size()});
+    }
+    auto passed = std::chrono::steady_clock::now() - begin;
+    EXPECT_LT(passed, std::chrono::seconds(2));
+    std::string text;
+    for (int i = 0; i < 200 && count_of(text, "dropped=") == 0; i++) {
+        text += pipe.read_all();
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_EQ(count_of(text, "lines left out dropped="), 1u);
+    mb_log_writer_finish(&writer);
+}
+
+/* Guards against a log whose volume grows with the load without a bound, and
+   against failures that are left out with the rest. */
+TEST(LogWriter, LimitsRepeatedEventsButNoFailures)
+{
+    Pipe pipe;
+    mb_log_writer_t writer;
+    std::string text;
+    ASSERT_TRUE(mb_log_writer_init(&writer, pipe.ends[1], nullptr));
+    std::thread reader([&] {
+        while (count_of(text, "end=here") == 0) {
+            text += pipe.read_all();
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+    });
+    for (unsigned i = 0; i < 3 * MB_LOG_WRITER_EVENT_MAX; i++) {
+        std::string often = "info test: often id=" + std::to_string(i);
+        mb_log_writer_write(&writer, MB_SEVERITY_INFO,
+                            {often.data(), often.size()});
+        if (i % 100 == 0) {
+            std::string failed = "notice test: failed id=x";
+            mb_log_writer_write(&writer, MB_SEVERITY_NOTICE,
+                                {failed.data(), failed.size()});
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        }
+    }
+    mb_log_writer_write(&writer, MB_SEVERITY_NOTICE,
+                        mb_str_from_cstr("notice test: the end=here"));
+    mb_log_writer_finish(&writer);
+    reader.join();
+    EXPECT_EQ(count_of(text, "test: failed id="),
+              3u * MB_LOG_WRITER_EVENT_MAX / 100);
+    EXPECT_GE(count_of(text, "test: often id="), MB_LOG_WRITER_EVENT_MAX);
+    EXPECT_LE(count_of(text, "test: often id="), 2u * MB_LOG_WRITER_EVENT_MAX);
+    EXPECT_GE(count_of(text, "limited="), 1u);
+}
