Split the fleet's schedule into order, cost and pass

The pass hands a view (fleet, time, whether it is idle) to the cost. Calls go one way, as mb_fleet_internal.h says. No decision changes: test_fleet passes as before.

--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -1,8 +1,9 @@
 /* Parts of the fleet's owner that its files share. Calls go one way:
    mb_fleet.c (ownership, time) uses mb_fleet_report.c (what agents say) and
-   mb_fleet_schedule.c (what to start), which use mb_fleet_contention.c (what
-   filling work does to services); all use mb_fleet_state.c, which uses
-   mb_fleet_estimate.c (what to expect). */
+   mb_fleet_schedule.c (what to start, in the order of mb_fleet_order.c and at
+   the costs of mb_fleet_cost.c); these use mb_fleet_contention.c (what filling
+   work does to services), mb_fleet_estimate.c (what to expect) and
+   mb_fleet_state.c. */
 #ifndef MB_FLEET_INTERNAL_H
 #define MB_FLEET_INTERNAL_H
 
@@ -36,6 +37,25 @@
 void mb_fleet_lose_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                         const char *why);
 
+/* One look at the fleet, which the placements of a pass share. */
+typedef struct mb_fleet_view {
+    mb_fleet_t *fleet;
+    uint64_t now_us;
+    bool idle; /* little of it is in use */
+} mb_fleet_view_t;
+
+/* mb_fleet_cost.c. The cost is UINT64_MAX where a run may not go; a run is
+   placed below its bound. */
+mb_fleet_view_t mb_fleet_view(mb_fleet_t *fleet);
+uint64_t mb_fleet_cost(const mb_fleet_view_t *view,
+                       const mb_fleet_worker_t *worker,
+                       const mb_fleet_run_t *run);
+uint64_t mb_fleet_cost_bound(const mb_fleet_view_t *view,
+                             const mb_fleet_run_t *run);
+
+/* mb_fleet_order.c */
+void mb_fleet_sort_jobs(mb_fleet_t *fleet, uint64_t now_us);
+
 /* mb_fleet_schedule.c */
 void mb_fleet_schedule(mb_fleet_t *fleet);
 void mb_fleet_move_slowed(mb_fleet_t *fleet);
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -151,8 +151,8 @@
     uint64_t idle_us; /* since when there are none */
     uint64_t arrived_us;
     uint64_t objective_us; /* time within which it should be completed */
-    uint64_t left_work;
-    uint64_t left_us; /* least time until it can be completed */
+    uint64_t left_work;    /* milliseconds of a thousandth of a processor */
+    uint64_t left_us;      /* least time until it can be completed */
 } mb_dag_job_t;
 
 /* One row of stored progress. */
