Place services of one image together

Cause: with the pairs known, filling work still finds few workers where it disturbs nobody, because services of up to five images stand on one worker. Change: a service costs 0.15 of a worker's load beside each service of another image. Test: Fleet.PlacesServicesOfOneImageTogether fails without the change.

--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -19,6 +19,9 @@
    work could use alone. */
 #define COST_FIRST_SERVICE 1500u
 #define COST_TAKES_FILLING_ROOM 500u
+/* A service beside each one of another image: the fewer kinds a worker has,
+   the more filling work disturbs none of them. */
+#define COST_OTHER_SERVICE 150u
 /* Filling work on a worker without services, which work that disturbs services
    needs. */
 #define COST_TAKES_FREE_WORKER 1000u
@@ -188,6 +191,21 @@
     return (uint64_t)(COST_SHARE / MAX(headroom, HEADROOM_MIN));
 }
 
+/* Counts the services on a worker that are of another image than a step. */
+static uint32_t
+other_services(const mb_fleet_worker_t *worker, const mb_dag_step_t *step)
+{
+    uint64_t kind = mb_str_hash(step->image);
+    uint32_t count = 0;
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const mb_fleet_run_t *run =
+            &g_array_index(worker->runs, mb_fleet_run_t, i);
+        count += run->job->steps[run->step].latency_target_ms > 0 &&
+                 run->kind != kind;
+    }
+    return count;
+}
+
 /* Returns what a task costs beside what else the worker runs. Services and
    filling work are kept on different workers as far as the fleet allows. */
 static uint64_t
@@ -201,7 +219,9 @@
                              cost_for_services(view, worker, step);
     }
     if (serves) {
-        return 0;
+        return step->latency_target_ms > 0 ? other_services(worker, step) *
+                                                 (uint64_t)COST_OTHER_SERVICE
+                                           : 0;
     }
     return step->latency_target_ms > 0 ? COST_FIRST_SERVICE
                                        : COST_TAKES_FILLING_ROOM;
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -414,6 +414,32 @@
     EXPECT_EQ(world.machines[0]->worker.runs.size(), 2u);
 }
 
+/* Guards against services of many images on each worker, where any filling
+   work disturbs one of them. */
+TEST(Fleet, PlacesServicesOfOneImageTogether)
+{
+    FleetWorld world(2);
+    mb_dag_step_t steps[3];
+    world.task_ms = 60000;
+    world.take_over();
+    world.pass(2500);
+    mb_dag_spec_t first = service(&steps[0], "aaaaaaaaaaaaaaaa", 3500);
+    world.submit(first);
+    world.pass(200);
+    mb_dag_spec_t other = service(&steps[1], "bbbbbbbbbbbbbbbb", 3200);
+    steps[1].image = MB_STR_LIT("search");
+    world.submit(other);
+    world.pass(200);
+    world.submit(service(&steps[2], "cccccccccccccccc", 300));
+    world.pass(200);
+    for (auto &machine : world.machines) {
+        const auto &runs = machine->worker.runs;
+        ASSERT_FALSE(runs.empty());
+        bool has_first = runs[0].task.job.text[0] == 'a';
+        EXPECT_EQ(runs.size(), has_first ? 2u : 1u);
+    }
+}
+
 /* Guards against a full fleet that is shared out among all filling jobs,
    against services that this disturbs, and against a job that never runs. */
 TEST(Fleet, LeavesFillingWorkWaitingBesideAServiceAtItsTarget)
