--- a/lib/coordination/mb_agent_pace.c
+++ b/lib/coordination/mb_agent_pace.c
@@ -73,7 +73,8 @@
         now_us - agent->completed_us >= TELL_GAP_MS * MB_US_PER_MS) {
         agent->complete_due = true;
     }
-    if (mb_pacing_observe(&agent->pacing, latency, filling, now_us)) {
+    bool held = mb_pacing_observe(&agent->pacing, latency, filling, now_us);
+    if (held && worst != NULL) {
         mb_log_info(&agent->log,
                     "latency target missed, filling work held job=%.*s "
                     "task=%u.%u.%u value_ms=%u target_ms=%u",
