Write whole lines of the log at a time

The writer wrote all that it had collected at once; above 4 KiB a pipe also mixes what several processes write. Change: a write holds whole lines, at most PIPE_BUF bytes. No decision changes.

--- a/lib/base/mb_log_writer.c
+++ b/lib/base/mb_log_writer.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <glib.h>
+#include <limits.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
@@ -14,12 +15,24 @@
 /* First memory for the lines that wait, in bytes. */
 #define LINES_BYTES 4096u
 
+/* Returns how many bytes to write at once: whole lines, as many as a pipe
+   takes without mixing them with those of another process. */
+static size_t
+whole_lines(mb_str_t bytes)
+{
+    size_t len = MIN(bytes.len, (size_t)PIPE_BUF);
+    while (len > 0 && bytes.data[len - 1] != '\n') {
+        len--;
+    }
+    return len > 0 ? len : bytes.len;
+}
+
 /* Writes all of a buffer; a reader that is gone ends it. */
 static void
 write_all(int fd, mb_str_t bytes)
 {
     while (bytes.len > 0) {
-        ssize_t written = write(fd, bytes.data, bytes.len);
+        ssize_t written = write(fd, bytes.data, whole_lines(bytes));
         if (written < 0 && errno == EINTR) {
             continue;
         }
--- a/tests/unit/test_log_writer.cc
+++ b/tests/unit/test_log_writer.cc
@@ -2,7 +2,9 @@
 #include <chrono>
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <limits.h>
 #include <string>
+#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -63,6 +65,35 @@
     EXPECT_LT(text.find("number=42\n"), text.find("number=43\n"));
 }
 
+/* Guards against lines that are cut where a reader takes what comes with one
+   write, or mixed with those of another process on the same pipe. */
+TEST(LogWriter, EachWriteHoldsWholeLines)
+{
+    int ends[2];
+    mb_log_writer_t writer;
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_SEQPACKET, 0, ends), 0);
+    ASSERT_TRUE(mb_log_writer_init(&writer, ends[1], nullptr));
+    std::string line(300, 'x');
+    for (int i = 0; i < 100; i++) {
+        mb_log_writer_write(&writer, MB_SEVERITY_NOTICE,
+                            {line.data(), line.size()});
+    }
+    mb_log_writer_finish(&writer);
+    (void)close(ends[1]);
+    char bytes[65536];
+    ssize_t got;
+    size_t lines = 0;
+    while ((got = read(ends[0], bytes, sizeof(bytes))) > 0) {
+        std::string text(bytes, (size_t)got);
+        EXPECT_LE(text.size(), (size_t)PIPE_BUF);
+        EXPECT_EQ(text.front(), '<');
+        EXPECT_EQ(text.back(), '\n');
+        lines += count_of(text, "\n");
+    }
+    EXPECT_EQ(lines, 100u);
+    (void)close(ends[0]);
+}
+
 /* Guards against a process that stands still because nobody reads its log, and
    against lines that are missing without a word. */
 TEST(LogWriter, AStalledReaderDelaysNobody)
