Move the reading of configurations and the resolving of requests to coordination

The decision which queue a request belongs to, and the publication of the configurations that are read, stood in the transport layer, between HTTP calls and callbacks. A test could drive neither without sockets.

mb_config_reader joins follower, decoder and table; mb_job_request tells what a request refers to by a version of the configuration.

--- /dev/null
+++ b/lib/coordination/mb_job_request.c
@@ -0,0 +1,44 @@
+#include "mb_job_request.h"
+
+/* Sets the kind of a request and the id of its job from the method and from
+   `rest`, the path after the prefix of the queue. Returns false if there is no
+   such resource or method. */
+static bool
+set_kind(mb_job_request_target_t *target, mb_str_t method, mb_str_t rest)
+{
+    bool is_get = mb_str_equal(method, MB_STR_LIT("GET"));
+    if (rest.len == 0) {
+        target->kind = MB_JOB_REQUEST_PENDING;
+        return is_get;
+    }
+    if (!mb_dag_id_parse(rest, &target->id)) {
+        return false;
+    }
+    if (mb_str_equal(method, MB_STR_LIT("POST"))) {
+        target->kind = MB_JOB_REQUEST_SUBMIT;
+        return true;
+    }
+    target->kind = is_get ? MB_JOB_REQUEST_STATUS : MB_JOB_REQUEST_CANCEL;
+    return is_get || mb_str_equal(method, MB_STR_LIT("DELETE"));
+}
+
+/* Resolves a request by `version`, the configuration in force, NULL if there
+   is none yet. Sets *target if the result is MB_JOB_REQUEST_OK. Called inside
+   the read section in which `version` was loaded. */
+mb_job_request_result_t
+mb_job_request_resolve(const mb_queue_version_t *version, mb_str_t method,
+                       mb_str_t host, mb_str_t path,
+                       mb_job_request_target_t *target)
+{
+    if (version == NULL) {
+        return MB_JOB_REQUEST_NO_CONFIGURATION;
+    }
+    target->queue = mb_queue_match(version, host, path);
+    if (target->queue == NULL) {
+        return MB_JOB_REQUEST_UNKNOWN_QUEUE;
+    }
+    mb_str_t rest = {path.data + target->queue->prefix.len,
+                     path.len - target->queue->prefix.len};
+    return set_kind(target, method, rest) ? MB_JOB_REQUEST_OK
+                                          : MB_JOB_REQUEST_UNKNOWN_RESOURCE;
+}
--- a/lib/transport/mb_job_codec.h
+++ b/lib/transport/mb_job_codec.h
@@ -5,9 +5,9 @@
 #ifndef MB_JOB_CODEC_H
 #define MB_JOB_CODEC_H
 
+#include "mb_config_reader.h"
 #include "mb_dag.h"
 #include "mb_error.h"
-#include "mb_queue_table.h"
 
 /* The status of a job that is shown to clients. */
 typedef enum mb_client_job_status {
@@ -35,14 +35,7 @@
     /* Name of the header with the time that a client waits, in
        milliseconds. */
     mb_str_t deadline_header;
-    /* Decodes a configuration record and passes the configuration to
-       `take`; it is valid during that call, as are its views. Returns false,
-       with the error set, for a record that can't be read; false without an
-       error for a record of another kind. */
-    bool (*read_config)(void *context, mb_str_t key, mb_str_t value,
-                        void (*take)(void *take_context,
-                                     const mb_queue_version_t *version),
-                        void *take_context, GError **error);
+    mb_config_decoder_t config_decoder;
     void *context;
 } mb_job_codec_t;
 
--- a/lib/transport/mb_scheduler_apply.c
+++ b/lib/transport/mb_scheduler_apply.c
@@ -1,5 +1,5 @@
-/* Applies the records of the job log and of the configuration log, on the
-   thread of the loop. Records may be applied more than once. */
+/* Applies the records of the job log, on the thread of the loop. Records may
+   be applied more than once. */
 #include "mb_scheduler_internal.h"
 
 /* Applies the record of a job: adds it to the table, unless it is there
@@ -177,46 +177,3 @@
     mb_scheduler_node_t *node = context;
     mb_ownership_note_read(&node->ownership, read_start_us);
 }
-
-/* Publishes a configuration to the HTTP threads, unless a newer version is in
-   force. */
-static void
-publish_config(void *context, const mb_queue_version_t *version)
-{
-    mb_scheduler_node_t *node = context;
-    if (mb_queue_table_publish(&node->queues, version)) {
-        mb_gauge_set(node->metrics.config_version, version->version);
-        mb_log_notice(&node->log,
-                      "configuration in force version=%" G_GUINT64_FORMAT
-                      " queues=%u services=%u",
-                      version->version, version->queue_count,
-                      version->pool_count);
-    }
-}
-
-/* Applies one record of the configuration log. A record without a value
-   removes the key; the present configuration then stays in force. */
-void
-mb_scheduler_apply_config(void *context, const mb_keyed_record_t *raw,
-                          bool in_order)
-{
-    mb_scheduler_node_t *node = context;
-    g_autoptr(GError) error = NULL;
-    (void)in_order;
-    if (raw->value.len > 0 &&
-        !node->codec.read_config(node->codec.context, raw->key, raw->value,
-                                 publish_config, node, &error) &&
-        error != NULL) {
-        mb_log_warning(&node->log, "invalid configuration ignored: %s",
-                       error->message);
-    }
-}
-
-/* Required by the follower; reads of the configuration have no further
-   effect. */
-void
-mb_scheduler_note_config_read(void *context, uint64_t read_start_us)
-{
-    (void)context;
-    (void)read_start_us;
-}
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -40,9 +40,6 @@
 void mb_scheduler_apply_record(void *context, const mb_keyed_record_t *raw,
                                bool in_order);
 void mb_scheduler_note_jobs_read(void *context, uint64_t read_start_us);
-void mb_scheduler_apply_config(void *context, const mb_keyed_record_t *raw,
-                               bool in_order);
-void mb_scheduler_note_config_read(void *context, uint64_t read_start_us);
 
 /* mb_scheduler_requests.c */
 void mb_scheduler_handle(void *context, mb_http_exchange_t *exchange);
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -181,7 +181,8 @@
                  node->journal.appends + (node->owner_journal != NULL
                                               ? node->owner_journal->appends
                                               : 0));
-    mb_gauge_set(node->metrics.reads, node->jobs.reads + node->configs.reads);
+    mb_gauge_set(node->metrics.reads,
+                 node->jobs.reads + node->configs.follower.reads);
 }
 
 /* Periodic tick on the thread of the loop: performs all work that is due. */
@@ -190,7 +191,7 @@
 {
     mb_scheduler_node_t *node = context;
     mb_follower_run(&node->jobs);
-    mb_follower_run(&node->configs);
+    mb_config_reader_run(&node->configs);
     ownership_tick(node);
     mb_scheduler_agents_tick(node);
     mb_fleet_tick(&node->fleet);
@@ -305,8 +306,6 @@
                                   .context = node};
     mb_follower_callbacks_t jobs = {mb_scheduler_apply_record,
                                     mb_scheduler_note_jobs_read, node};
-    mb_follower_callbacks_t configs = {mb_scheduler_apply_config,
-                                       mb_scheduler_note_config_read, node};
     mb_journal_config_t journal = {
         .stream = mb_scheduler_stream_jobs,
         .producer = mb_buf_view(&node->producer),
@@ -322,8 +321,10 @@
     mb_follower_init(&node->jobs, mb_scheduler_stream_jobs, &node->keyed_log,
                      &jobs, &node->clock, &node->log);
     mb_follower_set_read_interval(&node->jobs, MB_SCHEDULER_READ_INTERVAL_MS);
-    mb_follower_init(&node->configs, stream_config, &node->keyed_log, &configs,
-                     &node->clock, &node->log);
+    mb_config_reader_init(&node->configs, stream_config, &node->keyed_log,
+                          &node->queues, &node->codec.config_decoder,
+                          node->metrics.config_version, &node->clock,
+                          &node->log);
     mb_journal_init(&node->journal, &journal, &node->keyed_log, &node->clock,
                     &node->log);
 }
@@ -457,7 +458,7 @@
     g_ptr_array_unref(node->retired_journals);
     mb_journal_finish(&node->journal);
     mb_follower_finish(&node->jobs);
-    mb_follower_finish(&node->configs);
+    mb_config_reader_finish(&node->configs);
     mb_fleet_finish(&node->fleet);
     mb_dag_table_finish(&node->table);
     mb_queue_table_finish(&node->queues);
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -6,6 +6,7 @@
 #ifndef MB_SCHEDULER_NODE_H
 #define MB_SCHEDULER_NODE_H
 
+#include "mb_config_reader.h"
 #include "mb_counter.h"
 #include "mb_dag_record.h"
 #include "mb_fleet.h"
@@ -95,9 +96,9 @@
     GHashTable *early_cancels;
     mb_fleet_t fleet;
     mb_ownership_t ownership;
-    mb_follower_t jobs;    /* of the job log */
-    mb_follower_t configs; /* of the configuration log */
-    mb_journal_t journal;  /* appends jobs and cancellations of clients */
+    mb_follower_t jobs; /* of the job log */
+    mb_config_reader_t configs;
+    mb_journal_t journal; /* appends jobs and cancellations of clients */
     /* Appends the records of the owner, under the fencing token of the latest
        claim; NULL before the first claim and after a loss of ownership. */
     mb_journal_t *owner_journal;
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -6,6 +6,7 @@
 
 #include "mb_atomic.h"
 #include "mb_cleanup.h"
+#include "mb_job_request.h"
 #include "mb_scheduler_internal.h"
 #include "mb_uri.h"
 
@@ -19,21 +20,14 @@
 /* Size of the buffer for a Retry-After value, in bytes. */
 #define RETRY_AFTER_TEXT_MAX 12
 
-typedef enum request_kind {
-    REQUEST_SUBMIT,
-    REQUEST_STATUS,
-    REQUEST_CANCEL,
-    REQUEST_PENDING /* the number of jobs of a queue that have not started */
-} request_kind_t;
-
 /* One request. It is created on an HTTP thread and owned by the loop once it
    is posted. */
 typedef struct request {
     mb_loop_task_t task;
     mb_scheduler_node_t *node;
     mb_http_exchange_t *exchange; /* NULL once the response was sent */
-    request_kind_t kind;
-    mb_dag_id_t id; /* of the job; unset for REQUEST_PENDING */
+    mb_job_request_kind_t kind;
+    mb_dag_id_t id; /* of the job; unset for MB_JOB_REQUEST_PENDING */
     mb_buf_t queue; /* name of the queue */
     mb_buf_t value; /* of the record to append */
     uint64_t received_us;
@@ -97,12 +91,12 @@
     mb_log_line(&node->log, severity,
                 "%s answered job=%.*s queue=%.*s status=%u reason=%s "
                 "age_ms=%" G_GUINT64_FORMAT,
-                request->kind == REQUEST_SUBMIT ? "submission"
-                                                : "cancellation",
+                request->kind == MB_JOB_REQUEST_SUBMIT ? "submission"
+                                                       : "cancellation",
                 MB_STR_ARG(mb_dag_id_view(&request->id)),
                 MB_STR_ARG(mb_buf_view(&request->queue)), status, reason,
                 age_us / MB_US_PER_MS);
-    if (request->kind == REQUEST_SUBMIT) {
+    if (request->kind == MB_JOB_REQUEST_SUBMIT) {
         mb_counter_add(status == 200   ? node->metrics.accepted
                        : status == 503 ? node->metrics.rejected
                                        : node->metrics.unknown,
@@ -282,16 +276,16 @@
 {
     request_t *request = (request_t *)task;
     switch (request->kind) {
-    case REQUEST_SUBMIT:
+    case MB_JOB_REQUEST_SUBMIT:
         handle_submit(request);
         break;
-    case REQUEST_STATUS:
+    case MB_JOB_REQUEST_STATUS:
         handle_status(request);
         break;
-    case REQUEST_CANCEL:
+    case MB_JOB_REQUEST_CANCEL:
         handle_cancel(request);
         break;
-    case REQUEST_PENDING:
+    case MB_JOB_REQUEST_PENDING:
         handle_pending(request);
         break;
     }
@@ -386,29 +380,6 @@
            submission.valid;
 }
 
-/* Determines the kind of a request and the id of its job from the method and
-   from `rest`, the path after the prefix of the queue. Returns false if there
-   is no such resource or method. */
-static bool
-parse_kind(request_t *request, mb_str_t rest)
-{
-    mb_str_t method = mb_http_method(request->exchange);
-    bool is_get = mb_str_equal(method, MB_STR_LIT("GET"));
-    if (rest.len == 0) {
-        request->kind = REQUEST_PENDING;
-        return is_get;
-    }
-    if (!mb_dag_id_parse(rest, &request->id)) {
-        return false;
-    }
-    if (mb_str_equal(method, MB_STR_LIT("POST"))) {
-        request->kind = REQUEST_SUBMIT;
-        return true;
-    }
-    request->kind = is_get ? REQUEST_STATUS : REQUEST_CANCEL;
-    return is_get || mb_str_equal(method, MB_STR_LIT("DELETE"));
-}
-
 /* Sets the deadline of a request: the time stated by the client or the
    default, whichever is shorter, less a margin for the response, which is at
    most half of that time. */
@@ -428,6 +399,22 @@
     request->deadline_us = request->received_us + wait_ms * MB_US_PER_MS;
 }
 
+/* Returns the HTTP status for a request that refers to nothing, or 0. */
+static uint32_t
+status_of_result(mb_job_request_result_t result)
+{
+    switch (result) {
+    case MB_JOB_REQUEST_NO_CONFIGURATION:
+        return 503;
+    case MB_JOB_REQUEST_UNKNOWN_QUEUE:
+    case MB_JOB_REQUEST_UNKNOWN_RESOURCE:
+        return 404;
+    case MB_JOB_REQUEST_OK:
+        break;
+    }
+    return 0;
+}
+
 /* Parses a request on an HTTP thread, inside the read section in which
    `version` was loaded: the configuration in force, NULL if there is none yet.
    Returns 0, or the HTTP status to respond with at once; for 400 the error is
@@ -436,27 +423,24 @@
 parse_request(request_t *request, const mb_queue_version_t *version,
               GError **error)
 {
-    mb_str_t path = mb_uri_path(mb_http_uri(request->exchange));
-    if (version == NULL) {
-        return 503;
-    }
-    const mb_queue_t *queue = mb_queue_match(
-        version, mb_http_header(request->exchange, MB_STR_LIT("Host")), path);
-    if (queue == NULL) {
-        return 404;
-    }
-    mb_str_t rest = {path.data + queue->prefix.len,
-                     path.len - queue->prefix.len};
-    if (!parse_kind(request, rest)) {
-        return 404;
+    mb_http_exchange_t *exchange = request->exchange;
+    mb_job_request_target_t target = {0};
+    uint32_t status = status_of_result(
+        mb_job_request_resolve(version, mb_http_method(exchange),
+                               mb_http_header(exchange, MB_STR_LIT("Host")),
+                               mb_uri_path(mb_http_uri(exchange)), &target));
+    if (status != 0) {
+        return status;
     }
-    mb_buf_set(&request->queue, queue->name);
+    request->kind = target.kind;
+    request->id = target.id;
+    mb_buf_set(&request->queue, target.queue->name);
     set_deadline(request);
-    if (request->kind == REQUEST_SUBMIT) {
-        if (mb_http_body(request->exchange).len > version->body_max) {
+    if (request->kind == MB_JOB_REQUEST_SUBMIT) {
+        if (mb_http_body(exchange).len > version->body_max) {
             return 413;
         }
-        return decode_job(request, queue, error) ? 0 : 400;
+        return decode_job(request, target.queue, error) ? 0 : 400;
     }
     return 0;
 }
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -204,9 +204,9 @@
 {
     mb_job_codec_t codec = mbp_job_codec();
     GError *error = nullptr;
-    bool decoded =
-        codec.read_config(codec.context, mb_str_from_cstr(key), view(value),
-                          receive_config, received, &error);
+    bool decoded = codec.config_decoder.read(
+        codec.config_decoder.context, mb_str_from_cstr(key), view(value),
+        receive_config, received, &error);
     g_clear_error(&error);
     return decoded;
 }
