Tell which configuration decided a request, and why a read of the log failed

The logs and metrics could not tell the three hypotheses of the configuration incident apart: no line of a request named a version, a request for an unknown queue left no line, and a failed read told neither its offset nor its duration, bytes or connection, and only the first of a series was logged.

- Answers of submissions, cancellations and pending queries, and requests for unknown queues, log config_version and config_age_ms, the time since that version was known to be the newest.
- A failed read logs what it asked for, how long it took, the bytes that came and whether its connection was a reused one; the first, second, fourth... of a series, so that the volume stays bounded.
- Metrics of the configuration's age, failed reads, unknown queues and the time between two ticks of the loop.

No decision changes: test_platform, test_journal, test_http_client, test_dag and system_test_job pass.

--- a/lib/coordination/mb_config_reader.c
+++ b/lib/coordination/mb_config_reader.c
@@ -11,16 +11,31 @@
 publish(void *context, const mb_queue_version_t *version)
 {
     mb_config_reader_t *reader = context;
+    const mb_follower_t *follower = &reader->follower;
+    const mb_queue_version_t *present = mb_queue_table_load(reader->table);
+    uint64_t replaced = present == NULL ? 0 : present->version;
     if (!mb_queue_table_publish(reader->table, version)) {
+        mb_log_info(
+            &reader->logger,
+            "configuration ignored: not newer version=%" G_GUINT64_FORMAT
+            " in_force=%" G_GUINT64_FORMAT,
+            version->version, replaced);
         return;
     }
+    uint64_t now_us = mb_clock_us(&follower->clock);
     if (reader->version_metric != NULL) {
         mb_gauge_set(reader->version_metric, version->version);
     }
     mb_log_notice(&reader->logger,
                   "configuration in force version=%" G_GUINT64_FORMAT
-                  " queues=%u services=%u",
-                  version->version, version->queue_count, version->pool_count);
+                  " queues=%u services=%u replaced=%" G_GUINT64_FORMAT
+                  " next_offset=%" G_GUINT64_FORMAT
+                  " read_started_ms_ago=%" G_GUINT64_FORMAT
+                  " answered_ms_ago=%" G_GUINT64_FORMAT,
+                  version->version, version->queue_count, version->pool_count,
+                  replaced, follower->next_offset,
+                  (now_us - follower->read_start_us) / MB_US_PER_MS,
+                  (now_us - follower->last_answer_us) / MB_US_PER_MS);
 }
 
 /* Applies one record of the configuration log. A record without a value
--- a/lib/coordination/mb_follower.c
+++ b/lib/coordination/mb_follower.c
@@ -36,31 +36,61 @@
     }
 }
 
-/* Handles a failed read: schedules the next one, and logs the first failure of
-   several. */
+/* Returns what the latest read asked for, for log lines. */
+static const char *
+read_kind(const mb_follower_t *follower)
+{
+    return follower->following ? "in_order" : "newest";
+}
+
+/* Handles a failed read: schedules the next one, and logs it. Of a series of
+   failures only those are logged whose number is a power of two. */
 static void
-handle_failure(mb_follower_t *follower, mb_keyed_result_t result)
+handle_failure(mb_follower_t *follower, const mb_keyed_page_t *page)
 {
-    if (!follower->failing) {
-        mb_log_warning(
-            &follower->logger, "read failed stream=%.*s result=%s; retrying",
-            MB_STR_ARG(follower->stream), mb_keyed_result_name(result));
-    }
-    follower->failing = true;
-    follower->next_read_us = mb_clock_us(&follower->clock) +
-                             MB_FOLLOWER_RETRY_DELAY_MS * MB_US_PER_MS;
+    uint64_t now_us = mb_clock_us(&follower->clock);
+    if (follower->failures == 0) {
+        follower->failing_since_us = follower->read_start_us;
+    }
+    follower->failures++;
+    follower->failed_reads++;
+    if ((follower->failures & (follower->failures - 1)) == 0) {
+        mb_log_warning(&follower->logger,
+                       "read failed stream=%.*s kind=%s offset=%llu result=%s "
+                       "failures=%u after_ms=%llu received_bytes=%zu "
+                       "connection_reused=%d; retrying",
+                       MB_STR_ARG(follower->stream), read_kind(follower),
+                       (unsigned long long)follower->next_offset,
+                       mb_keyed_result_name(page->result), follower->failures,
+                       (unsigned long long)(now_us - follower->read_start_us) /
+                           MB_US_PER_MS,
+                       page->received_bytes, page->connection_reused);
+    }
+    follower->next_read_us =
+        now_us + MB_FOLLOWER_RETRY_DELAY_MS * MB_US_PER_MS;
 }
 
 /* Handles a successful read: notes its time, and logs it after failures. */
 static void
-handle_answer(mb_follower_t *follower)
+handle_answer(mb_follower_t *follower, const mb_keyed_page_t *page)
 {
-    if (follower->failing) {
-        mb_log_notice(&follower->logger, "read succeeded again stream=%.*s",
-                      MB_STR_ARG(follower->stream));
-    }
-    follower->failing = false;
-    follower->last_answer_us = mb_clock_us(&follower->clock);
+    uint64_t now_us = mb_clock_us(&follower->clock);
+    if (follower->failures > 0) {
+        mb_log_notice(
+            &follower->logger,
+            "read succeeded again stream=%.*s kind=%s offset=%llu end=%llu "
+            "failures=%u failing_ms=%llu after_ms=%llu received_bytes=%zu",
+            MB_STR_ARG(follower->stream), read_kind(follower),
+            (unsigned long long)follower->next_offset,
+            (unsigned long long)page->end, follower->failures,
+            (unsigned long long)(now_us - follower->failing_since_us) /
+                MB_US_PER_MS,
+            (unsigned long long)(now_us - follower->read_start_us) /
+                MB_US_PER_MS,
+            page->received_bytes);
+    }
+    follower->failures = 0;
+    follower->last_answer_us = now_us;
 }
 
 /* Starts to read the newest records, from the first page. */
@@ -82,10 +112,10 @@
     mb_follower_t *follower = context;
     follower->read_pending = false;
     if (page->result != MB_KEYED_OK) {
-        handle_failure(follower, page->result);
+        handle_failure(follower, page);
         return;
     }
-    handle_answer(follower);
+    handle_answer(follower, page);
     if (follower->first_page) {
         follower->first_page = false;
         follower->next_offset = page->end;
@@ -124,10 +154,10 @@
         return;
     }
     if (page->result != MB_KEYED_OK) {
-        handle_failure(follower, page->result);
+        handle_failure(follower, page);
         return;
     }
-    handle_answer(follower);
+    handle_answer(follower, page);
     follower->next_offset += page->count;
     apply_page(follower, page, true);
     if (!follower->reload_pending && follower->next_offset >= page->end) {
@@ -156,7 +186,7 @@
         read.from = follower->next_offset;
         /* After a failure, a read without a wait finds out sooner that the log
            is reachable again. */
-        read.wait_ms = follower->failing ? 0 : MB_FOLLOWER_WAIT_MS;
+        read.wait_ms = follower->failures > 0 ? 0 : MB_FOLLOWER_WAIT_MS;
         read.timeout_ms = read.wait_ms + MB_FOLLOWER_TIMEOUT_MS;
         read.done = handle_read;
         sent = follower->log.read(follower->log.context, &read);
@@ -168,8 +198,9 @@
         sent = follower->log.newest(follower->log.context, &read);
     }
     if (!sent) {
+        mb_keyed_page_t page = {.result = MB_KEYED_NOT_DONE};
         follower->read_pending = false;
-        handle_failure(follower, MB_KEYED_NOT_DONE);
+        handle_failure(follower, &page);
     }
 }
 
--- a/lib/coordination/mb_follower.h
+++ b/lib/coordination/mb_follower.h
@@ -37,12 +37,13 @@
     mb_follower_callbacks_t callbacks;
     mb_clock_t clock;
     mb_log_t logger;
-    bool loaded;          /* the newest records have been read */
-    bool following;       /* reads in order; else reads the newest records */
-    bool reload_pending;  /* the newest records are to be read again */
-    bool read_pending;    /* a read was sent and is not answered yet */
-    bool failing;         /* the latest read failed */
-    uint64_t next_offset; /* first offset of the next read in order */
+    bool loaded;         /* the newest records have been read */
+    bool following;      /* reads in order; else reads the newest records */
+    bool reload_pending; /* the newest records are to be read again */
+    bool read_pending;   /* a read was sent and is not answered yet */
+    uint32_t failures;   /* reads that failed since the latest answer */
+    uint64_t failing_since_us; /* start of the first of them */
+    uint64_t next_offset;      /* first offset of the next read in order */
     bool first_page; /* the next page of the newest records is the first */
     mb_buf_t last_page_key;    /* last key of the previous page */
     uint64_t read_start_us;    /* start of the latest read */
@@ -50,6 +51,7 @@
     uint32_t read_interval_ms; /* minimum time between two reads in order */
     uint64_t last_answer_us;   /* time of the latest answer; 0: none yet */
     uint64_t reads;            /* number of reads sent, for metrics */
+    uint64_t failed_reads;     /* number of reads that failed, for metrics */
 } mb_follower_t;
 
 void mb_follower_init(mb_follower_t *follower, mb_str_t stream,
--- a/lib/coordination/mb_job_request.c
+++ b/lib/coordination/mb_job_request.c
@@ -1,5 +1,23 @@
 #include "mb_job_request.h"
 
+/* Returns the name of a kind, for log lines. */
+const char *
+mb_job_request_kind_name(mb_job_request_kind_t kind)
+{
+    static const char *const names[MB_JOB_REQUEST_KIND_COUNT] = {
+        "submission", "status query", "cancellation", "pending query"};
+    return kind < MB_JOB_REQUEST_KIND_COUNT ? names[kind] : "unknown";
+}
+
+/* Returns the name of a result, for log lines. */
+const char *
+mb_job_request_result_name(mb_job_request_result_t result)
+{
+    static const char *const names[MB_JOB_REQUEST_RESULT_COUNT] = {
+        "ok", "no_configuration", "unknown_queue", "unknown_resource"};
+    return result < MB_JOB_REQUEST_RESULT_COUNT ? names[result] : "unknown";
+}
+
 /* Sets the kind of a request and the id of its job from the method and from
    `rest`, the path after the prefix of the queue. Returns false if there is no
    such resource or method. */
--- a/lib/coordination/mb_job_request.h
+++ b/lib/coordination/mb_job_request.h
@@ -12,8 +12,9 @@
     MB_JOB_REQUEST_SUBMIT,
     MB_JOB_REQUEST_STATUS,
     MB_JOB_REQUEST_CANCEL,
-    MB_JOB_REQUEST_PENDING /* the number of jobs of a queue that have not
-                              started */
+    MB_JOB_REQUEST_PENDING, /* the number of jobs of a queue that have not
+                               started */
+    MB_JOB_REQUEST_KIND_COUNT
 } mb_job_request_kind_t;
 
 /* Whether a request refers to something that exists. */
@@ -21,7 +22,8 @@
     MB_JOB_REQUEST_OK,
     MB_JOB_REQUEST_NO_CONFIGURATION, /* none has been read yet */
     MB_JOB_REQUEST_UNKNOWN_QUEUE,
-    MB_JOB_REQUEST_UNKNOWN_RESOURCE /* not a resource or method of a queue */
+    MB_JOB_REQUEST_UNKNOWN_RESOURCE, /* not a resource or method of a queue */
+    MB_JOB_REQUEST_RESULT_COUNT
 } mb_job_request_result_t;
 
 /* What a request refers to. `queue` belongs to the version that was used. */
@@ -31,6 +33,8 @@
     const mb_queue_t *queue;
 } mb_job_request_target_t;
 
+const char *mb_job_request_kind_name(mb_job_request_kind_t kind);
+const char *mb_job_request_result_name(mb_job_request_result_t result);
 mb_job_request_result_t
 mb_job_request_resolve(const mb_queue_version_t *version, mb_str_t method,
                        mb_str_t host, mb_str_t path,
--- a/lib/coordination/mb_keyed_log.h
+++ b/lib/coordination/mb_keyed_log.h
@@ -50,6 +50,11 @@
     const mb_keyed_record_t *records;
     uint32_t count;
     bool more; /* reads of the newest records: another page follows */
+    /* For log lines: size of the answer, or of the part that was received
+       before the read failed, in bytes, and whether the read was sent on a
+       connection of an earlier call. */
+    size_t received_bytes;
+    bool connection_reused;
 } mb_keyed_page_t;
 
 typedef struct mb_keyed_read {
--- a/lib/transport/mb_http_client.c
+++ b/lib/transport/mb_http_client.c
@@ -106,7 +106,10 @@
 {
     mb_http_result_t result = {.kind = MB_KIND_COUNT};
     long status = 0;
+    long new_connections = 0;
     (void)curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+    (void)curl_easy_getinfo(transfer->easy, CURLINFO_NUM_CONNECTS,
+                            &new_connections);
 #ifdef MB_MUTANT_PART_PASSED_AS_WHOLE
     code = code == CURLE_PARTIAL_FILE ? CURLE_OK : code;
 #endif
@@ -116,6 +119,7 @@
     result.status = (uint32_t)status;
     parse_head(mb_buf_view(&transfer->response_head), &result.headers);
     result.body = mb_buf_view(&transfer->response_body);
+    result.connection_reused = new_connections == 0;
     (void)curl_multi_remove_handle(transfer->client->multi, transfer->easy);
     transfer->client->active--;
     transfer->done(transfer->context, &result);
--- a/lib/transport/mb_http_client.h
+++ b/lib/transport/mb_http_client.h
@@ -15,7 +15,8 @@
     mb_kind_t kind;
     uint32_t status;
     mb_headers_t headers;
-    mb_str_t body;
+    mb_str_t body; /* without a complete response: the part received */
+    bool connection_reused; /* sent on a connection of an earlier call */
 } mb_http_result_t;
 
 /* A request to send. The views need to be valid during mb_http_client_call
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -10,6 +10,9 @@
 
 /* Interval of the tick, in milliseconds. */
 #define TICK_MS 20
+/* Time between two ticks from which on a delay of the loop is logged, in
+   milliseconds. */
+#define LATE_TICK_MS 500
 /* Maximum number of requests queued for the thread of the loop. */
 #define MAILBOX_CAPACITY 8192
 /* Interval between searches for closed jobs to remove, in milliseconds. */
@@ -174,6 +177,12 @@
 static void
 update_metrics(mb_scheduler_node_t *node)
 {
+    uint64_t age_us = mb_clock_us(&node->clock) -
+                      mb_config_reader_confirmed_us(&node->configs);
+    mb_gauge_set(node->metrics.config_age_ms, age_us / MB_US_PER_MS);
+    mb_gauge_set(node->metrics.failed_reads,
+                 node->jobs.failed_reads +
+                     node->configs.follower.failed_reads);
     mb_gauge_set(node->metrics.running, node->fleet.running);
     mb_gauge_set(node->metrics.starts, node->fleet.counts.starts);
     mb_gauge_set(node->metrics.lost_runs, node->fleet.counts.lost_runs);
@@ -185,11 +194,29 @@
                  node->jobs.reads + node->configs.follower.reads);
 }
 
+/* Records the time since the previous tick, which is longer than TICK_MS when
+   the thread of the loop is short of processor time or was suspended. */
+static void
+note_tick(mb_scheduler_node_t *node)
+{
+    uint64_t now_us = mb_clock_us(&node->clock);
+    uint64_t gap_us =
+        node->last_tick_us == 0 ? 0 : now_us - node->last_tick_us;
+    node->last_tick_us = now_us;
+    mb_histogram_record(node->metrics.tick_gap_us, gap_us);
+    if (gap_us >= LATE_TICK_MS * (uint64_t)MB_US_PER_MS) {
+        mb_log_notice(&node->log,
+                      "event loop delayed gap_ms=%" G_GUINT64_FORMAT,
+                      gap_us / MB_US_PER_MS);
+    }
+}
+
 /* Periodic tick on the thread of the loop: performs all work that is due. */
 static void
 tick(void *context)
 {
     mb_scheduler_node_t *node = context;
+    note_tick(node);
     mb_follower_run(&node->jobs);
     mb_config_reader_run(&node->configs);
     ownership_tick(node);
@@ -256,7 +283,22 @@
                                  "Reads sent to the log"),
         .config_version =
             mb_counters_add(counters, MB_METRIC_GAUGE, "mb_config_version",
-                            "Version of the configuration in force")};
+                            "Version of the configuration in force"),
+        .failed_reads =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_log_failed_reads",
+                            "Reads of the log that failed"),
+        .config_age_ms = mb_counters_add(
+            counters, MB_METRIC_GAUGE, "mb_config_age_ms",
+            "Time since the configuration was known to be the newest"),
+        .request_config_age_us = mb_counters_add(
+            counters, MB_METRIC_HISTOGRAM, "mb_request_config_age_us",
+            "Age of the configuration that decided a request"),
+        .unknown_queue = mb_counters_add(
+            counters, MB_METRIC_COUNTER, "mb_requests_unknown_queue_total",
+            "Requests for a queue that does not exist"),
+        .tick_gap_us =
+            mb_counters_add(counters, MB_METRIC_HISTOGRAM, "mb_tick_gap_us",
+                            "Time between two ticks of the event loop")};
 }
 
 /* Initializes the node without starting threads. Afterwards, and before
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -62,10 +62,16 @@
     mb_metric_t *owner;     /* 1 while this process owns the fleet */
     mb_metric_t *running;
     mb_metric_t *starts;
-    mb_metric_t *lost_runs; /* runs given up without a reported end */
-    mb_metric_t *appends;   /* sent to the log, including retries */
-    mb_metric_t *reads;     /* sent to the log */
+    mb_metric_t *lost_runs;    /* runs given up without a reported end */
+    mb_metric_t *appends;      /* sent to the log, including retries */
+    mb_metric_t *reads;        /* sent to the log */
+    mb_metric_t *failed_reads; /* of the log */
     mb_metric_t *config_version;
+    mb_metric_t *config_age_ms; /* see mb_config_reader_confirmed_us */
+    /* The same, in microseconds, when a request was decided by it. */
+    mb_metric_t *request_config_age_us;
+    mb_metric_t *unknown_queue; /* requests for a queue that does not exist */
+    mb_metric_t *tick_gap_us;   /* between two ticks of the loop */
 } mb_scheduler_metrics_t;
 
 typedef struct mb_scheduler_progress_group mb_scheduler_progress_group_t;
@@ -116,6 +122,7 @@
     mb_scheduler_progress_group_t *progress_group;
     mb_outage_t outage;
     uint64_t last_sweep_ms;      /* last search for expired jobs */
+    uint64_t last_tick_us;       /* start of the previous tick */
     uint64_t headroom_stored_us; /* last store of the headroom model */
     /* Atomic; read on all threads. */
     uint64_t is_ready;
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -17,6 +17,8 @@
    milliseconds, so that the client can retry at another process in time. */
 #define APPEND_TIMEOUT_MS 800u
 
+/* Maximum length of a host or a path in a log line, in bytes. */
+#define LOGGED_TEXT_MAX 120
 /* Size of the buffer for a Retry-After value, in bytes. */
 #define RETRY_AFTER_TEXT_MAX 12
 
@@ -27,9 +29,11 @@
     mb_scheduler_node_t *node;
     mb_http_exchange_t *exchange; /* NULL once the response was sent */
     mb_job_request_kind_t kind;
-    mb_dag_id_t id; /* of the job; unset for MB_JOB_REQUEST_PENDING */
-    mb_buf_t queue; /* name of the queue */
-    mb_buf_t value; /* of the record to append */
+    mb_dag_id_t id;          /* of the job; unset for MB_JOB_REQUEST_PENDING */
+    mb_buf_t queue;          /* name of the queue */
+    mb_buf_t value;          /* of the record to append */
+    uint64_t config_version; /* by which the request was decided; 0: none */
+    uint64_t config_age_us; /* since that version was known to be the newest */
     uint64_t received_us;
     uint64_t deadline_us; /* the response is due by then */
 } request_t;
@@ -90,12 +94,14 @@
         status < 400 ? MB_SEVERITY_INFO : MB_SEVERITY_NOTICE;
     mb_log_line(&node->log, severity,
                 "%s answered job=%.*s queue=%.*s status=%u reason=%s "
-                "age_ms=%" G_GUINT64_FORMAT,
-                request->kind == MB_JOB_REQUEST_SUBMIT ? "submission"
-                                                       : "cancellation",
+                "age_ms=%" G_GUINT64_FORMAT
+                " config_version=%" G_GUINT64_FORMAT
+                " config_age_ms=%" G_GUINT64_FORMAT,
+                mb_job_request_kind_name(request->kind),
                 MB_STR_ARG(mb_dag_id_view(&request->id)),
                 MB_STR_ARG(mb_buf_view(&request->queue)), status, reason,
-                age_us / MB_US_PER_MS);
+                age_us / MB_US_PER_MS, request->config_version,
+                request->config_age_us / MB_US_PER_MS);
     if (request->kind == MB_JOB_REQUEST_SUBMIT) {
         mb_counter_add(status == 200   ? node->metrics.accepted
                        : status == 503 ? node->metrics.rejected
@@ -107,6 +113,22 @@
     request->exchange = NULL;
 }
 
+/* Logs the response to a query, at `severity`. `job` is empty for one that is
+   not about a job. */
+static void
+log_query(const request_t *request, mb_severity_t severity, mb_str_t job,
+          uint32_t status)
+{
+    mb_log_line(&request->node->log, severity,
+                "%s answered job=%.*s queue=%.*s status=%u "
+                "config_version=%" G_GUINT64_FORMAT
+                " config_age_ms=%" G_GUINT64_FORMAT,
+                mb_job_request_kind_name(request->kind), MB_STR_ARG(job),
+                MB_STR_ARG(mb_buf_view(&request->queue)), status,
+                request->config_version,
+                request->config_age_us / MB_US_PER_MS);
+}
+
 /* Handles the result of an append: responds unless the deadline has passed,
    and frees the request. */
 static void
@@ -183,7 +205,9 @@
 respond_unknown(request_t *request)
 {
     mb_scheduler_node_t *node = request->node;
-    respond_empty(node, request->exchange, is_table_current(node) ? 410 : 503);
+    uint32_t status = is_table_current(node) ? 410 : 503;
+    log_query(request, MB_SEVERITY_INFO, mb_dag_id_view(&request->id), status);
+    respond_empty(node, request->exchange, status);
     free_request(request);
 }
 
@@ -200,6 +224,7 @@
     }
     node->codec.write_status(node->codec.context, get_client_status(job),
                              &body);
+    log_query(request, MB_SEVERITY_DEBUG, mb_dag_id_view(&request->id), 200);
     respond(node, request->exchange, 200, mb_buf_view(&body));
     free_request(request);
 }
@@ -254,6 +279,7 @@
     GHashTableIter iter;
     gpointer value;
     if (!mb_follower_loaded(&node->jobs)) {
+        log_query(request, MB_SEVERITY_INFO, MB_STR_EMPTY, 503);
         respond_empty(node, request->exchange, 503);
         free_request(request);
         return;
@@ -266,6 +292,7 @@
             mb_str_equal(job->spec.policy.queue, mb_buf_view(&request->queue));
     }
     node->codec.write_pending(node->codec.context, pending, &body);
+    log_query(request, MB_SEVERITY_INFO, MB_STR_EMPTY, 200);
     respond(node, request->exchange, 200, mb_buf_view(&body));
     free_request(request);
 }
@@ -288,6 +315,8 @@
     case MB_JOB_REQUEST_PENDING:
         handle_pending(request);
         break;
+    case MB_JOB_REQUEST_KIND_COUNT:
+        break;
     }
 }
 
@@ -399,6 +428,45 @@
     request->deadline_us = request->received_us + wait_ms * MB_US_PER_MS;
 }
 
+/* Logs a request that refers to nothing, on an HTTP thread, and counts one for
+   an unknown queue. */
+static void
+log_unresolved(const request_t *request, mb_job_request_result_t result,
+               mb_str_t host, mb_str_t path)
+{
+    mb_scheduler_node_t *node = request->node;
+    host.len = MIN(host.len, (size_t)LOGGED_TEXT_MAX);
+    path.len = MIN(path.len, (size_t)LOGGED_TEXT_MAX);
+    mb_log_info(&node->log,
+                "request rejected method=%.*s host=%.*s path=%.*s reason=%s "
+                "config_version=%" G_GUINT64_FORMAT
+                " config_age_ms=%" G_GUINT64_FORMAT,
+                MB_STR_ARG(mb_http_method(request->exchange)),
+                MB_STR_ARG(host), MB_STR_ARG(path),
+                mb_job_request_result_name(result), request->config_version,
+                request->config_age_us / MB_US_PER_MS);
+    if (result == MB_JOB_REQUEST_UNKNOWN_QUEUE) {
+        mb_counter_add(node->metrics.unknown_queue, 1);
+    }
+}
+
+/* Notes which version decides a request, and for how long that version has
+   not been known to be the newest. `confirmed_us` was read before the
+   version. */
+static void
+note_version(request_t *request, const mb_queue_version_t *version,
+             uint64_t confirmed_us)
+{
+    mb_scheduler_node_t *node = request->node;
+    if (version == NULL) {
+        return;
+    }
+    request->config_version = version->version;
+    request->config_age_us = mb_clock_us(&node->clock) - confirmed_us;
+    mb_histogram_record(node->metrics.request_config_age_us,
+                        request->config_age_us);
+}
+
 /* Returns the HTTP status for a request that refers to nothing, or 0. */
 static uint32_t
 status_of_result(mb_job_request_result_t result)
@@ -410,6 +478,7 @@
     case MB_JOB_REQUEST_UNKNOWN_RESOURCE:
         return 404;
     case MB_JOB_REQUEST_OK:
+    case MB_JOB_REQUEST_RESULT_COUNT:
         break;
     }
     return 0;
@@ -425,12 +494,13 @@
 {
     mb_http_exchange_t *exchange = request->exchange;
     mb_job_request_target_t target = {0};
-    uint32_t status = status_of_result(
-        mb_job_request_resolve(version, mb_http_method(exchange),
-                               mb_http_header(exchange, MB_STR_LIT("Host")),
-                               mb_uri_path(mb_http_uri(exchange)), &target));
-    if (status != 0) {
-        return status;
+    mb_str_t host = mb_http_header(exchange, MB_STR_LIT("Host"));
+    mb_str_t path = mb_uri_path(mb_http_uri(exchange));
+    mb_job_request_result_t result = mb_job_request_resolve(
+        version, mb_http_method(exchange), host, path, &target);
+    if (result != MB_JOB_REQUEST_OK) {
+        log_unresolved(request, result, host, path);
+        return status_of_result(result);
     }
     request->kind = target.kind;
     request->id = target.id;
@@ -457,9 +527,11 @@
     request->task.run = run_request;
     request->node = node;
     request->exchange = exchange;
+    uint64_t confirmed_us = mb_config_reader_confirmed_us(&node->configs);
     mb_epoch_enter(node->epoch);
-    uint32_t status =
-        parse_request(request, mb_queue_table_load(&node->queues), &error);
+    const mb_queue_version_t *version = mb_queue_table_load(&node->queues);
+    note_version(request, version, confirmed_us);
+    uint32_t status = parse_request(request, version, &error);
     mb_epoch_leave(node->epoch);
     if (status == 0 && mb_loop_post(&node->loop, &request->task)) {
         return;
