--- /dev/null
+++ b/tests/unit/test_config_reader.cc
@@ -0,0 +1,98 @@
+/* Tests of the reader of configurations: that an acknowledged version decides
+   the requests of clients in time, whatever happened to the reader before. */
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "config_simulation.h"
+
+/* Writes large versions for some time. */
+static void
+write_versions(ConfigSimulation *simulation, size_t bytes, int count,
+               uint64_t interval_ms)
+{
+    for (int i = 0; i < count; i++) {
+        simulation->write(bytes);
+        simulation->advance(interval_ms);
+    }
+}
+
+/* Guards against a simulation that finds nothing because it asks nothing. */
+TEST(ConfigReader, FollowsWhileNothingIsDisturbed)
+{
+    ConfigSimulation simulation;
+    write_versions(&simulation, 345000, 10, 1500);
+    write_versions(&simulation, 10000, 40, 80);
+    simulation.advance(5000);
+    EXPECT_EQ(simulation.late + simulation.rejected + simulation.reverted, 0u)
+        << simulation.report;
+    EXPECT_GT(simulation.decided, 900u);
+}
+
+/* Guards against a reader that asks again and again for a backlog that its
+   link can't carry within the time-out of a read. */
+TEST(ConfigReader, ABacklogOfLargeVersionsDoesNotKeepTheNewestOut)
+{
+    ConfigSimulation simulation;
+    write_versions(&simulation, 290000, 3, 1500);
+    simulation.disturbed = simulation.log.silent = true;
+    write_versions(&simulation, 290000, 5, 1500);
+    simulation.log.silent = false;
+    simulation.end_disturbance();
+    write_versions(&simulation, 290000, 6, 1500);
+    simulation.advance(3000);
+    EXPECT_EQ(simulation.late + simulation.rejected, 0u) << simulation.report;
+}
+
+/* What can happen near a reader of the log. */
+enum Disturbance {
+    LOG_SILENT,
+    LOG_BUSY,
+    LOG_SLOW,
+    CONNECTIONS_SILENT,
+    HISTORY_REMOVED,
+    FROZEN,
+    DISTURBANCE_COUNT
+};
+
+/* Begins a disturbance, and ends the previous one. */
+static void
+set_disturbance(ConfigSimulation *simulation, int disturbance)
+{
+    SlowLog &log = simulation->log;
+    simulation->disturbed = disturbance != DISTURBANCE_COUNT;
+    log.silent = disturbance == LOG_SILENT;
+    log.busy = disturbance == LOG_BUSY;
+    log.extra_latency_ms = disturbance == LOG_SLOW ? 240 : 0;
+    simulation->frozen = disturbance == FROZEN;
+    if (disturbance == CONNECTIONS_SILENT) {
+        log.silence_connections();
+    }
+    if (disturbance == HISTORY_REMOVED) {
+        log.first = log.records.size();
+    }
+}
+
+/* Guards against a reader that is late, or goes back, after any series of
+   disturbances and changes. */
+RC_GTEST_PROP(ConfigReader, EveryVersionIsInForceInTime, ())
+{
+    ConfigSimulation simulation;
+    size_t bytes = (size_t)*rc::gen::inRange(2, 38) * 10000;
+    int phases = *rc::gen::inRange(1, 7);
+    write_versions(&simulation, bytes, 1, 500);
+    for (int i = 0; i < phases; i++) {
+        set_disturbance(&simulation,
+                        *rc::gen::inRange(0, (int)DISTURBANCE_COUNT));
+        uint64_t interval_ms = bytes / 250 + 80;
+        int during = *rc::gen::inRange(0, 1 + (int)(9000 / interval_ms));
+        write_versions(&simulation, bytes, during, interval_ms);
+        set_disturbance(&simulation, DISTURBANCE_COUNT);
+        simulation.end_disturbance();
+        int after = *rc::gen::inRange(0, 1 + (int)(9000 / interval_ms));
+        write_versions(&simulation, bytes, after, interval_ms);
+    }
+    simulation.advance(8000);
+    RC_ASSERT(simulation.late == 0);
+    RC_ASSERT(simulation.rejected == 0);
+    RC_ASSERT(simulation.reverted == 0);
+}
