Limit reads of the log by the time without a byte, not by their whole time

Cause: the time-out of a read covered the whole answer, of up to 900 KB, and was 700 ms after a failure. A scheduler with a link of 10 Mbit/s that had been cut off while several versions were written asked for a backlog that takes longer than that, dropped what had arrived, and asked for the same bytes again, without end.

Reads now fail after a time in which no byte arrives (idle_timeout_ms of the HTTP client), so that a slow answer ends and the next read asks for what follows. A silent connection is noticed as before.

HttpClient.SlowAnswerDoesNotExceedTheIdleTimeout: an answer that takes 0.9 s fails with the former kind of time-out (300 ms) and succeeds with an idle time-out of 300 ms; SilentConnectionExceedsTheIdleTimeout: a call without progress fails after 0.3 s.

--- a/lib/coordination/mb_follower.c
+++ b/lib/coordination/mb_follower.c
@@ -187,13 +187,13 @@
         /* After a failure, a read without a wait finds out sooner that the log
            is reachable again. */
         read.wait_ms = follower->failures > 0 ? 0 : MB_FOLLOWER_WAIT_MS;
-        read.timeout_ms = read.wait_ms + MB_FOLLOWER_TIMEOUT_MS;
+        read.idle_timeout_ms = read.wait_ms + MB_FOLLOWER_TIMEOUT_MS;
         read.done = handle_read;
         sent = follower->log.read(follower->log.context, &read);
     }
     else {
         read.after = mb_buf_view(&follower->last_page_key);
-        read.timeout_ms = MB_FOLLOWER_PAGE_TIMEOUT_MS;
+        read.idle_timeout_ms = MB_FOLLOWER_PAGE_TIMEOUT_MS;
         read.done = handle_page;
         sent = follower->log.newest(follower->log.context, &read);
     }
--- a/lib/coordination/mb_follower.h
+++ b/lib/coordination/mb_follower.h
@@ -13,9 +13,11 @@
 /* Time for which a read in order waits for a record, in milliseconds. It
    bounds the age of the follower's state. */
 #define MB_FOLLOWER_WAIT_MS 500u
-/* Time-out of a read in order beyond that wait, in milliseconds. */
+/* Maximum time without a byte of the answer to a read in order, beyond that
+   wait, in milliseconds. */
 #define MB_FOLLOWER_TIMEOUT_MS 700u
-/* Time-out of a page of the newest records, in milliseconds. */
+/* The same for a page of the newest records, which the log service has to
+   collect first. */
 #define MB_FOLLOWER_PAGE_TIMEOUT_MS 2500u
 /* Delay before a failed read is retried, in milliseconds. */
 #define MB_FOLLOWER_RETRY_DELAY_MS 100u
--- a/lib/coordination/mb_keyed_log.h
+++ b/lib/coordination/mb_keyed_log.h
@@ -62,7 +62,11 @@
     uint64_t from;  /* reads in order: first offset */
     mb_str_t after; /* reads of the newest records: key after which to go on */
     uint32_t wait_ms; /* reads in order: how long to wait for a record */
-    uint32_t timeout_ms;
+    /* Maximum time without a byte of the answer. The size of an answer is not
+       known beforehand, so the time of the whole read is not limited: on a
+       slow link, a read that was ended while bytes arrived would be repeated
+       without end. */
+    uint32_t idle_timeout_ms;
     void (*done)(void *context, const mb_keyed_page_t *page);
     void *context;
 } mb_keyed_read_t;
--- a/lib/transport/mb_http_client.c
+++ b/lib/transport/mb_http_client.c
@@ -18,7 +18,10 @@
     size_t request_sent;    /* bytes of the body that libcurl has read */
     mb_buf_t response_head; /* raw header lines of the latest response */
     mb_buf_t response_body;
-    bool too_large; /* the response exceeds a limit */
+    bool too_large;            /* the response exceeds a limit */
+    uint64_t idle_timeout_us;  /* 0: unlimited */
+    uint64_t progress_us;      /* when a byte was last sent or received */
+    curl_off_t progress_bytes; /* sent and received until then */
     void (*done)(void *context, const mb_http_result_t *result);
     void *context;
 } transfer_t;
@@ -120,6 +123,9 @@
     parse_head(mb_buf_view(&transfer->response_head), &result.headers);
     result.body = mb_buf_view(&transfer->response_body);
     result.connection_reused = new_connections == 0;
+    if (transfer->idle_timeout_us > 0) {
+        (void)g_queue_remove(&transfer->client->idle_limited, transfer);
+    }
     (void)curl_multi_remove_handle(transfer->client->multi, transfer->easy);
     transfer->client->active--;
     transfer->done(transfer->context, &result);
@@ -200,20 +206,28 @@
     return mb_clock_us(&clock);
 }
 
-/* Arms the timer so that it expires no later than libcurl's time-out. A timer
-   that expires earlier is not changed: libcurl changes its time-out with each
-   call, and nearly all calls end before it, so most of these changes need no
-   system call. */
+/* Returns the earlier of two times, of which 0 means none. */
+static uint64_t
+earlier_time(uint64_t a_us, uint64_t b_us)
+{
+    return a_us == 0 || (b_us != 0 && b_us < a_us) ? b_us : a_us;
+}
+
+/* Arms the timer so that it expires no later than the time-out of libcurl and
+   the first idle time-out. A timer that expires earlier is not changed: both
+   change with each call, and nearly all calls end before them, so most of
+   these changes need no system call. */
 static void
 arm_timer(mb_http_client_t *client)
 {
     struct itimerspec when = {0};
-    if (client->curl_deadline_us == 0 ||
-        (client->timer_expiry_us != 0 &&
-         client->timer_expiry_us <= client->curl_deadline_us)) {
+    uint64_t deadline_us =
+        earlier_time(client->curl_deadline_us, client->idle_deadline_us);
+    if (deadline_us == 0 || (client->timer_expiry_us != 0 &&
+                             client->timer_expiry_us <= deadline_us)) {
         return;
     }
-    client->timer_expiry_us = client->curl_deadline_us;
+    client->timer_expiry_us = deadline_us;
     when.it_value.tv_sec = (time_t)(client->timer_expiry_us / MB_US_PER_S);
     when.it_value.tv_nsec =
         (long)(client->timer_expiry_us % MB_US_PER_S) * 1000L;
@@ -253,8 +267,56 @@
     collect_done(client);
 }
 
-/* Handles the expiry of the timer. libcurl's time-out may be later by now; the
-   timer is armed for it again. */
+/* Progress callback of libcurl: notes when bytes were sent or received. */
+static int
+note_progress(void *context, curl_off_t download_total, curl_off_t downloaded,
+              curl_off_t upload_total, curl_off_t uploaded)
+{
+    transfer_t *transfer = context;
+    (void)download_total;
+    (void)upload_total;
+    if (downloaded + uploaded != transfer->progress_bytes) {
+        transfer->progress_bytes = downloaded + uploaded;
+        transfer->progress_us = now_us();
+    }
+    return 0;
+}
+
+/* Returns a call whose idle time-out has expired, or NULL, and sets the time
+   at which the next one may. */
+static transfer_t *
+find_idle(mb_http_client_t *client)
+{
+    uint64_t time_us = now_us();
+    client->idle_deadline_us = 0;
+    for (GList *link = client->idle_limited.head; link; link = link->next) {
+        transfer_t *transfer = link->data;
+        uint64_t deadline_us =
+            transfer->progress_us + transfer->idle_timeout_us;
+        if (deadline_us <= time_us) {
+            return transfer;
+        }
+        client->idle_deadline_us =
+            earlier_time(client->idle_deadline_us, deadline_us);
+    }
+    return NULL;
+}
+
+/* Fails the calls whose idle time-out has expired. */
+static void
+fail_idle(void *context)
+{
+    mb_http_client_t *client = context;
+    transfer_t *transfer;
+    while ((transfer = find_idle(client)) != NULL) {
+        finish_transfer(transfer, CURLE_OPERATION_TIMEDOUT);
+    }
+    arm_timer(client);
+}
+
+/* Handles the expiry of the timer. The time-outs may be later by now; the
+   timer is armed for them again. Idle calls are looked for after the current
+   batch of events, which may contain the bytes that a call waits for. */
 static void
 timer_ready(void *context, uint32_t events)
 {
@@ -268,6 +330,11 @@
         client->curl_deadline_us = 0;
         run_timeout(client);
     }
+    if (client->idle_deadline_us != 0 &&
+        client->idle_deadline_us <= now_us()) {
+        client->idle_deadline_us = 0;
+        mb_loop_defer(client->loop, &client->idle_check);
+    }
     arm_timer(client);
 }
 
@@ -287,6 +354,8 @@
     client->timer = (mb_loop_source_t){timer_fd, timer_ready, client};
     client->immediate_timeout =
         (mb_loop_deferred_t){run_timeout, client, NULL, false};
+    client->idle_check = (mb_loop_deferred_t){fail_idle, client, NULL, false};
+    g_queue_init(&client->idle_limited);
     if (timer_fd < 0 || client->multi == NULL ||
         !mb_loop_add(loop, &client->timer, EPOLLIN)) {
         mb_error_set(error, MB_KIND_IO, "cannot create HTTP client: %s",
@@ -309,6 +378,7 @@
 {
     (void)curl_multi_cleanup(client->multi);
     mb_loop_cancel_deferred(client->loop, &client->immediate_timeout);
+    mb_loop_cancel_deferred(client->loop, &client->idle_check);
     mb_loop_remove(client->loop, &client->timer);
     (void)close(client->timer.fd);
 }
@@ -454,6 +524,28 @@
     (void)curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
     (void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, collect_body);
     (void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    if (call->idle_timeout_ms > 0) {
+        (void)curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+        (void)curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, note_progress);
+        (void)curl_easy_setopt(easy, CURLOPT_XFERINFODATA, transfer);
+    }
+}
+
+/* Starts the idle time-out of a call, if it has one. */
+static void
+start_idle_timeout(transfer_t *transfer, const mb_http_call_t *call)
+{
+    mb_http_client_t *client = transfer->client;
+    if (call->idle_timeout_ms == 0) {
+        return;
+    }
+    transfer->idle_timeout_us = call->idle_timeout_ms * (uint64_t)MB_US_PER_MS;
+    transfer->progress_us = now_us();
+    g_queue_push_tail(&client->idle_limited, transfer);
+    client->idle_deadline_us =
+        earlier_time(client->idle_deadline_us,
+                     transfer->progress_us + transfer->idle_timeout_us);
+    arm_timer(client);
 }
 
 /* Starts a call. Returns false when the maximum number of calls is in progress
@@ -478,5 +570,6 @@
         return false;
     }
     client->active++;
+    start_idle_timeout(transfer, call);
     return true;
 }
--- a/lib/transport/mb_http_client.h
+++ b/lib/transport/mb_http_client.h
@@ -26,7 +26,12 @@
     mb_str_t url;
     const mb_headers_t *headers; /* or NULL; hop-by-hop ones are left out */
     mb_str_t body;
+    /* Maximum time of the call; 0: unlimited. */
     uint32_t timeout_ms;
+    /* Maximum time in which no byte is sent or received; 0: unlimited. A call
+       of unknown size is limited by this, so that a slow link does not fail
+       it. */
+    uint32_t idle_timeout_ms;
     /* Whether the request may reach the server twice; if not, libcurl is kept
        from repeating it. */
     bool idempotent;
@@ -41,8 +46,11 @@
     CURLM *multi;
     mb_loop_source_t timer;    /* a timerfd */
     uint64_t curl_deadline_us; /* when libcurl's time-out expires; 0: none */
+    uint64_t idle_deadline_us; /* when an idle time-out may expire; 0: none */
     uint64_t timer_expiry_us;  /* when `timer` expires; 0: not armed */
     mb_loop_deferred_t immediate_timeout; /* for time-outs of 0 ms */
+    mb_loop_deferred_t idle_check;        /* fails calls that are idle */
+    GQueue idle_limited;                  /* calls with an idle time-out */
     uint32_t active;                      /* calls in progress */
     uint32_t max_active;
     size_t max_body; /* maximum size of a response body, in bytes */
--- a/tests/unit/config_simulation.h
+++ b/tests/unit/config_simulation.h
@@ -23,7 +23,8 @@
 
 /* A log of configurations behind a link. Connections may go silent for good; a
    read on such a connection, or on a new one while the log is silent, times
-   out. */
+   out. So does a read whose answer takes longer than its idle time-out, which
+   is stricter than the interface. */
 class SlowLog {
   public:
     static constexpr uint64_t LINK_BYTES_PER_MS = 1250; /* 10 Mbit/s */
@@ -82,6 +83,7 @@
         uint64_t sent_us;
         uint64_t deadline_us;
         uint64_t end;         /* offset after the last record of the answer */
+        uint64_t log_end;     /* end of the log when the answer began */
         uint64_t answered_us; /* 0: the answer has not begun */
     };
 
@@ -107,7 +109,8 @@
             connections_.pop_back();
         }
         reads_.push_back({*call, newest, live, *now_us_,
-                          *now_us_ + call->timeout_ms * UINT64_C(1000), 0, 0});
+                          *now_us_ + call->idle_timeout_ms * UINT64_C(1000), 0,
+                          0, 0});
         return true;
     }
 
@@ -123,6 +126,7 @@
             return;
         }
         uint64_t bytes = 16;
+        read->log_end = records.size();
         read->end = std::max(read->newest ? 0 : read->call.from, first);
         if (read->newest) {
             read->end = records.size();
@@ -172,7 +176,7 @@
                 views.push_back({MB_STR_LIT("config"),
                                  {records[i].data(), records[i].size()}});
             }
-            page.end = records.size();
+            page.end = read.log_end;
         }
         failed_reads += page.result == MB_KEYED_UNKNOWN;
         page.records = views.data();
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -1,8 +1,11 @@
-/* Tests of the HTTP client against a server that ends connections early. */
+/* Tests of the HTTP client against a server that ends connections early, or
+   sends slowly. */
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <future>
 #include <string>
 #include <sys/socket.h>
@@ -17,11 +20,15 @@
 
 /* A server that accepts connections one after the other. It sends
    `first_response` to the very first request, and closes the connection
-   without a response at each later request. */
+   without a response at each later request. With `parts` it sends the response
+   to every request, in so many parts with pauses between them. After
+   `sent_parts` it stops and waits for the client to end the connection. */
 class Server {
   public:
-    explicit Server(const std::string &first_response)
-        : first_response_(first_response)
+    explicit Server(const std::string &first_response, size_t parts = 0,
+                    size_t sent_parts = SIZE_MAX)
+        : first_response_(first_response), parts_(parts),
+          sent_parts_(sent_parts)
     {
         sockaddr_in address = {};
         socklen_t size = sizeof(address);
@@ -45,12 +52,34 @@
     std::string url;
     std::atomic<int> requests{0};
 
+    static constexpr int PAUSE_MS = 60;
+
   private:
+    /* Sends the response in parts. */
+    void send_slowly(int fd)
+    {
+        size_t size = first_response_.size() / parts_ + 1;
+        for (size_t i = 0; i < std::min(parts_, sent_parts_); i++) {
+            std::string part = first_response_.substr(
+                std::min(i * size, first_response_.size()), size);
+            (void)send(fd, part.data(), part.size(), MSG_NOSIGNAL);
+            (void)usleep(PAUSE_MS * 1000);
+        }
+    }
+
     void serve()
     {
         int fd;
         while ((fd = accept(listener_, nullptr, nullptr)) >= 0) {
             while (read_request(fd)) {
+                if (parts_ > 0) {
+                    requests++;
+                    send_slowly(fd);
+                    if (sent_parts_ >= parts_) {
+                        break;
+                    }
+                    continue;
+                }
                 if (requests++ > 0) {
                     break;
                 }
@@ -83,6 +112,8 @@
     }
 
     std::string first_response_;
+    size_t parts_;
+    size_t sent_parts_;
     int listener_;
     std::thread thread_;
 };
@@ -94,6 +125,8 @@
         mb_loop_task_t task;
         HttpClient *test;
         std::string url;
+        uint32_t timeout_ms;
+        uint32_t idle_timeout_ms;
         std::promise<std::pair<mb_kind_t, std::string>> result;
     };
 
@@ -112,12 +145,16 @@
     }
 
     /* Sends a non-idempotent POST and waits for its result. */
-    std::pair<mb_kind_t, std::string> post(const std::string &url)
+    std::pair<mb_kind_t, std::string> post(const std::string &url,
+                                           uint32_t timeout_ms = 5000,
+                                           uint32_t idle_timeout_ms = 0)
     {
         Call call = {};
         call.task.run = run;
         call.test = this;
         call.url = url;
+        call.timeout_ms = timeout_ms;
+        call.idle_timeout_ms = idle_timeout_ms;
         EXPECT_TRUE(mb_loop_post(&loop, &call.task));
         return call.result.get_future().get();
     }
@@ -129,7 +166,8 @@
         http.method = MB_STR_LIT("POST");
         http.url = {call->url.data(), call->url.size()};
         http.body = MB_STR_LIT("body");
-        http.timeout_ms = 5000;
+        http.timeout_ms = call->timeout_ms;
+        http.idle_timeout_ms = call->idle_timeout_ms;
         http.context = call;
         http.done = [](void *context, const mb_http_result_t *result) {
             static_cast<Call *>(context)->result.set_value(
@@ -166,3 +204,34 @@
     EXPECT_EQ(post(server.url).first, MB_KIND_UPSTREAM_FAILED);
     EXPECT_EQ(server.requests, 2);
 }
+
+/* Guards against an answer that arrives steadily, but takes longer than the
+   time-out, and is requested again and again. */
+TEST_F(HttpClient, SlowAnswerDoesNotExceedTheIdleTimeout)
+{
+    const std::string body(2000, 'x');
+    const std::string response =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + body;
+    Server first(response, 15);
+    EXPECT_EQ(post(first.url, 300).first, MB_KIND_UNKNOWN_OUTCOME);
+    Server second(response, 15);
+    auto result = post(second.url, 0, 300);
+    EXPECT_EQ(result.first, MB_KIND_COUNT);
+    EXPECT_EQ(result.second, body);
+}
+
+/* Guards against a call that waits for good after a part of the answer, or
+   before it. */
+TEST_F(HttpClient, SilentConnectionExceedsTheIdleTimeout)
+{
+    for (size_t sent_parts : {0, 4}) {
+        Server server("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" +
+                          std::string(2000, 'x'),
+                      15, sent_parts);
+        auto start = std::chrono::steady_clock::now();
+        EXPECT_EQ(post(server.url, 0, 300).first, MB_KIND_UNKNOWN_OUTCOME);
+        auto elapsed = std::chrono::steady_clock::now() - start;
+        EXPECT_GE(elapsed, std::chrono::milliseconds(290));
+        EXPECT_LT(elapsed, std::chrono::seconds(3));
+    }
+}
