Read only the newest configuration after reads have failed

Cause: every version contains the whole configuration, but a scheduler that had fallen behind read, decoded and published each version between its own and the newest. The time to catch up grew with the number of changes and their size, and each read could be too large for the link.

A follower for which only the newest record of each key matters now reads the newest records after a failed read, or when a read leaves a backlog, and applies only the last record of a key on a page. A page of the newest records has the same idle time-out as a read in order (it was 2.5 s), and the configuration counts as confirmed once it is loaded.

--- a/lib/coordination/mb_config_reader.c
+++ b/lib/coordination/mb_config_reader.c
@@ -81,6 +81,8 @@
     reader->version_metric = version_metric;
     mb_follower_init(&reader->follower, stream, log, &callbacks, clock,
                      logger);
+    /* A version contains the whole configuration. */
+    mb_follower_set_newest_only(&reader->follower);
 }
 
 /* Releases the reader. No read may be in progress. */
--- a/lib/coordination/mb_follower.c
+++ b/lib/coordination/mb_follower.c
@@ -26,11 +26,27 @@
     mb_buf_finish(&follower->last_page_key);
 }
 
+/* Returns whether a later record of the page has the same key as record
+   `index`. */
+static bool
+is_superseded(const mb_keyed_page_t *page, uint32_t index)
+{
+    for (uint32_t i = index + 1; i < page->count; i++) {
+        if (mb_str_equal(page->records[i].key, page->records[index].key)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Passes the records of a page to the callback. */
 static void
 apply_page(mb_follower_t *follower, const mb_keyed_page_t *page, bool in_order)
 {
     for (uint32_t i = 0; i < page->count; i++) {
+        if (follower->newest_only && is_superseded(page, i)) {
+            continue;
+        }
         follower->callbacks.apply(follower->callbacks.context,
                                   &page->records[i], in_order);
     }
@@ -44,7 +60,9 @@
 }
 
 /* Handles a failed read: schedules the next one, and logs it. Of a series of
-   failures only those are logged whose number is a power of two. */
+   failures only those are logged whose number is a power of two. If only the
+   newest records matter, they are read next, because a backlog may have grown
+   meanwhile. */
 static void
 handle_failure(mb_follower_t *follower, const mb_keyed_page_t *page)
 {
@@ -66,6 +84,8 @@
                            MB_US_PER_MS,
                        page->received_bytes, page->connection_reused);
     }
+    follower->reload_pending = follower->reload_pending ||
+                               (follower->newest_only && follower->following);
     follower->next_read_us =
         now_us + MB_FOLLOWER_RETRY_DELAY_MS * MB_US_PER_MS;
 }
@@ -118,6 +138,7 @@
     handle_answer(follower, page);
     if (follower->first_page) {
         follower->first_page = false;
+        follower->load_start_us = follower->read_start_us;
         follower->next_offset = page->end;
     }
     apply_page(follower, page, false);
@@ -132,12 +153,17 @@
                     "newest records loaded stream=%.*s next_offset=%llu",
                     MB_STR_ARG(follower->stream),
                     (unsigned long long)follower->next_offset);
+        if (follower->newest_only) {
+            follower->callbacks.caught_up(follower->callbacks.context,
+                                          follower->load_start_us);
+        }
     }
     mb_follower_run(follower);
 }
 
 /* Handles the answer to a read in order. If retention has removed the
-   requested records, the newest ones are read again. */
+   requested records, or if more follow and only the newest ones matter, the
+   newest ones are read. */
 static void
 handle_read(void *context, const mb_keyed_page_t *page)
 {
@@ -160,6 +186,9 @@
     handle_answer(follower, page);
     follower->next_offset += page->count;
     apply_page(follower, page, true);
+    if (follower->newest_only && follower->next_offset < page->end) {
+        follower->reload_pending = true;
+    }
     if (!follower->reload_pending && follower->next_offset >= page->end) {
         follower->callbacks.caught_up(follower->callbacks.context,
                                       follower->read_start_us);
@@ -193,7 +222,7 @@
     }
     else {
         read.after = mb_buf_view(&follower->last_page_key);
-        read.idle_timeout_ms = MB_FOLLOWER_PAGE_TIMEOUT_MS;
+        read.idle_timeout_ms = MB_FOLLOWER_TIMEOUT_MS;
         read.done = handle_page;
         sent = follower->log.newest(follower->log.context, &read);
     }
@@ -237,6 +266,17 @@
     follower->read_interval_ms = read_interval_ms;
 }
 
+/* Tells that only the newest record of each key matters. Records that were
+   superseded before they were read may then be left out, so that the time to
+   catch up does not grow with the backlog. The removal of a key is not
+   reported if it happened while reads failed. Called before the first
+   read. */
+void
+mb_follower_set_newest_only(mb_follower_t *follower)
+{
+    follower->newest_only = true;
+}
+
 /* Returns whether the newest records have been read, and are not to be read
    again. */
 bool
--- a/lib/coordination/mb_follower.h
+++ b/lib/coordination/mb_follower.h
@@ -1,8 +1,9 @@
 /* Follows one stream of a keyed log: reads the newest record of each key in
-   pages, then every record in order. A record may be passed on more than once,
-   and the pages are not a consistent snapshot, because records are appended
-   meanwhile; so applying a record must be idempotent. For streams without
-   keys, mb_replica does this instead. Used on one thread. */
+   pages, then every record in order, or, if only the newest record of each key
+   matters, those that were not superseded meanwhile. A record may be passed on
+   more than once, and the pages are not a consistent snapshot, because records
+   are appended meanwhile; so applying a record must be idempotent. For streams
+   without keys, mb_replica does this instead. Used on one thread. */
 #ifndef MB_FOLLOWER_H
 #define MB_FOLLOWER_H
 
@@ -13,12 +14,9 @@
 /* Time for which a read in order waits for a record, in milliseconds. It
    bounds the age of the follower's state. */
 #define MB_FOLLOWER_WAIT_MS 500u
-/* Maximum time without a byte of the answer to a read in order, beyond that
-   wait, in milliseconds. */
+/* Maximum time without a byte of the answer, beyond that wait, in
+   milliseconds. */
 #define MB_FOLLOWER_TIMEOUT_MS 700u
-/* The same for a page of the newest records, which the log service has to
-   collect first. */
-#define MB_FOLLOWER_PAGE_TIMEOUT_MS 2500u
 /* Delay before a failed read is retried, in milliseconds. */
 #define MB_FOLLOWER_RETRY_DELAY_MS 100u
 
@@ -39,6 +37,7 @@
     mb_follower_callbacks_t callbacks;
     mb_clock_t clock;
     mb_log_t logger;
+    bool newest_only;    /* see mb_follower_set_newest_only */
     bool loaded;         /* the newest records have been read */
     bool following;      /* reads in order; else reads the newest records */
     bool reload_pending; /* the newest records are to be read again */
@@ -48,6 +47,7 @@
     uint64_t next_offset;      /* first offset of the next read in order */
     bool first_page; /* the next page of the newest records is the first */
     mb_buf_t last_page_key;    /* last key of the previous page */
+    uint64_t load_start_us;    /* start of the read of the first page */
     uint64_t read_start_us;    /* start of the latest read */
     uint64_t next_read_us;     /* earliest time of the next read */
     uint32_t read_interval_ms; /* minimum time between two reads in order */
@@ -65,6 +65,7 @@
 void mb_follower_reload(mb_follower_t *follower);
 void mb_follower_set_read_interval(mb_follower_t *follower,
                                    uint32_t read_interval_ms);
+void mb_follower_set_newest_only(mb_follower_t *follower);
 bool mb_follower_loaded(const mb_follower_t *follower);
 
 #endif
--- a/tests/unit/test_journal.cc
+++ b/tests/unit/test_journal.cc
@@ -228,6 +228,9 @@
 RC_GTEST_PROP(Follower, HoldsTheNewestRecordOfEachKey, ())
 {
     FollowerSimulation simulation;
+    if (*rc::gen::arbitrary<bool>()) {
+        mb_follower_set_newest_only(&simulation.follower);
+    }
     auto keys = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
     std::map<std::string, std::string> expected;
     int step = 0;
