Decide nothing by a configuration that may be out of date

Cause: the configuration in force was the newest one that had been read, however long ago. Nothing checked its age when it was used, so that any trouble of the reader, known or not, showed as wrong answers instead of a rejection.

The reader knows since when the table is complete. What an acknowledged version changes is then either in force or not decided here: if the age is within the bound, every version acknowledged before that time is in the table. Queries and cancellations of known jobs, and repeated submissions of a known job, don't depend on it and are answered as before, also while the log is away.

--- a/lib/coordination/mb_config_reader.c
+++ b/lib/coordination/mb_config_reader.c
@@ -76,6 +76,7 @@
     mb_follower_callbacks_t callbacks = {apply_record, note_caught_up, reader};
     memset(reader, 0, sizeof(*reader));
     reader->table = table;
+    reader->clock = *clock;
     reader->decoder = *decoder;
     reader->logger = *logger;
     reader->version_metric = version_metric;
@@ -99,12 +100,14 @@
     mb_follower_run(&reader->follower);
 }
 
-/* Returns the time of the clock up to which the table is known to be complete:
-   it holds every version that the log had accepted by then. 0: not known yet.
-   To judge the age of a version, this is called before mb_queue_table_load.
-   Any thread. */
+/* Returns the age of the table, in microseconds: it holds every version that
+   the log had accepted that long ago. UINT64_MAX if nothing is known. To judge
+   a version by its age, this is called before mb_queue_table_load. Any
+   thread. */
 uint64_t
-mb_config_reader_confirmed_us(const mb_config_reader_t *reader)
+mb_config_reader_age_us(const mb_config_reader_t *reader)
 {
-    return mb_atomic_load(&reader->confirmed_us);
+    uint64_t confirmed_us = mb_atomic_load(&reader->confirmed_us);
+    return confirmed_us == 0 ? UINT64_MAX
+                             : mb_clock_us(&reader->clock) - confirmed_us;
 }
--- a/lib/coordination/mb_config_reader.h
+++ b/lib/coordination/mb_config_reader.h
@@ -1,6 +1,6 @@
 /* Keeps the table of queues up to date with the configuration log, and knows
-   how recent the table is. Used on one thread, except
-   mb_config_reader_confirmed_us, which any thread may call. */
+   how recent the table is. Used on one thread, except mb_config_reader_age_us,
+   which any thread may call. */
 #ifndef MB_CONFIG_READER_H
 #define MB_CONFIG_READER_H
 
@@ -24,6 +24,7 @@
 typedef struct mb_config_reader {
     mb_follower_t follower;
     mb_queue_table_t *table;
+    mb_clock_t clock;
     mb_config_decoder_t decoder;
     mb_log_t logger;
     mb_metric_t *version_metric; /* NULL: not counted */
@@ -39,6 +40,6 @@
                            const mb_clock_t *clock, const mb_log_t *logger);
 void mb_config_reader_finish(mb_config_reader_t *reader);
 void mb_config_reader_run(mb_config_reader_t *reader);
-uint64_t mb_config_reader_confirmed_us(const mb_config_reader_t *reader);
+uint64_t mb_config_reader_age_us(const mb_config_reader_t *reader);
 
 #endif
--- a/lib/coordination/mb_job_request.c
+++ b/lib/coordination/mb_job_request.c
@@ -14,7 +14,8 @@
 mb_job_request_result_name(mb_job_request_result_t result)
 {
     static const char *const names[MB_JOB_REQUEST_RESULT_COUNT] = {
-        "ok", "no_configuration", "unknown_queue", "unknown_resource"};
+        "ok", "no_configuration", "stale_configuration", "unknown_queue",
+        "unknown_resource"};
     return result < MB_JOB_REQUEST_RESULT_COUNT ? names[result] : "unknown";
 }
 
@@ -42,10 +43,15 @@
 
 /* Resolves a request by `version`, the configuration in force, NULL if there
    is none yet. Sets *target if the result is MB_JOB_REQUEST_OK. Called inside
-   the read section in which `version` was loaded. */
+   the read section in which `version` was loaded.
+
+   `stale` tells that newer versions may have been accepted too long ago not to
+   be in force here. Such a version decides nothing that a newer one could
+   decide otherwise: whether a queue exists, and new jobs. Jobs that exist
+   don't depend on it. */
 mb_job_request_result_t
-mb_job_request_resolve(const mb_queue_version_t *version, mb_str_t method,
-                       mb_str_t host, mb_str_t path,
+mb_job_request_resolve(const mb_queue_version_t *version, bool stale,
+                       mb_str_t method, mb_str_t host, mb_str_t path,
                        mb_job_request_target_t *target)
 {
     if (version == NULL) {
@@ -53,10 +59,16 @@
     }
     target->queue = mb_queue_match(version, host, path);
     if (target->queue == NULL) {
-        return MB_JOB_REQUEST_UNKNOWN_QUEUE;
+        return stale ? MB_JOB_REQUEST_STALE_CONFIGURATION
+                     : MB_JOB_REQUEST_UNKNOWN_QUEUE;
     }
     mb_str_t rest = {path.data + target->queue->prefix.len,
                      path.len - target->queue->prefix.len};
-    return set_kind(target, method, rest) ? MB_JOB_REQUEST_OK
-                                          : MB_JOB_REQUEST_UNKNOWN_RESOURCE;
+    if (!set_kind(target, method, rest)) {
+        return MB_JOB_REQUEST_UNKNOWN_RESOURCE;
+    }
+    target->known_only = stale;
+    return stale && target->kind == MB_JOB_REQUEST_PENDING
+               ? MB_JOB_REQUEST_STALE_CONFIGURATION
+               : MB_JOB_REQUEST_OK;
 }
--- a/lib/coordination/mb_job_request.h
+++ b/lib/coordination/mb_job_request.h
@@ -20,7 +20,8 @@
 /* Whether a request refers to something that exists. */
 typedef enum mb_job_request_result {
     MB_JOB_REQUEST_OK,
-    MB_JOB_REQUEST_NO_CONFIGURATION, /* none has been read yet */
+    MB_JOB_REQUEST_NO_CONFIGURATION,    /* none has been read yet */
+    MB_JOB_REQUEST_STALE_CONFIGURATION, /* it may be out of date */
     MB_JOB_REQUEST_UNKNOWN_QUEUE,
     MB_JOB_REQUEST_UNKNOWN_RESOURCE, /* not a resource or method of a queue */
     MB_JOB_REQUEST_RESULT_COUNT
@@ -31,13 +32,15 @@
     mb_job_request_kind_t kind;
     mb_dag_id_t id; /* of the job; unset for MB_JOB_REQUEST_PENDING */
     const mb_queue_t *queue;
+    bool known_only; /* a new job must not be accepted: the configuration may
+                        be out of date */
 } mb_job_request_target_t;
 
 const char *mb_job_request_kind_name(mb_job_request_kind_t kind);
 const char *mb_job_request_result_name(mb_job_request_result_t result);
 mb_job_request_result_t
-mb_job_request_resolve(const mb_queue_version_t *version, mb_str_t method,
-                       mb_str_t host, mb_str_t path,
+mb_job_request_resolve(const mb_queue_version_t *version, bool stale,
+                       mb_str_t method, mb_str_t host, mb_str_t path,
                        mb_job_request_target_t *target);
 
 #endif
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -1,6 +1,6 @@
 /* Functions that the files of mb_scheduler_node share. All but
-   mb_scheduler_handle and mb_scheduler_unix_ms are called only on the thread
-   of the loop, or after it has stopped. */
+   mb_scheduler_handle, mb_scheduler_is_stale and mb_scheduler_unix_ms are
+   called only on the thread of the loop, or after it has stopped. */
 #ifndef MB_SCHEDULER_INTERNAL_H
 #define MB_SCHEDULER_INTERNAL_H
 
@@ -19,6 +19,8 @@
 
 /* mb_scheduler_node.c */
 uint64_t mb_scheduler_unix_ms(void);
+bool mb_scheduler_is_stale(const mb_scheduler_node_t *node,
+                           uint64_t config_age_us);
 void mb_scheduler_defer_flush(mb_scheduler_node_t *node);
 
 /* mb_scheduler_owner.c */
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -139,14 +139,24 @@
     mb_fleet_set_active(&node->fleet, mb_ownership_may_act(&node->ownership));
 }
 
+/* Returns whether a configuration of that age counts as stale. Called on any
+   thread. */
+bool
+mb_scheduler_is_stale(const mb_scheduler_node_t *node, uint64_t config_age_us)
+{
+    return config_age_us / MB_US_PER_MS > node->config.config_age_max_ms;
+}
+
 /* Updates whether this process is ready for requests of clients: it has read
-   the job log and a configuration, the log is reachable, and it is not
-   draining. */
+   the job log, the configuration is not stale, the log is reachable, and it is
+   not draining. */
 static void
 update_ready(mb_scheduler_node_t *node)
 {
     bool ready = mb_follower_loaded(&node->jobs) &&
                  mb_queue_table_load(&node->queues) != NULL &&
+                 !mb_scheduler_is_stale(
+                     node, mb_config_reader_age_us(&node->configs)) &&
                  mb_ownership_log_reachable(&node->ownership) &&
                  mb_atomic_load(&node->draining) == 0;
     if (ready != (mb_atomic_load(&node->is_ready) != 0)) {
@@ -177,9 +187,8 @@
 static void
 update_metrics(mb_scheduler_node_t *node)
 {
-    uint64_t age_us = mb_clock_us(&node->clock) -
-                      mb_config_reader_confirmed_us(&node->configs);
-    mb_gauge_set(node->metrics.config_age_ms, age_us / MB_US_PER_MS);
+    mb_gauge_set(node->metrics.config_age_ms,
+                 mb_config_reader_age_us(&node->configs) / MB_US_PER_MS);
     mb_gauge_set(node->metrics.failed_reads,
                  node->jobs.failed_reads +
                      node->configs.follower.failed_reads);
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -33,6 +33,7 @@
     uint32_t default_deadline_ms; /* for requests without a deadline; also
                                      the longest deadline */
     uint32_t retention_ms;        /* how long closed jobs stay in the log */
+    uint32_t config_age_max_ms;   /* an older configuration counts as stale */
     mb_str_t name;                /* of the process; must outlive the node */
     uint64_t incarnation; /* differs after each restart of the process */
 } mb_scheduler_config_t;
@@ -67,7 +68,7 @@
     mb_metric_t *reads;        /* sent to the log */
     mb_metric_t *failed_reads; /* of the log */
     mb_metric_t *config_version;
-    mb_metric_t *config_age_ms; /* see mb_config_reader_confirmed_us */
+    mb_metric_t *config_age_ms; /* see mb_config_reader_age_us */
     /* The same, in microseconds, when a request was decided by it. */
     mb_metric_t *request_config_age_us;
     mb_metric_t *unknown_queue; /* requests for a queue that does not exist */
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -34,6 +34,7 @@
     mb_buf_t value;          /* of the record to append */
     uint64_t config_version; /* by which the request was decided; 0: none */
     uint64_t config_age_us; /* since that version was known to be the newest */
+    bool known_only;        /* see mb_job_request_target_t */
     uint64_t received_us;
     uint64_t deadline_us; /* the response is due by then */
 } request_t;
@@ -240,6 +241,11 @@
         free_request(request);
         return;
     }
+    if (request->known_only) {
+        respond_to_write(request, 503, "stale_configuration");
+        free_request(request);
+        return;
+    }
     append(request, MB_DAG_RECORD_JOB);
 }
 
@@ -450,21 +456,15 @@
     }
 }
 
-/* Notes which version decides a request, and for how long that version has
-   not been known to be the newest. `confirmed_us` was read before the
-   version. */
+/* Notes which version decides a request, and records its age. */
 static void
-note_version(request_t *request, const mb_queue_version_t *version,
-             uint64_t confirmed_us)
+note_version(request_t *request, const mb_queue_version_t *version)
 {
-    mb_scheduler_node_t *node = request->node;
-    if (version == NULL) {
-        return;
+    if (version != NULL) {
+        request->config_version = version->version;
+        mb_histogram_record(request->node->metrics.request_config_age_us,
+                            request->config_age_us);
     }
-    request->config_version = version->version;
-    request->config_age_us = mb_clock_us(&node->clock) - confirmed_us;
-    mb_histogram_record(node->metrics.request_config_age_us,
-                        request->config_age_us);
 }
 
 /* Returns the HTTP status for a request that refers to nothing, or 0. */
@@ -473,6 +473,7 @@
 {
     switch (result) {
     case MB_JOB_REQUEST_NO_CONFIGURATION:
+    case MB_JOB_REQUEST_STALE_CONFIGURATION:
         return 503;
     case MB_JOB_REQUEST_UNKNOWN_QUEUE:
     case MB_JOB_REQUEST_UNKNOWN_RESOURCE:
@@ -497,13 +498,15 @@
     mb_str_t host = mb_http_header(exchange, MB_STR_LIT("Host"));
     mb_str_t path = mb_uri_path(mb_http_uri(exchange));
     mb_job_request_result_t result = mb_job_request_resolve(
-        version, mb_http_method(exchange), host, path, &target);
+        version, mb_scheduler_is_stale(request->node, request->config_age_us),
+        mb_http_method(exchange), host, path, &target);
     if (result != MB_JOB_REQUEST_OK) {
         log_unresolved(request, result, host, path);
         return status_of_result(result);
     }
     request->kind = target.kind;
     request->id = target.id;
+    request->known_only = target.known_only;
     mb_buf_set(&request->queue, target.queue->name);
     set_deadline(request);
     if (request->kind == MB_JOB_REQUEST_SUBMIT) {
@@ -527,10 +530,10 @@
     request->task.run = run_request;
     request->node = node;
     request->exchange = exchange;
-    uint64_t confirmed_us = mb_config_reader_confirmed_us(&node->configs);
+    request->config_age_us = mb_config_reader_age_us(&node->configs);
     mb_epoch_enter(node->epoch);
     const mb_queue_version_t *version = mb_queue_table_load(&node->queues);
-    note_version(request, version, confirmed_us);
+    note_version(request, version);
     uint32_t status = parse_request(request, version, &error);
     mb_epoch_leave(node->epoch);
     if (status == 0 && mb_loop_post(&node->loop, &request->task)) {
--- a/tests/unit/config_simulation.h
+++ b/tests/unit/config_simulation.h
@@ -199,7 +199,9 @@
     bool frozen = false; /* the process does not run */
     bool disturbed = false;
     uint64_t disturbed_until_us = 0; /* end of the latest disturbance */
-    uint64_t late = 0;     /* requests decided by a version too old */
+    uint64_t late = 0;     /* requests decided by a version too old, in calm
+                              times */
+    uint64_t overdue = 0;  /* the same at any time */
     uint64_t reverted = 0; /* by an older version than one before */
     uint64_t rejected = 0; /* for want of a recent version, in calm times */
     uint64_t decided = 0;
@@ -304,10 +306,11 @@
             !disturbed && now_us >= disturbed_until_us + CALM_MS * 1000;
         std::string path = prefix_of(required);
         mb_job_request_target_t target = {};
+        bool stale = mb_config_reader_age_us(&reader) > IN_FORCE_MS * 1000;
         mb_epoch_enter(&epoch_);
         const mb_queue_version_t *version = mb_queue_table_load(&table_);
         mb_job_request_result_t result = mb_job_request_resolve(
-            version, MB_STR_LIT("GET"), MB_STR_LIT("host"),
+            version, stale, MB_STR_LIT("GET"), MB_STR_LIT("host"),
             {path.data(), path.size()}, &target);
         uint64_t used = version == nullptr ? 0 : version->version;
         mb_epoch_leave(&epoch_);
@@ -322,6 +325,7 @@
             EXPECT_EQ(result == MB_JOB_REQUEST_OK, used == required);
             decided++;
             note(calm && used < required, &late, used, required);
+            note(used < required, &overdue, used, required);
             note(used < newest_used_, &reverted, used, required);
             newest_used_ = std::max(newest_used_, used);
         }
--- a/tests/unit/test_config_reader.cc
+++ b/tests/unit/test_config_reader.cc
@@ -43,6 +43,19 @@
     EXPECT_EQ(simulation.late + simulation.rejected, 0u) << simulation.report;
 }
 
+/* Guards against a process that goes on to decide by the version that it has
+   when it can't know of newer ones. */
+TEST(ConfigReader, DecidesNothingByAVersionOfUnknownAge)
+{
+    ConfigSimulation simulation;
+    write_versions(&simulation, 10000, 2, 1000);
+    simulation.disturbed = simulation.log.silent = true;
+    write_versions(&simulation, 10000, 10, 1000);
+    EXPECT_EQ(simulation.overdue, 0u) << simulation.report;
+    /* A version is at most 1.1 s old when the log falls silent. */
+    EXPECT_GE(simulation.decided, (2000 + IN_FORCE_MS - 1100) / 20);
+}
+
 /* What can happen near a reader of the log. */
 enum Disturbance {
     LOG_SILENT,
@@ -93,6 +106,7 @@
     }
     simulation.advance(8000);
     RC_ASSERT(simulation.late == 0);
+    RC_ASSERT(simulation.overdue == 0);
     RC_ASSERT(simulation.rejected == 0);
     RC_ASSERT(simulation.reverted == 0);
 }
