Open new connections to the log after a read was met by silence

After such a time-out, calls with an idle time-out open a new connection until one succeeds, and then take none that is older than the time-out. connection_reused=1 in the log no longer stands for a connection that could not be opened.

HttpClient.OneTimeoutIsEnoughWhenAllConnectionsAreSilent: with three connections of the pool silent, the second call fails without this change and succeeds with it. test_journal, test_platform, test_config_reader and system_test_jobs pass.

--- a/lib/transport/mb_http_client.c
+++ b/lib/transport/mb_http_client.c
@@ -32,6 +32,15 @@
     mb_loop_source_t source;
 } socket_watch_t;
 
+/* Returns the present time of the clock that the timer uses, in
+   microseconds. */
+static uint64_t
+now_us(void)
+{
+    mb_clock_t clock = mb_clock_monotonic();
+    return mb_clock_us(&clock);
+}
+
 /* Returns whether a header applies to a single connection (RFC 9110, 7.6.1) or
    is set by libcurl, and so must not be forwarded. */
 static bool
@@ -103,6 +112,16 @@
     }
 }
 
+/* Notes whether a call with an idle time-out exceeded it. */
+static void
+note_idle_result(mb_http_client_t *client, CURLcode code)
+{
+    client->pool_suspect = code == CURLE_OPERATION_TIMEDOUT;
+    if (client->pool_suspect) {
+        client->suspect_before_us = now_us();
+    }
+}
+
 /* Passes the result of a finished call to its callback and frees the call. */
 static void
 finish_transfer(transfer_t *transfer, CURLcode code)
@@ -110,9 +129,12 @@
     mb_http_result_t result = {.kind = MB_KIND_COUNT};
     long status = 0;
     long new_connections = 0;
+    double sent_after_s = 0; /* 0: the request was not sent */
     (void)curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
     (void)curl_easy_getinfo(transfer->easy, CURLINFO_NUM_CONNECTS,
                             &new_connections);
+    (void)curl_easy_getinfo(transfer->easy, CURLINFO_PRETRANSFER_TIME,
+                            &sent_after_s);
 #ifdef MB_MUTANT_PART_PASSED_AS_WHOLE
     code = code == CURLE_PARTIAL_FILE ? CURLE_OK : code;
 #endif
@@ -122,8 +144,9 @@
     result.status = (uint32_t)status;
     parse_head(mb_buf_view(&transfer->response_head), &result.headers);
     result.body = mb_buf_view(&transfer->response_body);
-    result.connection_reused = new_connections == 0;
+    result.connection_reused = new_connections == 0 && sent_after_s > 0;
     if (transfer->idle_timeout_us > 0) {
+        note_idle_result(transfer->client, code);
         (void)g_queue_remove(&transfer->client->idle_limited, transfer);
     }
     (void)curl_multi_remove_handle(transfer->client->multi, transfer->easy);
@@ -197,15 +220,6 @@
     return 0;
 }
 
-/* Returns the present time of the clock that the timer uses, in
-   microseconds. */
-static uint64_t
-now_us(void)
-{
-    mb_clock_t clock = mb_clock_monotonic();
-    return mb_clock_us(&clock);
-}
-
 /* Returns the earlier of two times, of which 0 means none. */
 static uint64_t
 earlier_time(uint64_t a_us, uint64_t b_us)
@@ -505,6 +519,24 @@
     (void)curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
 }
 
+/* Keeps a call from connections that may have gone silent together with the
+   one of a call that exceeded its idle time-out: until a call succeeds, it
+   opens a new connection, and later it takes none from before that time-out.
+   libcurl counts the age of a connection in whole seconds. */
+static void
+avoid_suspect_connections(const transfer_t *transfer)
+{
+    const mb_http_client_t *client = transfer->client;
+    if (client->pool_suspect) {
+        (void)curl_easy_setopt(transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
+    else if (client->suspect_before_us != 0) {
+        uint64_t age_s = (now_us() - client->suspect_before_us) / MB_US_PER_S;
+        (void)curl_easy_setopt(transfer->easy, CURLOPT_MAXLIFETIME_CONN,
+                               (long)MAX(age_s, 1));
+    }
+}
+
 /* Sets the other options of a call. */
 static void
 set_options(transfer_t *transfer, const mb_http_call_t *call)
@@ -528,6 +560,7 @@
         (void)curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
         (void)curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, note_progress);
         (void)curl_easy_setopt(easy, CURLOPT_XFERINFODATA, transfer);
+        avoid_suspect_connections(transfer);
     }
 }
 
--- a/lib/transport/mb_http_client.h
+++ b/lib/transport/mb_http_client.h
@@ -50,8 +50,12 @@
     uint64_t timer_expiry_us;  /* when `timer` expires; 0: not armed */
     mb_loop_deferred_t immediate_timeout; /* for time-outs of 0 ms */
     mb_loop_deferred_t idle_check;        /* fails calls that are idle */
-    GQueue idle_limited;                  /* calls with an idle time-out */
-    uint32_t active;                      /* calls in progress */
+    /* The latest call with an idle time-out exceeded it. Connections of the
+       pool may have gone silent together with its connection. */
+    bool pool_suspect;
+    uint64_t suspect_before_us; /* time of the latest such time-out; 0: none */
+    GQueue idle_limited;        /* calls with an idle time-out */
+    uint32_t active;            /* calls in progress */
     uint32_t max_active;
     size_t max_body; /* maximum size of a response body, in bytes */
 } mb_http_client_t;
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 extern "C" {
 #include "mb_http_client.h"
@@ -118,6 +119,71 @@
     std::thread thread_;
 };
 
+/* A server with a thread for each connection. Once `silent` is set, it no
+   longer answers on the connections that are open then, without closing
+   them. */
+class SilentServer {
+  public:
+    SilentServer()
+    {
+        sockaddr_in address = {};
+        socklen_t size = sizeof(address);
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        EXPECT_EQ(bind(listener_, (sockaddr *)&address, size), 0);
+        EXPECT_EQ(listen(listener_, 8), 0);
+        EXPECT_EQ(getsockname(listener_, (sockaddr *)&address, &size), 0);
+        url = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        threads_.emplace_back([this] { accept_connections(); });
+    }
+    ~SilentServer()
+    {
+        (void)shutdown(listener_, SHUT_RDWR);
+        threads_[0].join();
+        for (int fd : connections_) {
+            (void)shutdown(fd, SHUT_RDWR);
+        }
+        for (size_t i = 1; i < threads_.size(); i++) {
+            threads_[i].join();
+        }
+        (void)close(listener_);
+    }
+
+    std::string url;
+    std::atomic<int> accepted{0};
+    std::atomic<int> silent{0}; /* so many connections are silent */
+
+  private:
+    void accept_connections()
+    {
+        int fd;
+        while ((fd = accept(listener_, nullptr, nullptr)) >= 0) {
+            int number = accepted++;
+            connections_.push_back(fd);
+            threads_.emplace_back([this, fd, number] { serve(fd, number); });
+        }
+    }
+    /* The pause lets concurrent calls need a connection each. */
+    void serve(int fd, int number)
+    {
+        static const char response[] =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        char part[1024];
+        while (recv(fd, part, sizeof(part), 0) > 0) {
+            (void)usleep(50000);
+            if (number >= silent) {
+                (void)send(fd, response, sizeof(response) - 1, MSG_NOSIGNAL);
+            }
+        }
+        (void)close(fd);
+    }
+
+    int listener_;
+    std::vector<int> connections_;
+    std::vector<std::thread> threads_;
+};
+
 /* A client on a running event loop of its own. */
 class HttpClient : public testing::Test {
   protected:
@@ -144,21 +210,28 @@
         mb_loop_finish(&loop);
     }
 
-    /* Sends a non-idempotent POST and waits for its result. */
+    /* Sends a POST and waits for its result. */
     std::pair<mb_kind_t, std::string> post(const std::string &url,
                                            uint32_t timeout_ms = 5000,
                                            uint32_t idle_timeout_ms = 0)
     {
         Call call = {};
-        call.task.run = run;
-        call.test = this;
-        call.url = url;
-        call.timeout_ms = timeout_ms;
-        call.idle_timeout_ms = idle_timeout_ms;
-        EXPECT_TRUE(mb_loop_post(&loop, &call.task));
+        start(&call, url, timeout_ms, idle_timeout_ms);
         return call.result.get_future().get();
     }
 
+    /* Sends a POST; one with an idle time-out is idempotent. */
+    void start(Call *call, const std::string &url, uint32_t timeout_ms,
+               uint32_t idle_timeout_ms)
+    {
+        call->task.run = run;
+        call->test = this;
+        call->url = url;
+        call->timeout_ms = timeout_ms;
+        call->idle_timeout_ms = idle_timeout_ms;
+        EXPECT_TRUE(mb_loop_post(&loop, &call->task));
+    }
+
     static void run(mb_loop_task_t *task)
     {
         Call *call = reinterpret_cast<Call *>(task);
@@ -168,6 +241,7 @@
         http.body = MB_STR_LIT("body");
         http.timeout_ms = call->timeout_ms;
         http.idle_timeout_ms = call->idle_timeout_ms;
+        http.idempotent = call->idle_timeout_ms > 0;
         http.context = call;
         http.done = [](void *context, const mb_http_result_t *result) {
             static_cast<Call *>(context)->result.set_value(
@@ -235,3 +309,32 @@
         EXPECT_LT(elapsed, std::chrono::seconds(3));
     }
 }
+
+/* Guards against calls that try one silent connection of the pool after the
+   other, each until its time-out. */
+TEST_F(HttpClient, OneTimeoutIsEnoughWhenAllConnectionsAreSilent)
+{
+    SilentServer server;
+    std::vector<Call> calls(3);
+    for (Call &call : calls) {
+        start(&call, server.url, 0, 2000);
+    }
+    for (Call &call : calls) {
+        EXPECT_EQ(call.result.get_future().get().second, "ok");
+    }
+    EXPECT_EQ(server.accepted, 3);
+    /* libcurl counts the age of a connection in whole seconds. */
+    std::this_thread::sleep_for(std::chrono::milliseconds(2100));
+    server.silent = 3;
+    EXPECT_EQ(post(server.url, 0, 300).first, MB_KIND_UNKNOWN_OUTCOME);
+    EXPECT_EQ(post(server.url, 0, 300).second, "ok");
+    EXPECT_EQ(server.accepted, 4);
+    std::vector<Call> later(3);
+    for (Call &call : later) {
+        start(&call, server.url, 0, 300);
+    }
+    for (Call &call : later) {
+        EXPECT_EQ(call.result.get_future().get().second, "ok");
+    }
+    EXPECT_EQ(server.accepted, 6);
+}
