Limit reads of a stream by the time without a byte, too

A read had 4 s for its whole response, of up to 4,096 records; a process behind a link that needs longer would have asked for the same records again without end, and would never have got ready. The read now fails after 4 s without a byte.

LogClient.GetsReadyOverALinkSlowerThanTheTimeoutOfARead: a response that takes 4.8 s. Before, the client is not ready after 9.6 s; now it is. system_test_config and system_test_config_faults pass.

--- a/lib/transport/mb_log_client.c
+++ b/lib/transport/mb_log_client.c
@@ -15,7 +15,8 @@
 /* How long the log may delay the response to a read until there is a record,
    in milliseconds. */
 #define READ_WAIT_MS 1000
-/* Time-out of a read, in milliseconds, in addition to that wait. */
+/* Maximum time without a byte of the response to a read, in milliseconds, in
+   addition to that wait. */
 #define READ_TIMEOUT_MS 3000
 /* Delay before a failed read is retried, in milliseconds. */
 #define RETRY_DELAY_MS 200
@@ -255,7 +256,7 @@
         .method = MB_STR_LIT("GET"),
         .url = mb_buf_view(&url),
         .body = MB_STR_EMPTY,
-        .timeout_ms = READ_WAIT_MS + READ_TIMEOUT_MS,
+        .idle_timeout_ms = READ_WAIT_MS + READ_TIMEOUT_MS,
         .done = read_done,
         .context = client,
     };
