Keep appends of the scheduler small enough for a narrow link

An append that times out after 700 ms is repeated as it was, because its outcome is unknown. A batch of up to 512 KB takes 2.1 s on a link of 2 Mbit/s, so a backlog of that size would never have got through. A batch is now at most 128 KB (0.5 s); a static assertion ties it to the time-out and the link. system_test_jobs passes.

--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -7,9 +7,15 @@
 #include "mb_scheduler_node.h"
 
 /* Maximum number of records and bytes of one append, below the limits of the
-   log service. */
+   log service. An append that times out is repeated as it was, so a narrow
+   link must be able to carry it within MB_JOURNAL_TIMEOUT_MS. */
 #define MB_SCHEDULER_BATCH_RECORDS 512u
-#define MB_SCHEDULER_BATCH_BYTES (512u * 1024u)
+#define MB_SCHEDULER_BATCH_BYTES (128u * 1024u)
+/* Speed of the narrowest link that is provided for, in bytes per millisecond:
+   2 Mbit/s. */
+#define MB_SCHEDULER_LINK_BYTES_PER_MS 250u
+G_STATIC_ASSERT(MB_SCHEDULER_BATCH_BYTES / MB_SCHEDULER_LINK_BYTES_PER_MS <
+                MB_JOURNAL_TIMEOUT_MS);
 /* Minimum time between two reads of the job log by a process that does not
    own the fleet, in milliseconds. Such a process uses the records only to
    answer queries for the state of jobs, which may be that old. */
