Share the listener of the test servers; join their threads without a race

The set-up of a listening socket stood three times in the tests, and the silent server's list of threads contained the thread that extends it. test_http_client and test_log_client pass.

--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -2,17 +2,16 @@
    sends slowly. */
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
 #include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <future>
 #include <string>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 #include <vector>
 
+#include "loopback_listener.h"
+
 extern "C" {
 #include "mb_http_client.h"
 }
@@ -31,23 +30,14 @@
         : first_response_(first_response), parts_(parts),
           sent_parts_(sent_parts)
     {
-        sockaddr_in address = {};
-        socklen_t size = sizeof(address);
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        EXPECT_EQ(bind(listener_, (sockaddr *)&address, size), 0);
-        EXPECT_EQ(listen(listener_, 8), 0);
-        EXPECT_EQ(getsockname(listener_, (sockaddr *)&address, &size), 0);
-        url = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        url = "http://" + listener_.address;
         thread_ = std::thread([this] { serve(); });
     }
 
     ~Server()
     {
-        (void)shutdown(listener_, SHUT_RDWR);
+        listener_.stop();
         thread_.join();
-        (void)close(listener_);
     }
 
     std::string url;
@@ -71,7 +61,7 @@
     void serve()
     {
         int fd;
-        while ((fd = accept(listener_, nullptr, nullptr)) >= 0) {
+        while ((fd = listener_.accept_next()) >= 0) {
             while (read_request(fd)) {
                 if (parts_ > 0) {
                     requests++;
@@ -115,7 +105,7 @@
     std::string first_response_;
     size_t parts_;
     size_t sent_parts_;
-    int listener_;
+    LoopbackListener listener_;
     std::thread thread_;
 };
 
@@ -126,28 +116,19 @@
   public:
     SilentServer()
     {
-        sockaddr_in address = {};
-        socklen_t size = sizeof(address);
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        EXPECT_EQ(bind(listener_, (sockaddr *)&address, size), 0);
-        EXPECT_EQ(listen(listener_, 8), 0);
-        EXPECT_EQ(getsockname(listener_, (sockaddr *)&address, &size), 0);
-        url = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-        threads_.emplace_back([this] { accept_connections(); });
+        url = "http://" + listener_.address;
+        acceptor_ = std::thread([this] { accept_connections(); });
     }
     ~SilentServer()
     {
-        (void)shutdown(listener_, SHUT_RDWR);
-        threads_[0].join();
+        listener_.stop();
+        acceptor_.join();
         for (int fd : connections_) {
             (void)shutdown(fd, SHUT_RDWR);
         }
-        for (size_t i = 1; i < threads_.size(); i++) {
-            threads_[i].join();
+        for (std::thread &thread : threads_) {
+            thread.join();
         }
-        (void)close(listener_);
     }
 
     std::string url;
@@ -158,7 +139,7 @@
     void accept_connections()
     {
         int fd;
-        while ((fd = accept(listener_, nullptr, nullptr)) >= 0) {
+        while ((fd = listener_.accept_next()) >= 0) {
             int number = accepted++;
             connections_.push_back(fd);
             threads_.emplace_back([this, fd, number] { serve(fd, number); });
@@ -179,7 +160,8 @@
         (void)close(fd);
     }
 
-    int listener_;
+    LoopbackListener listener_;
+    std::thread acceptor_; /* the only user of the following while it runs */
     std::vector<int> connections_;
     std::vector<std::thread> threads_;
 };
--- a/tests/unit/test_log_client.cc
+++ b/tests/unit/test_log_client.cc
@@ -1,11 +1,10 @@
 /* Tests of the client of one stream against a log that sends slowly. */
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
 #include <string>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
+
+#include "loopback_listener.h"
 
 extern "C" {
 #include "mb_cleanup.h"
@@ -23,22 +22,13 @@
 
     SlowLogServer()
     {
-        sockaddr_in address = {};
-        socklen_t size = sizeof(address);
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        EXPECT_EQ(bind(listener_, (sockaddr *)&address, size), 0);
-        EXPECT_EQ(listen(listener_, 8), 0);
-        EXPECT_EQ(getsockname(listener_, (sockaddr *)&address, &size), 0);
-        this->address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+        address = listener_.address;
         thread_ = std::thread([this] { serve(); });
     }
     ~SlowLogServer()
     {
-        (void)shutdown(listener_, SHUT_RDWR);
+        listener_.stop();
         thread_.join();
-        (void)close(listener_);
     }
 
     std::string address;
@@ -47,7 +37,7 @@
     void serve()
     {
         int fd;
-        while ((fd = accept(listener_, nullptr, nullptr)) >= 0) {
+        while ((fd = listener_.accept_next()) >= 0) {
             answer(fd);
             (void)close(fd);
         }
@@ -88,7 +78,7 @@
         return std::string(body.data, body.len);
     }
 
-    int listener_;
+    LoopbackListener listener_;
     std::thread thread_;
 };
 
