Split the scheduler's requests by thread, and take its metrics out of the node

mb_scheduler_requests.c had grown to 552 lines and mixed what HTTP threads do with what the thread of the loop does; mb_scheduler_node.c had grown to 526. mb_scheduler_accept.c has the HTTP threads' part, mb_scheduler_request.h the request that it passes on, mb_scheduler_metrics.c the metrics. Code is moved and functions renamed, nothing else; test_http_client, test_platform, test_config_reader, test_journal and system_test_jobs pass.

--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -1,6 +1,7 @@
 /* Functions that the files of mb_scheduler_node share. All but
-   mb_scheduler_handle, mb_scheduler_is_stale and mb_scheduler_unix_ms are
-   called only on the thread of the loop, or after it has stopped. */
+   mb_scheduler_handle, mb_scheduler_handle_metrics, mb_scheduler_is_stale and
+   mb_scheduler_unix_ms are called only on the thread of the loop, or while it
+   is not running. */
 #ifndef MB_SCHEDULER_INTERNAL_H
 #define MB_SCHEDULER_INTERNAL_H
 
@@ -29,6 +30,12 @@
                            uint64_t config_age_us);
 void mb_scheduler_defer_flush(mb_scheduler_node_t *node);
 
+/* mb_scheduler_metrics.c */
+void mb_scheduler_add_metrics(mb_scheduler_node_t *node);
+void mb_scheduler_handle_metrics(void *context, mb_http_exchange_t *exchange);
+void mb_scheduler_note_tick(mb_scheduler_node_t *node);
+void mb_scheduler_update_metrics(mb_scheduler_node_t *node);
+
 /* mb_scheduler_owner.c */
 void mb_scheduler_claim_fleet(mb_scheduler_node_t *node);
 bool mb_scheduler_append_owner_record(mb_scheduler_node_t *node,
@@ -49,8 +56,10 @@
                                bool in_order);
 void mb_scheduler_note_jobs_read(void *context, uint64_t read_start_us);
 
-/* mb_scheduler_requests.c */
+/* mb_scheduler_accept.c */
 void mb_scheduler_handle(void *context, mb_http_exchange_t *exchange);
+
+/* mb_scheduler_requests.c */
 void mb_scheduler_requests_tick(mb_scheduler_node_t *node);
 
 /* mb_scheduler_agents.c */
--- /dev/null
+++ b/lib/transport/mb_scheduler_metrics.c
@@ -0,0 +1,105 @@
+/* The metrics of a scheduler. */
+#include "mb_cleanup.h"
+#include "mb_prometheus.h"
+#include "mb_scheduler_internal.h"
+
+/* Time between two ticks from which on a delay of the loop is logged, in
+   milliseconds. */
+#define LATE_TICK_MS 500
+
+/* Registers the metrics. */
+void
+mb_scheduler_add_metrics(mb_scheduler_node_t *node)
+{
+    mb_counters_t *counters = node->counters;
+    node->metrics = (mb_scheduler_metrics_t){
+        .accepted = mb_counters_add(counters, MB_METRIC_COUNTER,
+                                    "mb_jobs_accepted_total",
+                                    "Jobs answered as stored"),
+        .rejected = mb_counters_add(counters, MB_METRIC_COUNTER,
+                                    "mb_jobs_rejected_total",
+                                    "Jobs rejected as not stored"),
+        .unknown = mb_counters_add(counters, MB_METRIC_COUNTER,
+                                   "mb_jobs_unknown_total",
+                                   "Jobs answered with an unknown outcome"),
+        .accept_us =
+            mb_counters_add(counters, MB_METRIC_HISTOGRAM, "mb_job_accept_us",
+                            "Time from a job to its answer"),
+        .owner = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_fleet_owner",
+                                 "1 while this process owns the fleet"),
+        .running = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_runs",
+                                   "Runs that hold a worker"),
+        .starts = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_run_starts",
+                                  "Runs started by this process"),
+        .lost_runs = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_runs_lost",
+                                     "Runs given up without an end"),
+        .appends = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_log_appends",
+                                   "Appends sent to the log"),
+        .reads = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_log_reads",
+                                 "Reads sent to the log"),
+        .config_version =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_config_version",
+                            "Version of the configuration in force"),
+        .failed_reads =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_log_failed_reads",
+                            "Reads of the log that failed"),
+        .config_age_ms = mb_counters_add(
+            counters, MB_METRIC_GAUGE, "mb_config_age_ms",
+            "Time since the configuration was known to be the newest"),
+        .request_config_age_us = mb_counters_add(
+            counters, MB_METRIC_HISTOGRAM, "mb_request_config_age_us",
+            "Age of the configuration that decided a request"),
+        .unknown_queue = mb_counters_add(
+            counters, MB_METRIC_COUNTER, "mb_requests_unknown_queue_total",
+            "Requests for a queue that does not exist"),
+        .tick_gap_us =
+            mb_counters_add(counters, MB_METRIC_HISTOGRAM, "mb_tick_gap_us",
+                            "Time between two ticks of the event loop")};
+}
+
+/* Answers a request for the metrics, on an HTTP thread. */
+void
+mb_scheduler_handle_metrics(void *context, mb_http_exchange_t *exchange)
+{
+    mb_scheduler_node_t *node = context;
+    MB_AUTO_BUF mb_buf_t body = {0};
+    mb_prometheus_write(node->counters, &body);
+    mb_http_respond(exchange, 200, NULL, mb_buf_view(&body));
+}
+
+/* Copies the counters that other modules keep to the metrics. */
+void
+mb_scheduler_update_metrics(mb_scheduler_node_t *node)
+{
+    mb_gauge_set(node->metrics.config_age_ms,
+                 mb_config_reader_age_us(&node->configs) / MB_US_PER_MS);
+    mb_gauge_set(node->metrics.failed_reads,
+                 node->jobs.failed_reads +
+                     node->configs.follower.failed_reads);
+    mb_gauge_set(node->metrics.running, node->fleet.running);
+    mb_gauge_set(node->metrics.starts, node->fleet.counts.starts);
+    mb_gauge_set(node->metrics.lost_runs, node->fleet.counts.lost_runs);
+    mb_gauge_set(node->metrics.appends,
+                 node->journal.appends + (node->owner_journal != NULL
+                                              ? node->owner_journal->appends
+                                              : 0));
+    mb_gauge_set(node->metrics.reads,
+                 node->jobs.reads + node->configs.follower.reads);
+}
+
+/* Records the time since the previous tick, which is longer than TICK_MS when
+   the thread of the loop is short of processor time or was suspended. */
+void
+mb_scheduler_note_tick(mb_scheduler_node_t *node)
+{
+    uint64_t now_us = mb_clock_us(&node->clock);
+    uint64_t gap_us =
+        node->last_tick_us == 0 ? 0 : now_us - node->last_tick_us;
+    node->last_tick_us = now_us;
+    mb_histogram_record(node->metrics.tick_gap_us, gap_us);
+    if (gap_us >= LATE_TICK_MS * (uint64_t)MB_US_PER_MS) {
+        mb_log_notice(&node->log,
+                      "event loop delayed gap_ms=%" G_GUINT64_FORMAT,
+                      gap_us / MB_US_PER_MS);
+    }
+}
--- /dev/null
+++ b/lib/transport/mb_scheduler_request.h
@@ -0,0 +1,31 @@
+/* A request of a client, as the HTTP threads (mb_scheduler_accept.c) pass it
+   to the thread of the loop (mb_scheduler_requests.c). */
+#ifndef MB_SCHEDULER_REQUEST_H
+#define MB_SCHEDULER_REQUEST_H
+
+#include "mb_job_request.h"
+#include "mb_scheduler_internal.h"
+
+/* One request. It is created on an HTTP thread and owned by the loop once it
+   is posted. */
+typedef struct mb_scheduler_request {
+    mb_loop_task_t task;
+    mb_scheduler_node_t *node;
+    mb_http_exchange_t *exchange; /* NULL once the response was sent */
+    mb_job_request_kind_t kind;
+    mb_dag_id_t id;          /* of the job; unset for MB_JOB_REQUEST_PENDING */
+    mb_buf_t queue;          /* name of the queue */
+    mb_buf_t value;          /* of the record to append */
+    uint64_t config_version; /* by which the request was decided; 0: none */
+    uint64_t config_age_us; /* since that version was known to be the newest */
+    bool known_only;        /* see mb_job_request_target_t */
+    uint64_t received_us;
+    uint64_t deadline_us; /* the response is due by then */
+} mb_scheduler_request_t;
+
+void mb_scheduler_request_free(mb_scheduler_request_t *request);
+void mb_scheduler_request_run(mb_loop_task_t *task);
+void mb_scheduler_respond_empty(mb_scheduler_node_t *node,
+                                mb_http_exchange_t *exchange, uint32_t status);
+
+#endif
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -1,47 +1,21 @@
-/* Requests of clients. An HTTP thread finds the queue, decodes the job and
-   posts the request to the thread of the loop, which looks up the job, appends
-   records to the log and responds. */
+/* Requests of clients on the thread of the loop, which looks up the job,
+   appends records to the log and responds. */
 #include <stdio.h>
-#include <string.h>
 
 #include "mb_atomic.h"
 #include "mb_cleanup.h"
-#include "mb_job_request.h"
-#include "mb_scheduler_internal.h"
-#include "mb_uri.h"
+#include "mb_scheduler_request.h"
 
-/* Time before a client's deadline at which a request that waits for the log
-   gets its response, in milliseconds. */
-#define RESPONSE_MARGIN_MS 150u
 /* Time after which a record that could not be appended is rejected, in
    milliseconds, so that the client can retry at another process in time. */
 #define APPEND_TIMEOUT_MS 800u
 
-/* Maximum length of a host or a path in a log line, in bytes. */
-#define LOGGED_TEXT_MAX 120
 /* Size of the buffer for a Retry-After value, in bytes. */
 #define RETRY_AFTER_TEXT_MAX 12
 
-/* One request. It is created on an HTTP thread and owned by the loop once it
-   is posted. */
-typedef struct request {
-    mb_loop_task_t task;
-    mb_scheduler_node_t *node;
-    mb_http_exchange_t *exchange; /* NULL once the response was sent */
-    mb_job_request_kind_t kind;
-    mb_dag_id_t id;          /* of the job; unset for MB_JOB_REQUEST_PENDING */
-    mb_buf_t queue;          /* name of the queue */
-    mb_buf_t value;          /* of the record to append */
-    uint64_t config_version; /* by which the request was decided; 0: none */
-    uint64_t config_age_us; /* since that version was known to be the newest */
-    bool known_only;        /* see mb_job_request_target_t */
-    uint64_t received_us;
-    uint64_t deadline_us; /* the response is due by then */
-} request_t;
-
 /* Releases a request, which must have been responded to. */
-static void
-free_request(request_t *request)
+void
+mb_scheduler_request_free(mb_scheduler_request_t *request)
 {
     mb_buf_finish(&request->queue);
     mb_buf_finish(&request->value);
@@ -73,9 +47,9 @@
 }
 
 /* Responds with a status and an empty JSON object, on any thread. */
-static void
-respond_empty(mb_scheduler_node_t *node, mb_http_exchange_t *exchange,
-              uint32_t status)
+void
+mb_scheduler_respond_empty(mb_scheduler_node_t *node,
+                           mb_http_exchange_t *exchange, uint32_t status)
 {
     respond(node, exchange, status, MB_STR_LIT("{}"));
 }
@@ -84,7 +58,8 @@
    logs the response and, for a submission, counts it. `reason` goes to the
    log. */
 static void
-respond_to_write(request_t *request, uint32_t status, const char *reason)
+respond_to_write(mb_scheduler_request_t *request, uint32_t status,
+                 const char *reason)
 {
     mb_scheduler_node_t *node = request->node;
     uint64_t age_us = mb_clock_us(&node->clock) - request->received_us;
@@ -110,15 +85,15 @@
                        1);
         mb_histogram_record(node->metrics.accept_us, age_us);
     }
-    respond_empty(node, request->exchange, status);
+    mb_scheduler_respond_empty(node, request->exchange, status);
     request->exchange = NULL;
 }
 
 /* Logs the response to a query, at `severity`. `job` is empty for one that is
    not about a job. */
 static void
-log_query(const request_t *request, mb_severity_t severity, mb_str_t job,
-          uint32_t status)
+log_query(const mb_scheduler_request_t *request, mb_severity_t severity,
+          mb_str_t job, uint32_t status)
 {
     mb_log_line(&request->node->log, severity,
                 "%s answered job=%.*s queue=%.*s status=%u "
@@ -135,7 +110,7 @@
 static void
 append_done(void *context, mb_keyed_result_t result)
 {
-    request_t *request = context;
+    mb_scheduler_request_t *request = context;
     mb_scheduler_node_t *node = request->node;
     if (result == MB_KEYED_OK) {
         respond_to_write(request, 200, "stored");
@@ -147,13 +122,13 @@
         respond_to_write(request, 504, mb_keyed_result_name(result));
     }
     (void)g_ptr_array_remove_fast(node->pending_appends, request);
-    free_request(request);
+    mb_scheduler_request_free(request);
 }
 
 /* Queues the record of a request for the log. Rejects the request at once if
    the journal is stalled or full. */
 static void
-append(request_t *request, mb_dag_record_kind_t kind)
+append(mb_scheduler_request_t *request, mb_dag_record_kind_t kind)
 {
     mb_scheduler_node_t *node = request->node;
     uint64_t timeout_us = APPEND_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
@@ -166,7 +141,7 @@
                         mb_buf_view(&request->value), append_deadline_us,
                         append_done, request)) {
         respond_to_write(request, 503, "log_stalled");
-        free_request(request);
+        mb_scheduler_request_free(request);
         return;
     }
     g_ptr_array_add(node->pending_appends, request);
@@ -203,18 +178,18 @@
 /* Responds for a job that is not in the table: 410 if the job does not exist,
    503 if the table may be out of date. Frees the request. */
 static void
-respond_unknown(request_t *request)
+respond_unknown(mb_scheduler_request_t *request)
 {
     mb_scheduler_node_t *node = request->node;
     uint32_t status = is_table_current(node) ? 410 : 503;
     log_query(request, MB_SEVERITY_INFO, mb_dag_id_view(&request->id), status);
-    respond_empty(node, request->exchange, status);
-    free_request(request);
+    mb_scheduler_respond_empty(node, request->exchange, status);
+    mb_scheduler_request_free(request);
 }
 
 /* Handles a query for the status of a job. */
 static void
-handle_status(request_t *request)
+handle_status(mb_scheduler_request_t *request)
 {
     mb_scheduler_node_t *node = request->node;
     const mb_dag_job_t *job = mb_dag_find(&node->table, request->id);
@@ -227,23 +202,23 @@
                              &body);
     log_query(request, MB_SEVERITY_DEBUG, mb_dag_id_view(&request->id), 200);
     respond(node, request->exchange, 200, mb_buf_view(&body));
-    free_request(request);
+    mb_scheduler_request_free(request);
 }
 
 /* Handles a submission: appends the job to the log. If a job with the same id
    is stored already, the submission is accepted, so a client may retry. */
 static void
-handle_submit(request_t *request)
+handle_submit(mb_scheduler_request_t *request)
 {
     mb_scheduler_node_t *node = request->node;
     if (mb_dag_find(&node->table, request->id) != NULL) {
         respond_to_write(request, 200, "known");
-        free_request(request);
+        mb_scheduler_request_free(request);
         return;
     }
     if (request->known_only) {
         respond_to_write(request, 503, "stale_configuration");
-        free_request(request);
+        mb_scheduler_request_free(request);
         return;
     }
     append(request, MB_DAG_RECORD_JOB);
@@ -253,7 +228,7 @@
    unknown job may have been accepted by another process just before; the
    request then waits for a read of the log that begins after its receipt. */
 static void
-handle_cancel(request_t *request)
+handle_cancel(mb_scheduler_request_t *request)
 {
     mb_scheduler_node_t *node = request->node;
     const mb_dag_job_t *job = mb_dag_find(&node->table, request->id);
@@ -268,7 +243,7 @@
     }
     if (job->cancelled || job->stored_outcome != MB_DAG_OPEN) {
         respond_to_write(request, 200, "closed");
-        free_request(request);
+        mb_scheduler_request_free(request);
         return;
     }
     mb_dag_record_encode_cancel(&request->value);
@@ -277,7 +252,7 @@
 
 /* Handles a query for the number of jobs of a queue that have not started. */
 static void
-handle_pending(request_t *request)
+handle_pending(mb_scheduler_request_t *request)
 {
     mb_scheduler_node_t *node = request->node;
     MB_AUTO_BUF mb_buf_t body = {0};
@@ -286,8 +261,8 @@
     gpointer value;
     if (!mb_follower_loaded(&node->jobs)) {
         log_query(request, MB_SEVERITY_INFO, MB_STR_EMPTY, 503);
-        respond_empty(node, request->exchange, 503);
-        free_request(request);
+        mb_scheduler_respond_empty(node, request->exchange, 503);
+        mb_scheduler_request_free(request);
         return;
     }
     g_hash_table_iter_init(&iter, node->table.jobs);
@@ -300,14 +275,14 @@
     node->codec.write_pending(node->codec.context, pending, &body);
     log_query(request, MB_SEVERITY_INFO, MB_STR_EMPTY, 200);
     respond(node, request->exchange, 200, mb_buf_view(&body));
-    free_request(request);
+    mb_scheduler_request_free(request);
 }
 
 /* Handles a posted request, on the thread of the loop. */
-static void
-run_request(mb_loop_task_t *task)
+void
+mb_scheduler_request_run(mb_loop_task_t *task)
 {
-    request_t *request = (request_t *)task;
+    mb_scheduler_request_t *request = (mb_scheduler_request_t *)task;
     switch (request->kind) {
     case MB_JOB_REQUEST_SUBMIT:
         handle_submit(request);
@@ -332,7 +307,8 @@
 retry_pending_cancels(mb_scheduler_node_t *node, uint64_t now_us)
 {
     for (guint i = 0; i < node->pending_cancels->len;) {
-        request_t *request = g_ptr_array_index(node->pending_cancels, i);
+        mb_scheduler_request_t *request =
+            g_ptr_array_index(node->pending_cancels, i);
         bool decidable =
             mb_dag_find(&node->table, request->id) != NULL ||
             node->ownership.last_read_start_us >= request->received_us ||
@@ -347,7 +323,7 @@
         }
         else {
             respond_to_write(request, 503, "log_not_read");
-            free_request(request);
+            mb_scheduler_request_free(request);
         }
     }
 }
@@ -361,192 +337,10 @@
     uint64_t now_us = mb_clock_us(&node->clock);
     retry_pending_cancels(node, now_us);
     for (guint i = 0; i < node->pending_appends->len; i++) {
-        request_t *request = g_ptr_array_index(node->pending_appends, i);
+        mb_scheduler_request_t *request =
+            g_ptr_array_index(node->pending_appends, i);
         if (now_us >= request->deadline_us) {
             respond_to_write(request, 504, "deadline");
         }
     }
 }
-
-/* Context for the decoding of a job on an HTTP thread. */
-typedef struct submission {
-    request_t *request;
-    const mb_queue_t *queue;
-    GError **error;
-    bool valid;
-} submission_t;
-
-/* Completes the specification of a decoded job with the policy of its queue,
-   validates it and encodes its record into the request. */
-static void
-encode_job(void *context, mb_dag_spec_t *spec)
-{
-    submission_t *submission = context;
-    const mb_queue_t *queue = submission->queue;
-    const char *reason = NULL;
-    spec->id = submission->request->id;
-    spec->submitted_ms = mb_scheduler_unix_ms();
-    spec->policy =
-        (mb_dag_policy_t){.queue = queue->name,
-                          .service = queue->service,
-                          .priority = queue->priority,
-                          .max_attempts = queue->max_attempts,
-                          .latency_objective_ms = queue->latency_objective_ms,
-                          .stretch_milli = queue->stretch_milli,
-                          .needs_approval = queue->needs_approval};
-    submission->valid = mb_dag_spec_valid(spec, &reason);
-    if (!submission->valid) {
-        mb_error_set(submission->error, MB_KIND_INVALID, "%s", reason);
-        return;
-    }
-    mb_dag_record_encode_job(&submission->request->value, spec);
-}
-
-/* Decodes the job of a submission and encodes its record. Returns false with
-   the error set if the job is invalid. */
-static bool
-decode_job(request_t *request, const mb_queue_t *queue, GError **error)
-{
-    mb_scheduler_node_t *node = request->node;
-    submission_t submission = {request, queue, error, false};
-    return node->codec.read_job(node->codec.context,
-                                mb_http_body(request->exchange), encode_job,
-                                &submission, error) &&
-           submission.valid;
-}
-
-/* Sets the deadline of a request: the time stated by the client or the
-   default, whichever is shorter, less a margin for the response, which is at
-   most half of that time. */
-static void
-set_deadline(request_t *request)
-{
-    mb_scheduler_node_t *node = request->node;
-    uint64_t wait_ms = node->config.default_deadline_ms;
-    uint64_t stated_ms;
-    mb_str_t header =
-        mb_http_header(request->exchange, node->codec.deadline_header);
-    if (mb_str_to_u64(header, &stated_ms) && stated_ms < wait_ms) {
-        wait_ms = stated_ms;
-    }
-    wait_ms -= MIN(wait_ms / 2, RESPONSE_MARGIN_MS);
-    request->received_us = mb_clock_us(&node->clock);
-    request->deadline_us = request->received_us + wait_ms * MB_US_PER_MS;
-}
-
-/* Logs a request that refers to nothing, on an HTTP thread, and counts one for
-   an unknown queue. */
-static void
-log_unresolved(const request_t *request, mb_job_request_result_t result,
-               mb_str_t host, mb_str_t path)
-{
-    mb_scheduler_node_t *node = request->node;
-    host.len = MIN(host.len, (size_t)LOGGED_TEXT_MAX);
-    path.len = MIN(path.len, (size_t)LOGGED_TEXT_MAX);
-    mb_log_info(&node->log,
-                "request rejected method=%.*s host=%.*s path=%.*s reason=%s "
-                "config_version=%" G_GUINT64_FORMAT
-                " config_age_ms=%" G_GUINT64_FORMAT,
-                MB_STR_ARG(mb_http_method(request->exchange)),
-                MB_STR_ARG(host), MB_STR_ARG(path),
-                mb_job_request_result_name(result), request->config_version,
-                request->config_age_us / MB_US_PER_MS);
-    if (result == MB_JOB_REQUEST_UNKNOWN_QUEUE) {
-        mb_counter_add(node->metrics.unknown_queue, 1);
-    }
-}
-
-/* Notes which version decides a request, and records its age. */
-static void
-note_version(request_t *request, const mb_queue_version_t *version)
-{
-    if (version != NULL) {
-        request->config_version = version->version;
-        mb_histogram_record(request->node->metrics.request_config_age_us,
-                            request->config_age_us);
-    }
-}
-
-/* Returns the HTTP status for a request that refers to nothing, or 0. */
-static uint32_t
-status_of_result(mb_job_request_result_t result)
-{
-    switch (result) {
-    case MB_JOB_REQUEST_NO_CONFIGURATION:
-    case MB_JOB_REQUEST_STALE_CONFIGURATION:
-        return 503;
-    case MB_JOB_REQUEST_UNKNOWN_QUEUE:
-    case MB_JOB_REQUEST_UNKNOWN_RESOURCE:
-        return 404;
-    case MB_JOB_REQUEST_OK:
-    case MB_JOB_REQUEST_RESULT_COUNT:
-        break;
-    }
-    return 0;
-}
-
-/* Parses a request on an HTTP thread, inside the read section in which
-   `version` was loaded: the configuration in force, NULL if there is none yet.
-   Returns 0, or the HTTP status to respond with at once; for 400 the error is
-   set. */
-static uint32_t
-parse_request(request_t *request, const mb_queue_version_t *version,
-              GError **error)
-{
-    mb_http_exchange_t *exchange = request->exchange;
-    mb_job_request_target_t target = {0};
-    mb_str_t host = mb_http_header(exchange, MB_STR_LIT("Host"));
-    mb_str_t path = mb_uri_path(mb_http_uri(exchange));
-    mb_job_request_result_t result = mb_job_request_resolve(
-        version, mb_scheduler_is_stale(request->node, request->config_age_us),
-        mb_http_method(exchange), host, path, &target);
-    if (result != MB_JOB_REQUEST_OK) {
-        log_unresolved(request, result, host, path);
-        return status_of_result(result);
-    }
-    request->kind = target.kind;
-    request->id = target.id;
-    request->known_only = target.known_only;
-    mb_buf_set(&request->queue, target.queue->name);
-    set_deadline(request);
-    if (request->kind == MB_JOB_REQUEST_SUBMIT) {
-        if (mb_http_body(exchange).len > version->body_max) {
-            return 413;
-        }
-        return decode_job(request, target.queue, error) ? 0 : 400;
-    }
-    return 0;
-}
-
-/* Handles a request of a client on an HTTP thread. It reads the configuration
-   under read-copy-update, without a lock, and posts the request to the loop;
-   if the mailbox is full, it responds 503. */
-void
-mb_scheduler_handle(void *context, mb_http_exchange_t *exchange)
-{
-    mb_scheduler_node_t *node = context;
-    g_autoptr(GError) error = NULL;
-    request_t *request = g_new0(request_t, 1);
-    request->task.run = run_request;
-    request->node = node;
-    request->exchange = exchange;
-    request->config_age_us = mb_config_reader_age_us(&node->configs);
-    mb_epoch_enter(node->epoch);
-    const mb_queue_version_t *version = mb_queue_table_load(&node->queues);
-    note_version(request, version);
-    uint32_t status = parse_request(request, version, &error);
-    mb_epoch_leave(node->epoch);
-    if (status == 0 && mb_loop_post(&node->loop, &request->task)) {
-        return;
-    }
-    if (error != NULL) {
-        mb_log_info(&node->log, "submission rejected as invalid: %s",
-                    error->message);
-        mb_http_respond_error(exchange, MB_KIND_INVALID,
-                              mb_str_from_cstr(error->message));
-    }
-    else {
-        respond_empty(node, exchange, status == 0 ? 503 : status);
-    }
-    free_request(request);
-}
