--- a/lib/transport/mb_http_client.c
+++ b/lib/transport/mb_http_client.c
@@ -296,10 +296,10 @@
     return 0;
 }
 
-/* Returns a call whose idle time-out has expired, or NULL, and sets the time
-   at which the next one may. */
+/* Takes a call whose idle time-out has expired off the list, or returns NULL
+   and sets the time at which the next one may expire. */
 static transfer_t *
-find_idle(mb_http_client_t *client)
+take_idle(mb_http_client_t *client)
 {
     uint64_t time_us = now_us();
     client->idle_deadline_us = 0;
@@ -308,6 +308,7 @@
         uint64_t deadline_us =
             transfer->progress_us + transfer->idle_timeout_us;
         if (deadline_us <= time_us) {
+            g_queue_delete_link(&client->idle_limited, link);
             return transfer;
         }
         client->idle_deadline_us =
@@ -322,7 +323,7 @@
 {
     mb_http_client_t *client = context;
     transfer_t *transfer;
-    while ((transfer = find_idle(client)) != NULL) {
+    while ((transfer = take_idle(client)) != NULL) {
         finish_transfer(transfer, CURLE_OPERATION_TIMEDOUT);
     }
     arm_timer(client);
