--- a/lib/coordination/mb_follower.c
+++ b/lib/coordination/mb_follower.c
@@ -275,6 +275,9 @@
 mb_follower_set_newest_only(mb_follower_t *follower)
 {
     follower->newest_only = true;
+#ifdef MB_MUTANT_FOLLOWER_READS_SUPERSEDED
+    follower->newest_only = false;
+#endif
 }
 
 /* Returns whether the newest records have been read, and are not to be read
--- a/lib/coordination/mb_job_request.c
+++ b/lib/coordination/mb_job_request.c
@@ -57,6 +57,9 @@
     if (version == NULL) {
         return MB_JOB_REQUEST_NO_CONFIGURATION;
     }
+#ifdef MB_MUTANT_STALE_CONFIGURATION_DECIDES
+    stale = false;
+#endif
     target->queue = mb_queue_match(version, host, path);
     if (target->queue == NULL) {
         return stale ? MB_JOB_REQUEST_STALE_CONFIGURATION
--- a/lib/transport/mb_http_client.c
+++ b/lib/transport/mb_http_client.c
@@ -291,7 +291,9 @@
     (void)upload_total;
     if (downloaded + uploaded != transfer->progress_bytes) {
         transfer->progress_bytes = downloaded + uploaded;
+#ifndef MB_MUTANT_IDLE_TIMEOUT_IS_TOTAL
         transfer->progress_us = now_us();
+#endif
     }
     return 0;
 }
