--- a/tests/standins/relay.c
+++ b/tests/standins/relay.c
@@ -4,6 +4,8 @@
                 closing them; new ones work
      pass       forward again on all connections
      delay MS   forward bytes received from now on MS milliseconds later
+     rate N     forward at most N bytes per millisecond in each direction, over
+                all connections; 0: without a limit
      cut        close all connections
    Each command is acknowledged by a line on standard output. The relay ends
    with the end of standard input. */
@@ -53,6 +55,10 @@
     uint32_t ip; /* of the server */
     uint16_t port;
     uint64_t delay_ms;
+    uint64_t rate; /* in bytes per millisecond; 0: unlimited */
+    /* When the link has carried what was received from each side, in
+       microseconds. */
+    uint64_t link_free_us[2];
     GPtrArray *pairs; /* pair_t */
 } relay_t;
 
@@ -96,8 +102,8 @@
     g_ptr_array_add(relay->pairs, pair);
 }
 
-/* Executes one command. Any word other than "cut", "delay" and "silent" acts
-   as "pass". */
+/* Executes one command. Any word other than "cut", "delay", "rate" and
+   "silent" acts as "pass". */
 static void
 execute_command(relay_t *relay, mb_str_t line)
 {
@@ -110,6 +116,9 @@
     else if (mb_str_equal(word, MB_STR_LIT("delay"))) {
         (void)mb_str_to_u64(line, &relay->delay_ms);
     }
+    else if (mb_str_equal(word, MB_STR_LIT("rate"))) {
+        (void)mb_str_to_u64(line, &relay->rate);
+    }
     else {
         bool silent = mb_str_equal(word, MB_STR_LIT("silent"));
         for (guint i = 0; i < relay->pairs->len; i++) {
@@ -141,9 +150,23 @@
     return true;
 }
 
+/* Returns when the link has carried `bytes` more from one side, in
+   milliseconds. */
+static uint64_t
+schedule_bytes(relay_t *relay, int side, size_t bytes)
+{
+    uint64_t now_us = now_ms() * MB_US_PER_MS;
+    if (relay->rate == 0) {
+        return now_us / MB_US_PER_MS;
+    }
+    relay->link_free_us[side] = MAX(relay->link_free_us[side], now_us) +
+                                bytes * MB_US_PER_MS / relay->rate;
+    return relay->link_free_us[side] / MB_US_PER_MS;
+}
+
 /* Receives a chunk from one side. */
 static void
-receive_chunk(const relay_t *relay, pair_t *pair, int side)
+receive_chunk(relay_t *relay, pair_t *pair, int side)
 {
     chunk_t *chunk = g_new0(chunk_t, 1);
     ssize_t count = recv(pair->fds[side], chunk->data, CHUNK_BYTES, 0);
@@ -154,7 +177,7 @@
         return;
     }
     chunk->len = (size_t)count;
-    chunk->due_ms = now_ms() + relay->delay_ms;
+    chunk->due_ms = schedule_bytes(relay, side, chunk->len) + relay->delay_ms;
     g_queue_push_tail(&pair->chunks[side], chunk);
 }
 
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -22,6 +22,8 @@
 #define POLL_US 5000
 /* Maximum number of items on one page of newest records. */
 #define PAGE_ITEMS 50u
+/* Maximum size of the answer to a read that names none, in kilobytes. */
+#define MAX_KB_DEFAULT 1024u
 
 typedef struct record {
     mb_buf_t bytes; /* length of the key in one byte, key, value */
@@ -193,15 +195,21 @@
 }
 
 /* Answers a read in order: the offset after the newest record, the earliest
-   offset, which is 0, and the records from `from` on. */
+   offset, which is 0, and the records from `from` on, up to max_kb kilobytes
+   but at least one. */
 static void
 answer_read(mb_http_exchange_t *exchange, const topic_t *topic, uint64_t from)
 {
     MB_AUTO_BUF mb_buf_t body = {0};
+    uint64_t max_kb = get_number(mb_http_uri(exchange), "max_kb");
+    size_t bytes_max = (max_kb == 0 ? MAX_KB_DEFAULT : max_kb) * 1024;
     append_number(&body, topic->records->len, 8);
     append_number(&body, 0, 8);
     for (guint i = (guint)from; i < topic->records->len; i++) {
         const record_t *record = g_ptr_array_index(topic->records, i);
+        if (i > from && body.len + record->bytes.len > bytes_max) {
+            break;
+        }
         append_number(&body, record->bytes.len, 4);
         mb_buf_append(&body, mb_buf_view(&record->bytes));
     }
