--- a/lib/coordination/mb_follower.c
+++ b/lib/coordination/mb_follower.c
@@ -1,5 +1,6 @@
 #include "mb_follower.h"
 
+#include <glib.h>
 #include <string.h>
 
 /* Initializes a follower that has read nothing. `stream` is borrowed; the
@@ -26,27 +27,45 @@
     mb_buf_finish(&follower->last_page_key);
 }
 
-/* Returns whether a later record of the page has the same key as record
-   `index`. */
-static bool
-is_superseded(const mb_keyed_page_t *page, uint32_t index)
+/* Returns a hash of a key (mb_str_t), as GHashFunc. */
+static guint
+hash_key(gconstpointer key)
 {
-    for (uint32_t i = index + 1; i < page->count; i++) {
-        if (mb_str_equal(page->records[i].key, page->records[index].key)) {
-            return true;
+    return (guint)mb_str_hash(*(const mb_str_t *)key);
+}
+
+/* Compares two keys (mb_str_t), as GEqualFunc. */
+static gboolean
+equal_keys(gconstpointer a, gconstpointer b)
+{
+    return mb_str_equal(*(const mb_str_t *)a, *(const mb_str_t *)b);
+}
+
+/* Passes the last record of each key on a page to the callback. */
+static void
+apply_newest(mb_follower_t *follower, const mb_keyed_page_t *page,
+             bool in_order)
+{
+    g_autoptr(GHashTable) applied_keys =
+        g_hash_table_new(hash_key, equal_keys);
+    for (uint32_t i = page->count; i-- > 0;) {
+        const mb_keyed_record_t *record = &page->records[i];
+        if (g_hash_table_add(applied_keys, (gpointer)&record->key)) {
+            follower->callbacks.apply(follower->callbacks.context, record,
+                                      in_order);
         }
     }
-    return false;
 }
 
 /* Passes the records of a page to the callback. */
 static void
 apply_page(mb_follower_t *follower, const mb_keyed_page_t *page, bool in_order)
 {
+    if (follower->newest_only) {
+        apply_newest(follower, page, in_order);
+        return;
+    }
     for (uint32_t i = 0; i < page->count; i++) {
-        if (follower->newest_only && is_superseded(page, i)) {
-            continue;
-        }
         follower->callbacks.apply(follower->callbacks.context,
                                   &page->records[i], in_order);
     }
