Log each request that is rejected before it reaches the loop

A body that is too large and a full mailbox left no line, and the line of an invalid job named neither the job nor the queue nor the version of the configuration. system_test_jobs and system_test_config_backlog pass.

--- a/lib/transport/mb_scheduler_accept.c
+++ b/lib/transport/mb_scheduler_accept.c
@@ -164,6 +164,35 @@
     return 0;
 }
 
+/* Responds, on an HTTP thread, to a request that is rejected with `status`
+   before it reaches the loop. One that was resolved is logged here; `error`
+   tells why it is invalid, or is NULL. */
+static void
+reject(const mb_scheduler_request_t *request, uint32_t status,
+       const GError *error)
+{
+    mb_scheduler_node_t *node = request->node;
+    const char *reason = error != NULL   ? error->message
+                         : status == 413 ? "body too large"
+                                         : "too many requests are waiting";
+    if (request->queue.len > 0) {
+        mb_log_info(&node->log,
+                    "%s rejected job=%.*s queue=%.*s status=%u "
+                    "config_version=%" G_GUINT64_FORMAT ": %s",
+                    mb_job_request_kind_name(request->kind),
+                    MB_STR_ARG(mb_dag_id_view(&request->id)),
+                    MB_STR_ARG(mb_buf_view(&request->queue)), status,
+                    request->config_version, reason);
+    }
+    if (error != NULL) {
+        mb_http_respond_error(request->exchange, MB_KIND_INVALID,
+                              mb_str_from_cstr(reason));
+    }
+    else {
+        mb_scheduler_respond_empty(node, request->exchange, status);
+    }
+}
+
 /* Handles a request of a client on an HTTP thread. It reads the configuration
    under read-copy-update, without a lock, and posts the request to the loop;
    if the mailbox is full, it responds 503. */
@@ -185,14 +214,6 @@
     if (status == 0 && mb_loop_post(&node->loop, &request->task)) {
         return;
     }
-    if (error != NULL) {
-        mb_log_info(&node->log, "submission rejected as invalid: %s",
-                    error->message);
-        mb_http_respond_error(exchange, MB_KIND_INVALID,
-                              mb_str_from_cstr(error->message));
-    }
-    else {
-        mb_scheduler_respond_empty(node, exchange, status == 0 ? 503 : status);
-    }
+    reject(request, status == 0 ? 503 : status, error);
     mb_scheduler_request_free(request);
 }
