Repeat the stop of a run that its restarted agent did not know yet

Cause: an agent that has been restarted knows its worker only from the next heartbeat, and the worker's runs only from the next list. The owner reconnects before that. A job that is cancelled in between has its stops sent at once; the agent does not know the runs and drops the stops without a line, and the owner sends a stop once per connection. The first report then lists the runs as running, and nobody stops them any more.

The owner now repeats a stop for each complete report that still lists the run although the agent had read the order with the stop before it made the report. The agent logs a stop of an unknown run.

Fleet.StopsTasksOfAJobCancelledWhileTheAgentDoesNotKnowItsRuns: three runs go on before, none after.

--- a/lib/coordination/mb_agent_runs.c
+++ b/lib/coordination/mb_agent_runs.c
@@ -225,7 +225,14 @@
 {
     mb_agent_run_t *run = mb_agent_find_run(agent, &stop->task, stop->run);
     if (run == NULL) {
-        /* It has ended already; the next complete report shows that. */
+        /* It has ended already, or the worker has not told of it yet. The
+           owner repeats the stop if the next complete report contains it. */
+        mb_log_info(&agent->log,
+                    "stop of an unknown run ignored job=%.*s task=%u.%u.%u "
+                    "run=%" G_GUINT64_FORMAT,
+                    MB_STR_ARG(mb_dag_id_view(&stop->task.job)),
+                    stop->task.occurrence, stop->task.step, stop->task.index,
+                    stop->run);
         agent->complete_due = true;
         return;
     }
--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -111,6 +111,7 @@
     worker->connected = false;
     worker->runs_known = false;
     worker->report_sequence = 0;
+    worker->reported_order_sequence = 0;
     worker->order_due = false;
     mb_order_clear(&worker->pending_order);
     for (guint i = 0; i < worker->runs->len; i++) {
@@ -118,7 +119,7 @@
         /* Orders of the old connection that the agent has not carried out are
            lost. The next complete report shows which runs were started. */
         run->start_sequence = 0;
-        run->stop_sent = false;
+        run->stop_sequence = 0;
         run->ordered_throttle_percent = MB_FLEET_THROTTLE_UNKNOWN;
     }
 }
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -88,7 +88,9 @@
     bool confirmed;      /* the worker has confirmed that it runs */
     bool stopping;       /* a stop was ordered; it holds its resources until
                             its end is reported */
-    bool stop_sent;      /* the stop was sent on the current connection */
+    /* Sequence number of the order that carried its stop, on the current
+       connection; 0: not sent on it. */
+    uint64_t stop_sequence;
     bool resumed;        /* began at a checkpoint or was adopted, so its run
                             time is not that of the whole task */
     uint64_t image_hash; /* identifies its kind of work in the headroom model
@@ -141,7 +143,10 @@
     uint64_t lease_end_us; /* all runs have ended by then unless another order
                               extends their lease */
     uint64_t order_sequence; /* of the latest order on this connection */
-    uint64_t ordered_us;     /* time of the latest order */
+    /* Of the latest order that the agent had read when it made its latest
+       report; 0: none on this connection. */
+    uint64_t reported_order_sequence;
+    uint64_t ordered_us; /* time of the latest order */
     /* Highest numbers of ends that have been applied to the table, that the
        group being stored includes, and that have been stored, which orders
        acknowledge so that the worker may discard them. */
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -416,7 +416,8 @@
         }
         if (run->stopping) {
 #ifndef MB_MUTANT_FLEET_STOP_NOT_REPEATED
-            /* The stop may have been lost with an earlier connection. */
+            /* The stop was lost with an earlier connection, or the agent read
+               it before it knew of the run. */
             mb_fleet_stop_run(fleet, worker, run);
 #endif
         }
@@ -551,6 +552,7 @@
     }
     worker->reported_us = now_us;
     worker->report_sequence = report->sequence;
+    worker->reported_order_sequence = report->order_sequence;
     worker->agent_draining = report->draining;
     /* Orders that answer this report extend the lease from the time when it
        was sent, which is before now. */
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -137,8 +137,8 @@
     (void)g_array_remove_index_fast(worker->runs, index);
 }
 
-/* Orders a run to stop, once per connection. The run holds its resources until
-   its end is reported or its lease expires. */
+/* Orders a run to stop, unless an order to stop it is on its way. The run
+   holds its resources until its end is reported or its lease expires. */
 void
 mb_fleet_stop_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                   mb_fleet_run_t *run)
@@ -146,10 +146,10 @@
     mb_order_stop_t stop = {mb_fleet_run_task_id(run), run->number};
     (void)fleet;
     run->stopping = true;
-    if (run->stop_sent) {
+    if (run->stop_sequence > worker->reported_order_sequence) {
         return;
     }
-    run->stop_sent = true;
+    run->stop_sequence = worker->order_sequence + 1;
     worker->order_due = true;
     g_array_append_val(worker->pending_order.stops, stop);
 }
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -127,10 +127,12 @@
     ~FleetSimulation();
     void add_violation(const std::string &what);
     void add_machine();
+    void init_agent(Machine &machine);
     mb_dag_job_t *submit(const mb_dag_spec_t &spec);
     void fail_over(bool resigned = false);
     void connect(Machine &machine);
     void disconnect(Machine &machine);
+    void restart_agent(Machine &machine);
     void tick();
     void advance(uint64_t ms);
     mb_dag_outcome_t outcome(const char *id);
@@ -590,18 +592,24 @@
 }
 
 inline void
-FleetSimulation::add_machine()
+FleetSimulation::init_agent(Machine &machine)
 {
-    auto machine = std::make_unique<Machine>();
     mb_clock_t clock = {read_clock, this};
     mb_log_t log = make_log();
+    mb_agent_callbacks_t callbacks = {send_report, &machine};
+    mb_executor_t executor = {fake_start, fake_stop, fake_list, fake_throttle,
+                              &machine};
+    mb_agent_init(&machine.agent, &callbacks, &executor, &clock, &log);
+}
+
+inline void
+FleetSimulation::add_machine()
+{
+    auto machine = std::make_unique<Machine>();
     machine->simulation = this;
     machine->worker.simulation = this;
     machine->worker.name = "worker-" + std::to_string(machines.size());
-    mb_agent_callbacks_t callbacks = {send_report, machine.get()};
-    mb_executor_t executor = {fake_start, fake_stop, fake_list, fake_throttle,
-                              machine.get()};
-    mb_agent_init(&machine->agent, &callbacks, &executor, &clock, &log);
+    init_agent(*machine);
     (void)mb_order_decoder_init(&machine->order_decoder);
     mb_fleet_find_or_add_worker(
         &fleet, {machine->worker.name.data(), machine->worker.name.size()});
@@ -696,6 +704,21 @@
             &fleet, {machine.worker.name.data(), machine.worker.name.size()}));
 }
 
+/* Replaces the process of an agent, which knows nothing of its worker until
+   the next heartbeat, and connects it again. Messages and calls on their way
+   are lost, also those of other machines; no start or stop may be among them.
+ */
+inline void
+FleetSimulation::restart_agent(Machine &machine)
+{
+    disconnect(machine);
+    events.clear();
+    mb_agent_finish(&machine.agent);
+    init_agent(machine);
+    machine.heartbeats = 0;
+    connect(machine);
+}
+
 /* Advances the time by 5 ms: runs the events that are due and the workers,
    lets the workers send a heartbeat every second, and ticks the owner every 20
    ms. */
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -279,6 +279,29 @@
     EXPECT_TRUE(mb_fleet_job_idle(job));
 }
 
+/* Guards against runs of a cancelled job that go on because the order to stop
+   them reached a restarted agent before its worker had told it of the runs. */
+TEST(Fleet, StopsTasksOfAJobCancelledWhileTheAgentDoesNotKnowItsRuns)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    simulation.task_ms = 60000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_dag_job_t *job =
+        simulation.submit(one_step_job(&step, first_id, 3, 1000));
+    simulation.advance(500);
+    EXPECT_EQ(simulation.running(), 3u);
+    simulation.advance(100); /* the next heartbeat is 900 ms away */
+    simulation.restart_agent(*simulation.machines[0]);
+    simulation.advance(200);
+    job->cancelled = true;
+    mb_fleet_job_cancelled(&simulation.fleet, job);
+    simulation.advance(3000);
+    EXPECT_EQ(simulation.running(), 0u);
+    EXPECT_TRUE(mb_fleet_job_idle(job));
+}
+
 /* Returns a job of one service task with a latency target of 50 ms. */
 static mb_dag_spec_t
 service_job(mb_dag_step_t *step, const char *id, uint32_t cpu)
