Don't report an append as not done when libcurl has sent it before

Cause, shown by a test of the HTTP client: when a reused connection ends without a response, libcurl repeats an idempotent request by itself.

A failure to connect counts as not run only if no byte of the request was sent in any attempt.

--- a/lib/transport/mb_http_transfer.c
+++ b/lib/transport/mb_http_transfer.c
@@ -65,9 +65,21 @@
     g_free(transfer);
 }
 
+/* Returns whether bytes of the request were sent. libcurl repeats an
+   idempotent request by itself when a reused connection ends without a
+   response; the size counts all attempts. */
+static bool
+was_sent(const mb_http_transfer_t *transfer)
+{
+    long request_bytes = 0;
+    (void)curl_easy_getinfo(transfer->easy, CURLINFO_REQUEST_SIZE,
+                            &request_bytes);
+    return request_bytes > 0;
+}
+
 /* Maps an error of libcurl to an error kind. Only a failure to resolve the
-   host or to connect proves that the request did not run, because nothing was
-   sent. */
+   host or to connect, in the first attempt, proves that the request did not
+   run, because nothing was sent. */
 static mb_kind_t
 get_error_kind(const mb_http_transfer_t *transfer, CURLcode code)
 {
@@ -77,7 +89,8 @@
     switch (code) {
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
-        return MB_KIND_UNAVAILABLE;
+        return was_sent(transfer) ? MB_KIND_UPSTREAM_FAILED
+                                  : MB_KIND_UNAVAILABLE;
     case CURLE_OPERATION_TIMEDOUT:
         return MB_KIND_UNKNOWN_OUTCOME;
     default:
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
@@ -109,6 +110,44 @@
     std::thread thread_;
 };
 
+/* A server that answers the first request, and on the second one, once it has
+   read it, closes the connection and no longer accepts others. */
+class VanishingServer {
+  public:
+    VanishingServer()
+    {
+        url = "http://" + listener_->address;
+        thread_ = std::thread([this] { serve(); });
+    }
+    ~VanishingServer()
+    {
+        thread_.join();
+    }
+
+    std::string url;
+    std::atomic<int> requests{0};
+
+  private:
+    void serve()
+    {
+        static const char response[] =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        char part[1024];
+        int fd = listener_->accept_next();
+        while (requests < 2 && recv(fd, part, sizeof(part), 0) > 0) {
+            if (++requests == 1) {
+                (void)send(fd, response, sizeof(response) - 1, MSG_NOSIGNAL);
+            }
+        }
+        listener_.reset();
+        (void)close(fd);
+    }
+
+    std::unique_ptr<LoopbackListener> listener_ =
+        std::make_unique<LoopbackListener>();
+    std::thread thread_;
+};
+
 /* A server with a thread for each connection. Once `silent` is set, it no
    longer answers on the connections that are open then, without closing
    them. */
@@ -320,3 +359,16 @@
     }
     EXPECT_EQ(server.accepted, 6);
 }
+
+/* Guards against a request reported as not run although the server has read
+   it: libcurl repeats an idempotent request when a reused connection ends
+   without a response, and the repetition may find no server any more. */
+TEST_F(HttpClient, RepeatedRequestThatCantConnectMayHaveRun)
+{
+    VanishingServer server;
+    EXPECT_EQ(post(server.url, 0, 2000).second, "ok");
+    mb_kind_t kind = post(server.url, 0, 2000).first;
+    EXPECT_NE(kind, MB_KIND_COUNT);
+    EXPECT_TRUE(mb_kind_info(kind)->may_have_run) << "kind " << kind;
+    EXPECT_EQ(server.requests, 2);
+}
