Let the configuration test wait for its watch to begin

The watch was given 0.5 s from the start of its process, so under load it had shown nothing yet. The test now waits up to 10 s for the first line, and then, as before, 0.5 s for a second one that must not come; the check of exactly one line is unchanged. The test passes.

--- a/tests/system/test_config.sh
+++ b/tests/system/test_config.sh
@@ -129,6 +129,10 @@
 sleep 2.5
 "$bin/magnoliabarrow" -s "$api2" watch team > "$dir/watch.out" & watch=$!
 pids+=("$watch")
+for _ in $(seq 200); do
+  grep -q '"blue"' "$dir/watch.out" && break
+  sleep 0.05
+done
 sleep 0.5
 kill "$watch"
 [ "$(grep -c '"blue"' "$dir/watch.out")" = 1 ] || fail "the watch shows blue $(grep -c blue "$dir/watch.out") times"
