Don't wait at a change of owner for workers that were removed from the log

Cause: the removal of an agent from the job log is known to the node's table of connections, but not to the fleet. A scheduler that had read of the agent before its removal counted its worker among those that may hold runs of the former owner when it became the owner, and waited for a report until all leases of the former owner had ended, 15 s later. Nothing connects to a removed agent, so the report could not come.

Fix: a worker is marked as removed, and as part of the fleet again when its agent announces itself. A removal is in the log only when the owner had no runs there and the agent was unreachable, and the log rejects a removal of the former owner after the claim, so nothing of that owner can run there.

Test: Fleet.NewOwnerDoesNotWaitForARemovedWorker failed before; a second one shows that a worker which came back is waited for as before.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -73,16 +73,18 @@
     mb_buf_finish(&fleet->done_bits);
 }
 
-/* Returns the number of the worker whose agent has this address, and adds the
-   worker if it is unknown. Returns UINT32_MAX when the fleet already has
+/* Adds the worker whose agent has this address, unless the fleet has it
+   already, and returns its number. A worker that was removed is part of the
+   fleet again. Returns UINT32_MAX when the fleet already has
    MB_FLEET_WORKERS_MAX workers. */
 uint32_t
-mb_fleet_find_or_add_worker(mb_fleet_t *fleet, mb_str_t address)
+mb_fleet_add_worker(mb_fleet_t *fleet, mb_str_t address)
 {
     mb_buf_t key = {(char *)address.data, address.len, 0};
     mb_fleet_worker_t *worker =
         g_hash_table_lookup(fleet->workers_by_address, &key);
     if (worker != NULL) {
+        worker->removed = false;
         return worker->number;
     }
     if (fleet->workers->len == MB_FLEET_WORKERS_MAX) {
@@ -139,7 +141,8 @@
         bool connected = worker->connected;
         reset_connection(worker);
         worker->connected = connected;
-        worker->may_have_former_runs = may_have_former_runs;
+        worker->may_have_former_runs =
+            may_have_former_runs && !worker->removed;
         worker->incarnation = 0;
         worker->state = MB_WORKER_ABSENT;
         worker->ends_applied = 0;
@@ -493,13 +496,14 @@
                lost_us + remove_after_ms * (uint64_t)MB_US_PER_MS;
 }
 
-/* Handles the removal of a worker whose agent will not come back: tasks no
-   longer wait until it has reported its runs. */
+/* Handles the removal of a worker on which nothing runs any more: neither this
+   owner nor a later one waits until it has reported its runs. */
 void
 mb_fleet_worker_removed(mb_fleet_t *fleet, uint32_t number)
 {
     mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, number);
     worker->may_have_former_runs = false;
+    worker->removed = true;
 }
 
 /* Tells whether this process owns the fleet; its ownership may be uncertain at
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -120,7 +120,8 @@
     bool runs_known;
     bool may_have_former_runs; /* runs of the former owner may be there that
                                   no report has shown yet */
-    bool agent_draining;       /* the agent drains and will exit */
+    bool removed;        /* it has left: the log no longer names its agent */
+    bool agent_draining; /* the agent drains and will exit */
     mb_worker_state_t state;
     uint64_t incarnation;
     mb_buf_t name;
@@ -210,9 +211,9 @@
 void mb_fleet_progress_stored(mb_fleet_t *fleet, bool ok);
 
 /* Agents and their workers. Workers are named by their number, which
-   mb_fleet_find_or_add_worker returns; it stays valid until
+   mb_fleet_add_worker returns; it stays valid until
    mb_fleet_finish. */
-uint32_t mb_fleet_find_or_add_worker(mb_fleet_t *fleet, mb_str_t address);
+uint32_t mb_fleet_add_worker(mb_fleet_t *fleet, mb_str_t address);
 void mb_fleet_agent_connected(mb_fleet_t *fleet, uint32_t worker);
 void mb_fleet_agent_disconnected(mb_fleet_t *fleet, uint32_t worker);
 void mb_fleet_handle_report(mb_fleet_t *fleet, uint32_t worker,
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -32,7 +32,7 @@
                               run->index};
 }
 
-/* Returns the worker with a number that mb_fleet_find_or_add_worker gave. */
+/* Returns the worker with a number that mb_fleet_add_worker gave. */
 mb_fleet_worker_t *
 mb_fleet_get_worker(const mb_fleet_t *fleet, uint32_t worker)
 {
--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -86,7 +86,7 @@
                        MB_STR_ARG(address));
         return;
     }
-    uint32_t worker = mb_fleet_find_or_add_worker(&node->fleet, address);
+    uint32_t worker = mb_fleet_add_worker(&node->fleet, address);
     if (worker == UINT32_MAX) {
         return;
     }
@@ -107,7 +107,7 @@
 void
 mb_scheduler_remove_agent(mb_scheduler_node_t *node, mb_str_t address)
 {
-    uint32_t worker = mb_fleet_find_or_add_worker(&node->fleet, address);
+    uint32_t worker = mb_fleet_add_worker(&node->fleet, address);
     if (worker < node->agents->len) {
         mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, worker);
         agent->removed = true;
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -84,6 +84,7 @@
 /* One instance: a worker and its agent. */
 struct Machine {
     FleetSimulation *simulation;
+    uint32_t number; /* of the worker in the fleet */
     FakeWorker worker;
     /* The present agent, the last of `agents`. Calls of former ones, whose
        processes have ended, may still be carried out. */
@@ -472,9 +473,7 @@
     std::string copy(bytes.data, bytes.len);
     mb_buf_finish(&bytes);
     uint64_t token = simulation->token;
-    uint32_t number = mb_fleet_find_or_add_worker(
-        &simulation->fleet,
-        {machine->worker.name.data(), machine->worker.name.size()});
+    uint32_t number = machine->number;
     simulation->events.push_back(
         {simulation->now_us + 4000, [=] {
              if (!machine->connected || simulation->token != token) {
@@ -621,7 +620,7 @@
     machine->worker.name = "worker-" + std::to_string(machines.size());
     init_agent(*machine);
     (void)mb_order_decoder_init(&machine->order_decoder);
-    mb_fleet_find_or_add_worker(
+    machine->number = mb_fleet_add_worker(
         &fleet, {machine->worker.name.data(), machine->worker.name.size()});
     machines.push_back(std::move(machine));
 }
@@ -695,10 +694,7 @@
         return;
     }
     machine.connected = true;
-    mb_fleet_agent_connected(
-        &fleet,
-        mb_fleet_find_or_add_worker(
-            &fleet, {machine.worker.name.data(), machine.worker.name.size()}));
+    mb_fleet_agent_connected(&fleet, machine.number);
 }
 
 inline void
@@ -709,10 +705,7 @@
     }
     machine.connected = false;
     mb_agent_disconnected(machine.agent);
-    mb_fleet_agent_disconnected(
-        &fleet,
-        mb_fleet_find_or_add_worker(
-            &fleet, {machine.worker.name.data(), machine.worker.name.size()}));
+    mb_fleet_agent_disconnected(&fleet, machine.number);
 }
 
 /* Replaces the process of an agent, which knows nothing of its worker until
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -132,6 +132,51 @@
                   mb_fleet_max_lease_us());
 }
 
+/* Guards against a new owner that waits for a worker which has left. The log
+   no longer names the worker, but the process has read of it before. */
+TEST(Fleet, NewOwnerDoesNotWaitForARemovedWorker)
+{
+    FleetSimulation simulation(2);
+    mb_dag_step_t step;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.disconnect(*simulation.machines[1]);
+    mb_fleet_worker_removed(&simulation.fleet, 1);
+    simulation.submit(one_step_job(&step, first_id, 1, 800));
+    simulation.fail_over();
+    simulation.disconnect(*simulation.machines[1]);
+    simulation.advance(1500);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
+
+/* Guards against two runs of a task: a worker that was removed has come back
+   and got runs of the former owner. */
+TEST(Fleet, NewOwnerWaitsForAWorkerThatCameBack)
+{
+    FleetSimulation simulation(2);
+    mb_dag_step_t step;
+    simulation.task_ms = 3000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.disconnect(*simulation.machines[1]);
+    mb_fleet_worker_removed(&simulation.fleet, 1);
+    EXPECT_EQ(mb_fleet_add_worker(&simulation.fleet, MB_STR_LIT("worker-1")),
+              1u);
+    simulation.connect(*simulation.machines[1]);
+    simulation.advance(1000);
+    simulation.submit(one_step_job(&step, first_id, 2, 3000));
+    simulation.advance(500);
+    EXPECT_EQ(simulation.running(), 2u);
+    simulation.fail_over();
+    simulation.disconnect(*simulation.machines[1]);
+    simulation.advance(5000);
+    simulation.connect(*simulation.machines[1]);
+    simulation.advance(3000);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
+
 /* Guards against more attempts than allowed. The former owner could not store
    a failure, and the new owner hears of a later run of the task first. */
 TEST(Fleet, CountsAFailureThatTheFormerOwnerCouldNotStore)
