Ignore the removal of an agent that a scheduler has never read of

Cause: a scheduler that reads the removal of an agent from the job log added its worker to the fleet in order to look it up, but added no connection. The table of connections is indexed by the number of the worker, so the next agent that announced itself got a number beyond its end, and the process read a pointer past the array.

What operators saw: a scheduler that starts while an agent leaves (its first page of newest records no longer has the agent, the removal comes in order) ends with a segmentation fault when the next agent appears.

Fix: a look-up that does not add. The initialization of the node's modules is callable without the servers, so that tests can pass records to a scheduler.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -73,6 +73,17 @@
     mb_buf_finish(&fleet->done_bits);
 }
 
+/* Returns the number of the worker whose agent has this address, or
+   UINT32_MAX if the fleet has never had it. */
+uint32_t
+mb_fleet_find_worker(const mb_fleet_t *fleet, mb_str_t address)
+{
+    mb_buf_t key = {(char *)address.data, address.len, 0};
+    const mb_fleet_worker_t *worker =
+        g_hash_table_lookup(fleet->workers_by_address, &key);
+    return worker == NULL ? UINT32_MAX : worker->number;
+}
+
 /* Adds the worker whose agent has this address, unless the fleet has it
    already, and returns its number. A worker that was removed is part of the
    fleet again. Returns UINT32_MAX when the fleet already has
@@ -80,12 +91,10 @@
 uint32_t
 mb_fleet_add_worker(mb_fleet_t *fleet, mb_str_t address)
 {
-    mb_buf_t key = {(char *)address.data, address.len, 0};
-    mb_fleet_worker_t *worker =
-        g_hash_table_lookup(fleet->workers_by_address, &key);
-    if (worker != NULL) {
-        worker->removed = false;
-        return worker->number;
+    uint32_t number = mb_fleet_find_worker(fleet, address);
+    if (number != UINT32_MAX) {
+        mb_fleet_get_worker(fleet, number)->removed = false;
+        return number;
     }
     if (fleet->workers->len == MB_FLEET_WORKERS_MAX) {
         mb_log_error(&fleet->log,
@@ -93,7 +102,7 @@
                      MB_STR_ARG(address));
         return UINT32_MAX;
     }
-    worker = g_new0(mb_fleet_worker_t, 1);
+    mb_fleet_worker_t *worker = g_new0(mb_fleet_worker_t, 1);
     worker->number = fleet->workers->len;
     mb_buf_set(&worker->address, address);
     worker->runs = g_array_new(FALSE, FALSE, sizeof(mb_fleet_run_t));
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -214,6 +214,7 @@
    mb_fleet_add_worker returns; it stays valid until
    mb_fleet_finish. */
 uint32_t mb_fleet_add_worker(mb_fleet_t *fleet, mb_str_t address);
+uint32_t mb_fleet_find_worker(const mb_fleet_t *fleet, mb_str_t address);
 void mb_fleet_agent_connected(mb_fleet_t *fleet, uint32_t worker);
 void mb_fleet_agent_disconnected(mb_fleet_t *fleet, uint32_t worker);
 void mb_fleet_handle_report(mb_fleet_t *fleet, uint32_t worker,
--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -103,12 +103,13 @@
 }
 
 /* Applies the removal of an agent's address from the log. The worker keeps its
-   number in the fleet. */
+   number in the fleet. The removal of an agent that this process has never
+   read of, because it started later, is ignored. */
 void
 mb_scheduler_remove_agent(mb_scheduler_node_t *node, mb_str_t address)
 {
-    uint32_t worker = mb_fleet_add_worker(&node->fleet, address);
-    if (worker < node->agents->len) {
+    uint32_t worker = mb_fleet_find_worker(&node->fleet, address);
+    if (worker != UINT32_MAX) {
         mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, worker);
         agent->removed = true;
         close_agent(agent, mb_clock_ms(&node->clock));
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -26,6 +26,7 @@
 
 /* mb_scheduler_node.c */
 uint64_t mb_scheduler_unix_ms(void);
+void mb_scheduler_init_modules(mb_scheduler_node_t *node);
 bool mb_scheduler_is_stale(const mb_scheduler_node_t *node,
                            uint64_t config_age_us);
 void mb_scheduler_defer_flush(mb_scheduler_node_t *node);
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -243,9 +243,10 @@
            mb_loop_init(&node->loop, MAILBOX_CAPACITY, error);
 }
 
-/* Initializes the modules that read the logs or append to them. */
-static void
-init_modules(mb_scheduler_node_t *node)
+/* Initializes the modules that read the logs or append to them. The callback
+   tables of the node must be set. */
+void
+mb_scheduler_init_modules(mb_scheduler_node_t *node)
 {
     mb_rng_t rng = mb_rng_system();
     mb_fleet_callbacks_t fleet = {.send = mb_scheduler_send_order,
@@ -310,7 +311,7 @@
     const mb_scheduler_config_t *config = &node->config;
     node->codec = *codec;
     node->keyed_log = *keyed_log;
-    init_modules(node);
+    mb_scheduler_init_modules(node);
     mb_loop_set_tick(&node->loop, TICK_MS, tick, node);
     return start_server(node, &node->client_server, config->client_ip,
                         config->client_port, config->max_connections,
