Use a worker again that restarts after it has deregistered

Cause: an agent forgets the departure of its worker when a heartbeat brings another incarnation. A list call that the next incarnation answers before its first heartbeat changes the known incarnation too; the heartbeat then looks like one of the same incarnation, and the departure stays.

What callers saw: nothing is ever started on that worker again until its agent is restarted; the agent reports it as absent.

Evidence: Agent.WorkerThatRestartsAfterItDeregisteredIsUsedAgain failed before the change (a departure recorded, 2 s after the restart, and no start).

Fix: every change of incarnation ends the departure, in the one function that resets what is known of the worker.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -83,7 +83,6 @@
                       info->capacity.cpu_milli, info->capacity.memory_mb,
                       info->start_time_ms);
         mb_agent_reset_worker(agent);
-        agent->departed = false;
     }
     if (same && info->state != agent->info.state) {
         mb_log_notice(
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -44,9 +44,9 @@
            run->accepted_us >= agent->list_start_us;
 }
 
-/* Resets what is known of the worker, after its incarnation has ended. Runs
-   that may have been started on the next incarnation are kept until a list or
-   the answer to their start decides. */
+/* Resets what is known of the worker, after another incarnation has shown
+   itself. Runs that may have been started on the next incarnation are kept
+   until a list or the answer to their start decides. */
 void
 mb_agent_reset_worker(mb_agent_t *agent)
 {
@@ -64,6 +64,7 @@
                    .checkpoint.data);
     }
     (void)g_array_set_size(agent->ends, 0);
+    agent->departed = false;
     agent->last_end = 0;
     agent->acknowledged = 0;
     agent->reported_end = 0;
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -692,6 +692,24 @@
     EXPECT_EQ(simulation.machines[0]->agent->info.incarnation, 5u);
 }
 
+/* Guards against a worker that is never used again: it deregistered, and its
+   next incarnation answered a list call before its first heartbeat. */
+TEST(Agent, WorkerThatRestartsAfterItDeregisteredIsUsedAgain)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    Machine &machine = *simulation.machines[0];
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_agent_deregister(machine.agent, MB_STR_LIT("worker-0"));
+    machine.worker.crash();
+    simulation.advance(2500);
+    EXPECT_FALSE(machine.agent->departed);
+    simulation.submit(one_step_job(&step, first_id, 1, 800));
+    simulation.advance(1000);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+}
+
 /* Random combinations of faults: lost connections, crashed workers, unanswered
    starts, fail-overs and rejected appends to the log. Guards against two runs
    of a task, a start after an acknowledged success, more work on a worker than
