Record in the job log that an agent has departed

Cause: that a worker has left for good was known to the memory of the owner, which removed the agent from the log 1 s after it could not be reached any more. A change of owner in between, or the loss of all machines, left the agent in the log: the next owner waited for its report until all leases of the former owner had ended (15 s). A scheduler that read the newest records again, after it had fallen behind the kept history, never heard of removals in between and waited for such agents as well.

What callers saw: no task of a job accepted before is started for up to 15 s after a change of owner that follows the departure of a worker.

Fix: an agent whose worker has deregistered records its departure (key d + address, with the incarnation of its announcement) once no run and no unacknowledged end is left, at the latest when it stops. Every process that reads it takes the worker out of the fleet; the owner removes both records. A departure concerns one incarnation, so one that arrives late does not hide a later life of the agent. Until a later announcement is stored the agent takes no starts, since a new owner would not wait for its runs. The owner's own removal works the same way: an agent that announces itself while the removal is on its way is used only when it has been announced again, after the removal. What a load of the newest records does not contain is forgotten.

Ruled out: a removal by the agent itself (an empty value) would also remove the announcement of a later process at its address if it arrives late.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -173,6 +173,7 @@
 {
     uint64_t now_us = mb_clock_us(&agent->clock);
     if (agent->info.name.len == 0 || agent->departed ||
+        agent->departure_recorded ||
         order->incarnation != agent->info.incarnation) {
         return MB_REFUSAL_ABSENT;
     }
@@ -245,6 +246,23 @@
     agent->report_due = true;
 }
 
+/* Sets whether a departure is recorded; see the header. */
+void
+mb_agent_set_departure_recorded(mb_agent_t *agent, bool recorded)
+{
+    agent->departure_recorded = recorded;
+}
+
+/* Tells whether the worker has left for good; see the header. A draining agent
+   does not wait until its ends are acknowledged, because it is about to
+   exit. */
+bool
+mb_agent_worker_has_left(const mb_agent_t *agent)
+{
+    return agent->departed && agent->runs->len == 0 &&
+           (agent->ends->len == 0 || agent->draining);
+}
+
 /* Adds all runs to a complete report. */
 static void
 add_runs(mb_agent_t *agent)
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -91,6 +91,9 @@
     bool report_due;
     bool complete_due; /* the next report is to be complete */
     bool draining;
+    /* See mb_agent_set_departure_recorded. Starts are refused meanwhile,
+       because a new owner would not wait for the runs of this agent. */
+    bool departure_recorded;
     mb_report_t report;  /* collects refusals; reused for each report */
     uint64_t open_calls; /* calls to the worker without an answer yet */
 } mb_agent_t;
@@ -112,6 +115,12 @@
 void mb_agent_disconnected(mb_agent_t *agent);
 void mb_agent_order(mb_agent_t *agent, const mb_order_t *order);
 void mb_agent_drain(mb_agent_t *agent);
+/* Tells the agent whether the log has, or may get, a record of its departure
+   that no later announcement has superseded. */
+void mb_agent_set_departure_recorded(mb_agent_t *agent, bool recorded);
+/* Tells whether the worker has left and nothing of it is left to report, so
+   that the fleet's owners need not know of this agent any more. */
+bool mb_agent_worker_has_left(const mb_agent_t *agent);
 
 /* Does what is due at this time, and sends reports. Called periodically, at
    short intervals, and after events. */
--- a/lib/coordination/mb_config_reader.c
+++ b/lib/coordination/mb_config_reader.c
@@ -73,7 +73,8 @@
                       mb_metric_t *version_metric, const mb_clock_t *clock,
                       const mb_log_t *logger)
 {
-    mb_follower_callbacks_t callbacks = {apply_record, note_caught_up, reader};
+    mb_follower_callbacks_t callbacks = {
+        .apply = apply_record, .caught_up = note_caught_up, .context = reader};
     memset(reader, 0, sizeof(*reader));
     reader->table = table;
     reader->clock = *clock;
--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -506,11 +506,13 @@
 }
 
 /* Handles the removal of a worker on which nothing runs any more: neither this
-   owner nor a later one waits until it has reported its runs. */
+   owner nor a later one waits until it has reported its runs. Runs that are
+   still on record have ended with the worker's departure. */
 void
 mb_fleet_worker_removed(mb_fleet_t *fleet, uint32_t number)
 {
     mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, number);
+    mb_fleet_abandon_runs(fleet, worker, "worker_left");
     worker->may_have_former_runs = false;
     worker->removed = true;
 }
--- a/lib/coordination/mb_follower.c
+++ b/lib/coordination/mb_follower.c
@@ -139,6 +139,7 @@
     follower->following = false;
     follower->reload_pending = false;
     follower->first_page = true;
+    follower->loads++;
     mb_buf_clear(&follower->last_page_key);
 }
 
@@ -168,6 +169,9 @@
     if (!page->more || page->count == 0) {
         follower->following = true;
         follower->loaded = true;
+        if (follower->callbacks.loaded != NULL) {
+            follower->callbacks.loaded(follower->callbacks.context);
+        }
         mb_log_info(&follower->logger,
                     "newest records loaded stream=%.*s next_offset=%llu",
                     MB_STR_ARG(follower->stream),
--- a/lib/coordination/mb_follower.h
+++ b/lib/coordination/mb_follower.h
@@ -28,6 +28,10 @@
        read in order, and so was written after loading began. */
     void (*apply)(void *context, const mb_keyed_record_t *record,
                   bool in_order);
+    /* All pages of a load of the newest records have been applied. Keys that
+       were not among them are not in the log; keys that were removed since the
+       previous read are known only by that. May be NULL. */
+    void (*loaded)(void *context);
     /* Everything has been applied that the log held when the latest read was
        sent, at `read_start_us` of the clock. */
     void (*caught_up)(void *context, uint64_t read_start_us);
@@ -42,6 +46,7 @@
     mb_log_t logger;
     bool newest_only;    /* see mb_follower_set_newest_only */
     bool loaded;         /* the newest records have been read */
+    uint32_t loads;      /* loads of the newest records begun, modulo 2^32 */
     bool following;      /* reads in order; else reads the newest records */
     bool reload_pending; /* the newest records are to be read again */
     bool read_pending;   /* a read was sent and is not answered yet */
--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -19,8 +19,8 @@
 #define RECORD_VERSION 1u
 
 /* First letter of the key for each kind of record. */
-static const char key_letters[MB_DAG_RECORD_KIND_COUNT] = {'j', 'c', 's',
-                                                           'w', 'o', 'l'};
+static const char key_letters[MB_DAG_RECORD_KIND_COUNT] = {'j', 'c', 's', 'w',
+                                                           'o', 'l', 'd'};
 
 /* Initializes a decoder; returns false when out of memory. */
 bool
@@ -268,16 +268,16 @@
     reader->failed = reader->failed || rows.failed;
 }
 
-/* Appends the record of an agent as [version, incarnation]; its address is in
-   the key. */
+/* Appends the announcement or departure of an agent as [version, incarnation];
+   its address is in the key. */
 void
-mb_dag_record_encode_agent(mb_buf_t *out, const mb_dag_agent_record_t *agent)
+mb_dag_record_encode_agent(mb_buf_t *out, uint64_t incarnation)
 {
     msgpack_packer packer;
     mb_pack_init(&packer, out);
     (void)msgpack_pack_array(&packer, 2);
     (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
-    (void)msgpack_pack_uint64(&packer, agent->incarnation);
+    (void)msgpack_pack_uint64(&packer, incarnation);
 }
 
 /* Appends a record of the owner of the fleet as [version, fencing token,
@@ -365,7 +365,8 @@
         unpack_progress(decoder, reader, record);
         break;
     case MB_DAG_RECORD_AGENT:
-        record->body.agent.incarnation = mb_unpack_u64(reader, UINT64_MAX);
+    case MB_DAG_RECORD_DEPARTURE:
+        record->body.incarnation = mb_unpack_u64(reader, UINT64_MAX);
         break;
     case MB_DAG_RECORD_OWNER:
         unpack_owner(reader, record);
@@ -379,6 +380,14 @@
     }
 }
 
+/* Returns whether the records of a kind are about an agent, whose address is
+   then in the key. */
+static bool
+is_about_agent(mb_dag_record_kind_t kind)
+{
+    return kind == MB_DAG_RECORD_AGENT || kind == MB_DAG_RECORD_DEPARTURE;
+}
+
 /* Decodes the key of a record. Returns false for an unknown kind, or for a
    record of a job whose id is not valid. */
 static bool
@@ -394,11 +403,11 @@
         return false;
     }
     record->kind = (mb_dag_record_kind_t)kind;
-    if (record->kind == MB_DAG_RECORD_AGENT) {
-        record->body.agent.address = name;
+    if (is_about_agent(record->kind)) {
+        record->address = name;
+        return true;
     }
-    return record->kind == MB_DAG_RECORD_AGENT ||
-           record->kind == MB_DAG_RECORD_OWNER ||
+    return record->kind == MB_DAG_RECORD_OWNER ||
            record->kind == MB_DAG_RECORD_HEADROOM ||
            mb_dag_id_parse(name, &record->id);
 }
--- a/lib/protocol/mb_dag_record.h
+++ b/lib/protocol/mb_dag_record.h
@@ -21,32 +21,28 @@
 #define MB_DAG_KEY_MAX 64u
 
 typedef enum mb_dag_record_kind {
-    MB_DAG_RECORD_JOB,      /* the specification as submitted */
-    MB_DAG_RECORD_CANCEL,   /* a client has cancelled the job */
-    MB_DAG_RECORD_PROGRESS, /* finished tasks and outcome of a job */
-    MB_DAG_RECORD_AGENT,    /* the key has the agent's address */
-    MB_DAG_RECORD_OWNER,    /* claim, heartbeat or resignation */
-    MB_DAG_RECORD_HEADROOM, /* estimates for the next owner */
+    MB_DAG_RECORD_JOB,       /* the specification as submitted */
+    MB_DAG_RECORD_CANCEL,    /* a client has cancelled the job */
+    MB_DAG_RECORD_PROGRESS,  /* finished tasks and outcome of a job */
+    MB_DAG_RECORD_AGENT,     /* an agent has started */
+    MB_DAG_RECORD_OWNER,     /* claim, heartbeat or resignation */
+    MB_DAG_RECORD_HEADROOM,  /* estimates for the next owner */
+    MB_DAG_RECORD_DEPARTURE, /* an agent has left, and nothing runs there */
     MB_DAG_RECORD_KIND_COUNT
 } mb_dag_record_kind_t;
 
-/* Where the owner of the fleet connects to an agent. */
-typedef struct mb_dag_agent_record {
-    mb_str_t address; /* IPv4:port */
-    uint64_t incarnation;
-} mb_dag_agent_record_t;
-
 /* One decoded record. Views point into the memory of the decoder or into the
    input. */
 typedef struct mb_dag_record {
     mb_dag_record_kind_t kind;
-    /* The key was removed. Only `id` or the address of `agent` is set. */
-    bool removed;
+    bool removed;   /* the key was removed, so `body` is not set */
     mb_dag_id_t id; /* in the records of a job */
+    /* Of an agent, in its records: where the owner connects, as IPv4:port. */
+    mb_str_t address;
     union {
         mb_dag_spec_t job;
         mb_dag_progress_t progress;
-        mb_dag_agent_record_t agent;
+        uint64_t incarnation; /* of an agent's process */
         mb_ownership_record_t owner;
         const GArray *pairs; /* mb_headroom_pair_t */
     } body;
@@ -80,8 +76,8 @@
 void mb_dag_record_encode_cancel(mb_buf_t *out);
 void mb_dag_record_encode_progress(mb_buf_t *out,
                                    const mb_dag_progress_t *progress);
-void mb_dag_record_encode_agent(mb_buf_t *out,
-                                const mb_dag_agent_record_t *agent);
+/* For the announcement and for the departure of an agent. */
+void mb_dag_record_encode_agent(mb_buf_t *out, uint64_t incarnation);
 void mb_dag_record_encode_owner(mb_buf_t *out,
                                 const mb_ownership_record_t *owner);
 /* `pairs` is an array of at most MB_DAG_HEADROOM_PAIRS_MAX mb_headroom_pair_t.
--- a/lib/transport/mb_agent_node.c
+++ b/lib/transport/mb_agent_node.c
@@ -165,38 +165,79 @@
 announce_done(void *context, mb_keyed_result_t result)
 {
     mb_agent_node_t *node = context;
-    node->announce_pending = false;
+    node->append_pending = false;
     if (result != MB_KEYED_OK) {
         mb_log_warning(&node->log,
                        "announcement failed, announcing again later result=%s",
                        mb_keyed_result_name(result));
+        return;
     }
+    mb_agent_set_departure_recorded(&node->agent, false);
 }
 
-/* Appends the address of this agent to the job log, after the start and
-   whenever no owner has sent an order for ANNOUNCE_INTERVAL_MS. */
+/* Handles the result of the append of a departure. After a failure, the owner
+   removes the agent once it can't reach it. */
 static void
-announce(mb_agent_node_t *node)
+departure_done(void *context, mb_keyed_result_t result)
+{
+    mb_agent_node_t *node = context;
+    node->append_pending = false;
+    mb_log_notice(&node->log, "departure recorded result=%s",
+                  mb_keyed_result_name(result));
+}
+
+/* Queues a record about this agent for the job log. */
+static void
+append_record(mb_agent_node_t *node, mb_dag_record_kind_t kind,
+              mb_journal_done_t done)
 {
-    uint64_t now_ms = mb_clock_ms(&node->clock);
     MB_AUTO_BUF mb_buf_t key = {0};
     MB_AUTO_BUF mb_buf_t value = {0};
-    mb_dag_agent_record_t record = {node->config.link_address,
-                                    node->config.incarnation};
-    uint64_t since_ms = MAX(node->last_announce_ms, node->last_order_ms);
-    if (node->announce_pending || (node->last_announce_ms != 0 &&
-                                   now_ms < since_ms + ANNOUNCE_INTERVAL_MS)) {
+    mb_dag_record_encode_key(&key, kind, node->config.link_address);
+    mb_dag_record_encode_agent(&value, node->incarnation);
+    node->append_pending =
+        mb_journal_add(&node->journal, mb_buf_view(&key), mb_buf_view(&value),
+                       UINT64_MAX, done, node);
+}
+
+/* Appends the address of this agent to the job log, after the start, whenever
+   no owner has sent an order for ANNOUNCE_INTERVAL_MS, and when a worker
+   registers after a departure was recorded. */
+static void
+announce(mb_agent_node_t *node)
+{
+    uint64_t now_ms = mb_clock_ms(&node->clock);
+    uint64_t since_ms = node->agent.departure_recorded
+                            ? node->last_announce_ms
+                            : MAX(node->last_announce_ms, node->last_order_ms);
+    if (node->last_announce_ms != 0 &&
+        now_ms < since_ms + ANNOUNCE_INTERVAL_MS) {
         return;
     }
-    mb_dag_record_encode_key(&key, MB_DAG_RECORD_AGENT,
-                             node->config.link_address);
-    mb_dag_record_encode_agent(&value, &record);
-    node->announce_pending =
-        mb_journal_add(&node->journal, mb_buf_view(&key), mb_buf_view(&value),
-                       UINT64_MAX, announce_done, node);
+    node->incarnation += node->agent.departure_recorded ? 1 : 0;
+    append_record(node, MB_DAG_RECORD_AGENT, announce_done);
     node->last_announce_ms = now_ms;
 }
 
+/* Keeps the record of this agent in the job log up to date. */
+static void
+update_record(mb_agent_node_t *node)
+{
+    if (node->append_pending) {
+        return;
+    }
+    if (!node->agent.departed) {
+        announce(node);
+    }
+    else if (!node->agent.departure_recorded &&
+             mb_agent_worker_has_left(&node->agent)) {
+        mb_agent_set_departure_recorded(&node->agent, true);
+        append_record(node, MB_DAG_RECORD_DEPARTURE, departure_done);
+        /* The next announcement is due as soon as a worker registers. */
+        node->last_announce_ms = 0;
+    }
+}
+
 /* Closes connections on which nothing was received for too long. */
 static void
 check_owners(mb_agent_node_t *node)
@@ -216,7 +257,7 @@
 {
     mb_agent_node_t *node = context;
     check_owners(node);
-    announce(node);
+    update_record(node);
     run_flush(node);
     mb_gauge_set(node->runs_metric, node->agent.runs->len);
     mb_gauge_set(node->throttle_metric,
@@ -303,6 +344,7 @@
 {
     memset(node, 0, sizeof(*node));
     node->config = *config;
+    node->incarnation = config->incarnation;
     node->counters = counters;
     node->clock = mb_clock_monotonic();
     node->log = mb_log_for(log, "agent");
--- a/lib/transport/mb_agent_node.h
+++ b/lib/transport/mb_agent_node.h
@@ -1,6 +1,7 @@
 /* The agent role of a daemon. It accepts the heartbeats of the worker on its
    machine and the connections of the fleet's owner, and announces its address
-   in the job log so that the owner finds it. The thread of the loop makes all
+   in the job log so that the owner finds it, and its departure when its worker
+   has left. The thread of the loop makes all
    decisions; the HTTP thread posts requests to its mailbox. */
 #ifndef MB_AGENT_NODE_H
 #define MB_AGENT_NODE_H
@@ -87,9 +88,13 @@
     /* The connection whose orders are executed and that gets the reports;
        NULL: none. */
     mb_agent_owner_link_t *owner;
+    /* What the next record says: an announcement after a recorded departure
+       has another number than the one before, so that the departure does not
+       concern it. */
+    uint64_t incarnation;
     uint64_t last_announce_ms; /* 0: never announced */
     uint64_t last_order_ms;    /* 0: no order received */
-    bool announce_pending;     /* an announcement is being appended */
+    bool append_pending;       /* a record is being appended */
 } mb_agent_node_t;
 
 bool mb_agent_node_init(mb_agent_node_t *node, const mb_agent_config_t *config,
--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -74,63 +74,173 @@
     mb_fleet_agent_connected(&agent->node->fleet, agent->worker);
 }
 
-/* Applies the record of an agent's address: adds its worker to the fleet, or
-   resets the state of its connection if it is known already. */
-void
-mb_scheduler_add_agent(mb_scheduler_node_t *node, mb_str_t address)
+/* Returns the agent at an address, which is added if it is unknown. An agent
+   that is added does not belong to the fleet yet. Returns NULL if the address
+   is not valid or the fleet is full. */
+static mb_scheduler_agent_t *
+find_or_add_agent(mb_scheduler_node_t *node, mb_str_t address)
 {
     uint32_t ip;
     uint16_t port;
+    uint32_t worker = mb_fleet_find_worker(&node->fleet, address);
+    if (worker != UINT32_MAX) {
+        return g_ptr_array_index(node->agents, worker);
+    }
     if (!mb_address_parse(address, &ip, &port)) {
         mb_log_warning(&node->log, "agent ignored: invalid address=%.*s",
                        MB_STR_ARG(address));
-        return;
+        return NULL;
     }
-    uint32_t worker = mb_fleet_add_worker(&node->fleet, address);
+    worker = mb_fleet_add_worker(&node->fleet, address);
     if (worker == UINT32_MAX) {
-        return;
+        return NULL;
+    }
+    mb_fleet_worker_removed(&node->fleet, worker);
+    mb_scheduler_agent_t *agent = g_new0(mb_scheduler_agent_t, 1);
+    *agent = (mb_scheduler_agent_t){.node = node,
+                                    .worker = worker,
+                                    .ip = ip,
+                                    .port = port,
+                                    .removed = true};
+    g_ptr_array_add(node->agents, agent);
+    return agent;
+}
+
+/* Returns the address of an agent. */
+static mb_str_t
+agent_address(const mb_scheduler_agent_t *agent)
+{
+    return mb_buf_view(
+        &mb_fleet_get_worker(&agent->node->fleet, agent->worker)->address);
+}
+
+/* Adds the worker of an agent to the fleet, or takes it out, after a change of
+   the agent's presence. The worker keeps its number. */
+static void
+update_agent(mb_scheduler_agent_t *agent)
+{
+    mb_scheduler_node_t *node = agent->node;
+    bool present = mb_agent_is_present(&agent->presence);
+    if (present && agent->removed) {
+        (void)mb_fleet_add_worker(&node->fleet, agent_address(agent));
+        agent->retry_ms = 0;
+        agent->unreachable_since_ms = 0;
     }
-    if (worker == node->agents->len) {
-        mb_scheduler_agent_t *agent = g_new0(mb_scheduler_agent_t, 1);
-        *agent = (mb_scheduler_agent_t){
-            .node = node, .worker = worker, .ip = ip, .port = port};
-        g_ptr_array_add(node->agents, agent);
+    else if (!present && !agent->removed) {
+        close_agent(agent, mb_clock_ms(&node->clock));
+        mb_fleet_worker_removed(&node->fleet, agent->worker);
     }
-    mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, worker);
-    agent->removed = false;
+    agent->removed = !present;
+}
+
+/* Applies the announcement of an agent. The state of its connection starts
+   anew. */
+void
+mb_scheduler_agent_announced(mb_scheduler_node_t *node, mb_str_t address,
+                             uint64_t incarnation)
+{
+    mb_scheduler_agent_t *agent = find_or_add_agent(node, address);
+    if (agent == NULL) {
+        return;
+    }
+    mb_agent_announced(&agent->presence, incarnation, node->jobs.loads);
     agent->retry_ms = 0;
     agent->unreachable_since_ms = 0;
+    update_agent(agent);
+}
+
+/* Queues a record about an agent, or its removal if `value` is empty. */
+static void
+append_agent_record(mb_scheduler_agent_t *agent, mb_dag_record_kind_t kind,
+                    mb_str_t value)
+{
+    mb_scheduler_node_t *node = agent->node;
+    mb_buf_clear(&node->key);
+    mb_dag_record_encode_key(&node->key, kind, agent_address(agent));
+    (void)mb_journal_add(node->owner_journal, mb_buf_view(&node->key), value,
+                         UINT64_MAX, NULL, NULL);
 }
 
-/* Applies the removal of an agent's address from the log. The worker keeps its
-   number in the fleet. The removal of an agent that this process has never
-   read of, because it started later, is ignored. */
+/* Applies the removal of an agent's announcement. The removal of an agent that
+   this process has never read of, because it started later, is ignored. */
 void
-mb_scheduler_remove_agent(mb_scheduler_node_t *node, mb_str_t address)
+mb_scheduler_agent_removed(mb_scheduler_node_t *node, mb_str_t address)
+{
+    uint32_t worker = mb_fleet_find_worker(&node->fleet, address);
+    if (worker == UINT32_MAX) {
+        return;
+    }
+    mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, worker);
+    if (mb_agent_announcement_removed(&agent->presence) &&
+        node->owner_journal != NULL) {
+        mb_buf_clear(&node->value);
+        mb_dag_record_encode_agent(&node->value, agent->presence.incarnation);
+        append_agent_record(agent, MB_DAG_RECORD_AGENT,
+                            mb_buf_view(&node->value));
+    }
+    update_agent(agent);
+}
+
+/* Applies the departure of an agent. */
+void
+mb_scheduler_agent_departed(mb_scheduler_node_t *node, mb_str_t address,
+                            uint64_t incarnation)
+{
+    mb_scheduler_agent_t *agent = find_or_add_agent(node, address);
+    if (agent == NULL) {
+        return;
+    }
+    mb_agent_departed(&agent->presence, incarnation, node->jobs.loads);
+    if (mb_agent_removal_due(&agent->presence) && !agent->removed) {
+        mb_log_notice(&node->log, "agent has departed address=%.*s",
+                      MB_STR_ARG(address));
+    }
+    update_agent(agent);
+}
+
+/* Applies the removal of an agent's departure. */
+void
+mb_scheduler_departure_removed(mb_scheduler_node_t *node, mb_str_t address)
 {
     uint32_t worker = mb_fleet_find_worker(&node->fleet, address);
     if (worker != UINT32_MAX) {
         mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, worker);
-        agent->removed = true;
-        close_agent(agent, mb_clock_ms(&node->clock));
-        mb_fleet_worker_removed(&node->fleet, worker);
+        mb_agent_departure_removed(&agent->presence);
+        update_agent(agent);
     }
 }
 
-/* Queues the removal of an unreachable agent from the log. */
+/* Called when the newest records of the job log have been read again. Agents
+   whose records are no longer among them have left: their removal was not read
+   in order. The owner writes the removals itself and misses none. */
+void
+mb_scheduler_jobs_loaded(void *context)
+{
+    mb_scheduler_node_t *node = context;
+    for (guint i = 0; i < node->agents->len; i++) {
+        mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, i);
+        if (!mb_fleet_is_owner(&node->fleet)) {
+            mb_agent_forget_unread(&agent->presence, node->jobs.loads);
+            update_agent(agent);
+        }
+    }
+}
+
+/* Queues the removal of the records of an agent. `reason` is for the log. */
 static void
-append_agent_removal(mb_scheduler_node_t *node, mb_scheduler_agent_t *agent)
+append_agent_removal(mb_scheduler_agent_t *agent, const char *reason)
 {
-    mb_fleet_worker_t *worker =
-        mb_fleet_get_worker(&node->fleet, agent->worker);
-    mb_log_notice(&node->log, "agent removed: unreachable address=%.*s",
-                  MB_STR_ARG(mb_buf_view(&worker->address)));
-    mb_buf_clear(&node->key);
-    mb_dag_record_encode_key(&node->key, MB_DAG_RECORD_AGENT,
-                             mb_buf_view(&worker->address));
-    (void)mb_journal_add(node->owner_journal, mb_buf_view(&node->key),
-                         MB_STR_EMPTY, UINT64_MAX, NULL, NULL);
-    agent->removed = true;
+    mb_log_notice(
+        &agent->node->log,
+        "agent removed address=%.*s incarnation=%016" G_GINT64_MODIFIER
+        "x reason=%s",
+        MB_STR_ARG(agent_address(agent)), agent->presence.incarnation, reason);
+    if (agent->presence.departed) {
+        append_agent_record(agent, MB_DAG_RECORD_DEPARTURE, MB_STR_EMPTY);
+    }
+    append_agent_record(agent, MB_DAG_RECORD_AGENT, MB_STR_EMPTY);
+    mb_agent_removal_sent(&agent->presence);
+    update_agent(agent);
 }
 
 /* Closes a silent connection to an agent, retries a closed one, and removes
@@ -153,21 +263,28 @@
         mb_fleet_may_remove_worker(&node->fleet, agent->worker,
                                    agent->unreachable_since_ms *
                                        (uint64_t)MB_US_PER_MS)) {
-        append_agent_removal(node, agent);
+        append_agent_removal(agent, "unreachable");
     }
 }
 
-/* Opens, checks and retries the connections to all agents, if this process
-   owns the fleet. */
+/* Opens, checks and retries the connections to all agents, and removes the
+   records of departed ones, if this process owns the fleet. */
 void
 mb_scheduler_agents_tick(mb_scheduler_node_t *node)
 {
     uint64_t now_ms = mb_clock_ms(&node->clock);
+    if (!mb_fleet_is_owner(&node->fleet)) {
+        return;
+    }
     for (guint i = 0; i < node->agents->len; i++) {
         mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, i);
-        if (!agent->removed && mb_fleet_is_owner(&node->fleet)) {
+        if (!agent->removed) {
             agent_tick(node, agent, now_ms);
         }
+        else if (node->owner_journal != NULL &&
+                 mb_agent_removal_due(&agent->presence)) {
+            append_agent_removal(agent, "departed");
+        }
     }
 }
 
@@ -181,6 +298,8 @@
         close_agent(agent, now_ms);
         agent->retry_ms = 0;
         agent->unreachable_since_ms = 0;
+        mb_agent_removal_given_up(&agent->presence);
+        update_agent(agent);
     }
 }
 
--- a/lib/transport/mb_scheduler_apply.c
+++ b/lib/transport/mb_scheduler_apply.c
@@ -148,10 +148,20 @@
         break;
     case MB_DAG_RECORD_AGENT:
         if (record.removed) {
-            mb_scheduler_remove_agent(node, record.body.agent.address);
+            mb_scheduler_agent_removed(node, record.address);
         }
         else {
-            mb_scheduler_add_agent(node, record.body.agent.address);
+            mb_scheduler_agent_announced(node, record.address,
+                                         record.body.incarnation);
+        }
+        break;
+    case MB_DAG_RECORD_DEPARTURE:
+        if (record.removed) {
+            mb_scheduler_departure_removed(node, record.address);
+        }
+        else {
+            mb_scheduler_agent_departed(node, record.address,
+                                        record.body.incarnation);
         }
         break;
     case MB_DAG_RECORD_OWNER:
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -64,8 +64,14 @@
 void mb_scheduler_requests_tick(mb_scheduler_node_t *node);
 
 /* mb_scheduler_agents.c */
-void mb_scheduler_add_agent(mb_scheduler_node_t *node, mb_str_t address);
-void mb_scheduler_remove_agent(mb_scheduler_node_t *node, mb_str_t address);
+void mb_scheduler_agent_announced(mb_scheduler_node_t *node, mb_str_t address,
+                                  uint64_t incarnation);
+void mb_scheduler_agent_removed(mb_scheduler_node_t *node, mb_str_t address);
+void mb_scheduler_agent_departed(mb_scheduler_node_t *node, mb_str_t address,
+                                 uint64_t incarnation);
+void mb_scheduler_departure_removed(mb_scheduler_node_t *node,
+                                    mb_str_t address);
+void mb_scheduler_jobs_loaded(void *context);
 void mb_scheduler_agents_tick(mb_scheduler_node_t *node);
 void mb_scheduler_close_agents(mb_scheduler_node_t *node);
 void mb_scheduler_send_order(void *context, uint32_t worker,
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -255,8 +255,10 @@
                                       mb_scheduler_store_group_end,
                                   .unix_ms = fleet_unix_ms,
                                   .context = node};
-    mb_follower_callbacks_t jobs = {mb_scheduler_apply_record,
-                                    mb_scheduler_note_jobs_read, node};
+    mb_follower_callbacks_t jobs = {.apply = mb_scheduler_apply_record,
+                                    .loaded = mb_scheduler_jobs_loaded,
+                                    .caught_up = mb_scheduler_note_jobs_read,
+                                    .context = node};
     mb_journal_config_t journal = {
         .stream = mb_scheduler_stream_jobs,
         .producer = mb_buf_view(&node->producer),
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -6,6 +6,7 @@
 #ifndef MB_SCHEDULER_NODE_H
 #define MB_SCHEDULER_NODE_H
 
+#include "mb_agent_presence.h"
 #include "mb_config_reader.h"
 #include "mb_counter.h"
 #include "mb_dag_record.h"
@@ -45,7 +46,8 @@
     uint32_t worker; /* number of its worker in the fleet */
     uint32_t ip;
     uint16_t port;
-    bool removed;       /* its address was removed from the job log */
+    mb_agent_presence_t presence;
+    bool removed;       /* it does not belong to the fleet */
     bool open;          /* `link` is initialized */
     mb_link_t link;     /* may still be connecting */
     uint64_t opened_ms; /* when the latest connection was opened */
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -692,6 +692,36 @@
     EXPECT_EQ(simulation.machines[0]->agent->info.incarnation, 5u);
 }
 
+/* Guards against a new owner that waits for a worker which has left, and
+   against runs that no later owner knows of: while the log may say that the
+   agent has departed, it takes no starts, also for a worker that registers
+   there anew. */
+TEST(Agent, TakesNoStartsWhileItsDepartureIsRecorded)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    Machine &machine = *simulation.machines[0];
+    simulation.fail_over();
+    simulation.advance(2500);
+    EXPECT_FALSE(mb_agent_worker_has_left(machine.agent));
+    machine.worker.is_up = false;
+    mb_agent_deregister(machine.agent, MB_STR_LIT("worker-0"));
+    simulation.advance(1000);
+    EXPECT_TRUE(mb_agent_worker_has_left(machine.agent));
+    mb_agent_set_departure_recorded(machine.agent, true);
+    machine.worker.is_up = true;
+    machine.worker.crash();
+    simulation.advance(2500);
+    EXPECT_FALSE(mb_agent_worker_has_left(machine.agent));
+    simulation.submit(one_step_job(&step, first_id, 1, 800));
+    simulation.advance(1000);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_OPEN);
+    mb_agent_set_departure_recorded(machine.agent, false);
+    simulation.advance(1500);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
+
 /* Guards against a worker that is never used again: it deregistered, and its
    next incarnation answered a list call before its first heartbeat. */
 TEST(Agent, WorkerThatRestartsAfterItDeregisteredIsUsedAgain)
@@ -710,6 +740,28 @@
     EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
 }
 
+/* Guards against a departure that is recorded while runs or ends of the worker
+   are left, which a new owner would then not wait for. */
+TEST(Agent, WorkerHasLeftOnlyWhenNothingIsLeftToReport)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    Machine &machine = *simulation.machines[0];
+    simulation.task_ms = 60000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&step, first_id, 1, 800));
+    simulation.advance(500);
+    simulation.store_unanswered = true;
+    machine.worker.finish(0, MB_RUN_DONE);
+    simulation.advance(100);
+    mb_agent_deregister(machine.agent, MB_STR_LIT("worker-0"));
+    simulation.advance(1000);
+    EXPECT_FALSE(mb_agent_worker_has_left(machine.agent));
+    mb_agent_drain(machine.agent);
+    EXPECT_TRUE(mb_agent_worker_has_left(machine.agent));
+}
+
 /* Random combinations of faults: lost connections, crashed workers, unanswered
    starts, fail-overs and rejected appends to the log. Guards against two runs
    of a task, a start after an acknowledged success, more work on a worker than
