Stop an unconfirmed run before its task is started again

Cause: the owner gives up a run that a complete report does not contain, although the agent has read the order with its start. If the agent was restarted in between, the start that its predecessor sent may still be on its way to the worker. The task was started again at once, and the late start was then carried out.

Fix: a run that the worker has never confirmed is stopped first. The agent passes the stop of a run that it does not know to the worker, which then refuses a start that arrives later, and reports the run as refused; only then the task waits again. A stop of a run whose end is on its way to the owner is ignored as before.

Not covered: the owner changes as well before the late start is carried out. The new owner knows nothing of that run.

--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -450,7 +450,10 @@
 }
 
 /* Gives up the runs that a complete report does not contain although the agent
-   had read the order with their start before it made the report. */
+   had read the order with their start before it made the report. A run that
+   the worker has never confirmed is stopped first: its agent was restarted,
+   and the start that the earlier one sent may still be on its way. The worker
+   refuses it after the stop, which the agent reports. */
 static void
 drop_unreported_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                      const mb_report_t *report)
@@ -462,6 +465,13 @@
             i++;
             continue;
         }
+#ifndef MB_MUTANT_FLEET_DROPS_UNCONFIRMED
+        if (!run->confirmed) {
+            mb_fleet_stop_run(fleet, worker, run);
+            i++;
+            continue;
+        }
+#endif
         mb_dag_job_t *job = run->job;
         mb_health_abandoned(&worker->health, run->started_us);
         mb_fleet_remove_run(fleet, worker, run);
