Count a run that is not adopted until it has ended

Cause: a new owner stops runs that it does not adopt, such as those of a cancelled job or a second copy, but did not count what they use. It could start tasks in the same order as the stop, and the agent passes starts on before stops.

What callers saw: a start that brings a worker over its capacity, which is a broken rule where the worker doesn't guard it.

Fleet.RunThatIsNotAdoptedKeepsItsRoomUntilItHasEnded failed before.

Fix: each complete report recomputes what such runs declare, and placements count it. A worker with one of an unknown job, whose size is not known, gets no starts until it is gone.

--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -133,6 +133,11 @@
     GArray *runs;          /* mb_fleet_run_t, in no order */
     mb_size_t used;        /* declared by runs that are not best-effort */
     mb_size_t best_effort; /* declared by best-effort runs */
+    /* Declared by runs that this owner has not adopted and has stopped, as of
+       the latest complete report. Best-effort runs declare no processors
+       here. */
+    mb_size_t orphaned;
+    bool has_unknown_orphan; /* one of them is of an unknown job */
     /* Moving average of the load of best-effort runs, and when it was last
        updated. */
     mb_headroom_load_t recent_load;
--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -112,13 +112,14 @@
 }
 
 /* Tells whether a worker may get starts now: it is ready, its runs are known,
-   it has reported lately, and its health allows it. */
+   it has reported lately and all of them can be accounted for, and its health
+   allows it. */
 static bool
 accepts_starts(const mb_fleet_cost_inputs_t *inputs,
                const mb_fleet_worker_t *worker)
 {
     return worker->connected && worker->runs_known &&
-           !worker->agent_draining && worker->state == MB_WORKER_READY &&
+           !worker->has_unknown_orphan && !worker->agent_draining && worker->state == MB_WORKER_READY &&
            inputs->now_us < worker->reported_us + MB_FLEET_REPORT_TIMEOUT_MS *
                                                       (uint64_t)MB_US_PER_MS &&
            !mb_health_suspended(&worker->health, inputs->now_us);
@@ -130,7 +131,7 @@
 static uint32_t
 reserved_cpu_milli(const mb_fleet_worker_t *worker)
 {
-    uint32_t reserved = worker->used.cpu_milli;
+    uint32_t reserved = worker->used.cpu_milli + worker->orphaned.cpu_milli;
     for (guint i = 0; i < worker->runs->len; i++) {
         const mb_fleet_run_t *run =
             &g_array_index(worker->runs, mb_fleet_run_t, i);
@@ -163,10 +164,10 @@
 fits_memory(const mb_fleet_worker_t *worker, const mb_size_t *size)
 {
     return worker->used.memory_mb + worker->best_effort.memory_mb +
-                   size->memory_mb <=
+                   worker->orphaned.memory_mb + size->memory_mb <=
                worker->capacity.memory_mb &&
            worker->used.accelerators + worker->best_effort.accelerators +
-                   size->accelerators <=
+                   worker->orphaned.accelerators + size->accelerators <=
                worker->capacity.accelerators;
 }
 
@@ -181,8 +182,8 @@
         return COST_FORBIDDEN;
     }
     if (!step->best_effort) {
-        uint64_t used =
-            (uint64_t)worker->used.cpu_milli + step->size.cpu_milli;
+        uint64_t used = (uint64_t)worker->used.cpu_milli +
+                        worker->orphaned.cpu_milli + step->size.cpu_milli;
         uint64_t best_effort = worker->best_effort.cpu_milli *
                                (uint64_t)BEST_EFFORT_WEIGHT_MILLI / MILLI;
         return used > capacity ? COST_FORBIDDEN
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -288,11 +288,22 @@
            entry->run >= task->last_run;
 }
 
-/* Orders the stop of an orphaned run, one that no task needs. */
+/* Orders the stop of an orphaned run, one that no task needs. It uses its room
+   until it has ended; `step` is NULL if that is not known. */
 static void
-stop_orphan(mb_fleet_worker_t *worker, const mb_report_run_t *entry)
+stop_orphan(mb_fleet_worker_t *worker, const mb_report_run_t *entry,
+            const mb_dag_step_t *step)
 {
     mb_order_stop_t stop = {entry->task, entry->run};
+    if (step == NULL) {
+        worker->has_unknown_orphan = true;
+    }
+    else {
+        worker->orphaned.cpu_milli +=
+            step->best_effort ? 0 : step->size.cpu_milli;
+        worker->orphaned.memory_mb += step->size.memory_mb;
+        worker->orphaned.accelerators += step->size.accelerators;
+    }
     g_array_append_val(worker->pending_order.stops, stop);
     worker->order_due = true;
 }
@@ -315,7 +326,8 @@
                     " worker=%.*s",
                     MB_STR_ARG(mb_dag_id_view(&entry->task.job)), entry->run,
                     MB_STR_ARG(mb_buf_view(&worker->name)));
-        stop_orphan(worker, entry);
+        stop_orphan(worker, entry,
+                    task == NULL ? NULL : &job->steps[entry->task.step]);
         return;
     }
     mb_fleet_run_t run = {.job = job,
@@ -403,6 +415,10 @@
 apply_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
            const mb_report_t *report)
 {
+    if (report->complete) {
+        worker->orphaned = (mb_size_t){0};
+        worker->has_unknown_orphan = false;
+    }
     for (guint i = 0; i < report->runs->len; i++) {
         const mb_report_run_t *entry =
             &g_array_index(report->runs, mb_report_run_t, i);
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -5,6 +5,7 @@
 #include "fleet_histories.h"
 
 static const char *const first_id = "0123456789abcdef";
+static const char *const second_id = "fedcba9876543210";
 
 /* Guards against a job that is not run, and against starts that exceed the
    capacity of a worker. */
@@ -250,6 +251,28 @@
     expect_no_violations(simulation);
 }
 
+/* Guards against more work on a worker than its capacity: a run that a new
+   owner does not adopt, and has stopped, still uses its room. */
+TEST(Fleet, RunThatIsNotAdoptedKeepsItsRoomUntilItHasEnded)
+{
+    FleetSimulation simulation(1);
+    std::vector<mb_dag_step_t> steps(2);
+    simulation.task_ms = 3000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&steps[0], first_id, 1, 3000));
+    simulation.advance(500);
+    EXPECT_EQ(simulation.running(), 1u);
+    simulation.disconnect(*simulation.machines[0]);
+    simulation.cancel(first_id);
+    simulation.fail_over();
+    simulation.submit(one_step_job(&steps[1], second_id, 1, 3000));
+    simulation.advance(1500);
+    EXPECT_EQ(simulation.running(), 1u);
+    EXPECT_EQ(simulation.running_cancelled(), 0u);
+    expect_no_violations(simulation);
+}
+
 /* Guards against a cancelled job whose runs go on. */
 TEST(Fleet, StopsTasksOfACancelledJob)
 {
