Hold only the tasks that an absent worker may run at a change of owner

Cause: a new owner held every task of every accepted job until all workers had reported or all leases of the former owner had ended, 15 s after the claim. One absent worker is enough for that, and in a fleet of 23,000 some worker is always absent.

What callers saw: nothing accepted before the change is started for up to 15 s.

Fix: the owner starts nothing on a worker that has not reported for 1 s, so the set of tasks that may run there is fixed. It stores this set (key a + address). When the worker reports again or has left, it removes the record, and starts nothing there before the removal is stored. So whoever reads a record knows all tasks that any owner may have started there, and after a change of owner only these wait, as before until the worker reports or the leases have ended. Workers that become absent within about a second of the owner's end have no record, and hold everything as before.

Weighed: storing each start costs an append for each batch of starts and stops them while the log is away; storing starts only while the log answers needs a proof that the former owner has not left this mode, which it can't give when it is cut off from the log; a shorter lease of the owner stops starts in outages of the log. A record costs two appends for each absence of 1 s or more, of about 22 bytes a task. None is begun while the log fails appends, because the worker could not be used again before the removal is stored.

A line in the log names the workers that a new owner waits for after 1 s, with the number of tasks held and the longest wait; the gauge mb_tasks_held counts them. A load of the newest records that lacks a record drops it.

Mutants FLEET_ABSENT_TASKS_START and FLEET_ABSENT_WORKER_USED.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -2,8 +2,14 @@
 
 #include <string.h>
 
+#include "mb_cleanup.h"
 #include "mb_fleet_internal.h"
 
+/* Time after which a new owner logs what it waits for, in milliseconds, and
+   the number of workers that the line names. */
+#define WAIT_LOG_DELAY_MS 1000u
+#define WAIT_LOG_WORKERS 8u
+
 /* GHashFunc over the addresses of workers (mb_buf_t). */
 static guint
 hash_address(gconstpointer key)
@@ -31,6 +37,7 @@
         mb_buf_finish(&worker->labels[i]);
     }
     g_array_unref(worker->runs);
+    g_array_unref(worker->absent_tasks);
     mb_order_finish(&worker->pending_order);
     g_free(worker);
 }
@@ -93,7 +100,10 @@
 {
     uint32_t number = mb_fleet_find_worker(fleet, address);
     if (number != UINT32_MAX) {
-        mb_fleet_get_worker(fleet, number)->removed = false;
+        mb_fleet_worker_t *known = mb_fleet_get_worker(fleet, number);
+        known->reported_us =
+            known->removed ? mb_clock_us(&fleet->clock) : known->reported_us;
+        known->removed = false;
         return number;
     }
     if (fleet->workers->len == MB_FLEET_WORKERS_MAX) {
@@ -106,6 +116,8 @@
     worker->number = fleet->workers->len;
     mb_buf_set(&worker->address, address);
     worker->runs = g_array_new(FALSE, FALSE, sizeof(mb_fleet_run_t));
+    worker->absent_tasks = g_array_new(FALSE, FALSE, sizeof(mb_dag_task_id_t));
+    worker->reported_us = mb_clock_us(&fleet->clock);
     mb_health_init(&worker->health);
     mb_order_init(&worker->pending_order);
     g_ptr_array_add(fleet->workers, worker);
@@ -179,9 +191,11 @@
 
 /* Makes this process the owner of the fleet under a new fencing token. The
    former owner may have started tasks of the jobs that are in the table now.
-   They are started only after every worker known now has reported its runs, or
-   at `former_leases_end_us` of the clock, by which time the caller guarantees
-   that all leases granted by the former owner have expired. */
+   A task waits only for workers on which it may run: those that have not
+   reported to this owner, and whose record in the log, if there is one, has
+   the task. It waits until `former_leases_end_us` of the clock at the latest,
+   by which time the caller guarantees that all leases granted by the former
+   owner have expired. */
 void
 mb_fleet_become_owner(mb_fleet_t *fleet, uint64_t token,
                       uint64_t former_leases_end_us)
@@ -190,17 +204,20 @@
     fleet->token = token;
     fleet->former_leases_end_us = former_leases_end_us;
     fleet->former_runs_resolved = false;
+    fleet->wait_logged = false;
+    fleet->owner_since_us = mb_clock_us(&fleet->clock);
     fleet->store_pending = false;
     fleet->store_failed = false;
     (void)g_ptr_array_set_size(fleet->dirty_jobs, 0);
     (void)g_ptr_array_set_size(fleet->open_jobs, 0);
     reset_workers(fleet, true);
+    mb_fleet_hold_absent_tasks(fleet);
     add_jobs_of_table(fleet, true);
     fleet->schedule_due = true;
 }
 
 /* Ends the ownership. Progress that was not stored is lost, so the caller must
-   reload the table from the log. */
+   reload the table, and the records of absent workers, from the log. */
 void
 mb_fleet_lose_ownership(mb_fleet_t *fleet)
 {
@@ -208,6 +225,9 @@
     fleet->active = false;
     fleet->store_pending = false;
     reset_workers(fleet, false);
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        mb_fleet_reset_absence(mb_fleet_get_worker(fleet, i));
+    }
     (void)g_ptr_array_set_size(fleet->dirty_jobs, 0);
     (void)g_ptr_array_set_size(fleet->open_jobs, 0);
 }
@@ -381,19 +401,12 @@
     fleet->callbacks.store_group_end(fleet->callbacks.context);
 }
 
-/* Gives up the runs of workers whose lease has certainly expired, and checks
-   whether the runs of the former owner are all known or expired. */
+/* Gives up the runs of workers whose lease has certainly expired. */
 static void
 check_leases(mb_fleet_t *fleet, uint64_t now_us)
 {
-    bool expired = now_us >= fleet->former_leases_end_us;
-#ifdef MB_MUTANT_FLEET_NOT_SETTLED
-    expired = true;
-#endif
-    bool all_reported = true;
     for (guint i = 0; i < fleet->workers->len; i++) {
         mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, i);
-        all_reported = all_reported && !worker->may_have_former_runs;
         if (worker->runs->len > 0 && now_us >= worker->lease_end_us) {
             mb_fleet_abandon_runs(fleet, worker, "lease_expired");
             /* What runs there is unknown until the next complete report, from
@@ -402,14 +415,72 @@
             worker->order_due = true;
         }
     }
-    if (!fleet->former_runs_resolved && (expired || all_reported)) {
+}
+
+/* Logs which workers have not reported to a new owner after a while, and how
+   many tasks wait for them. */
+static void
+log_wait(mb_fleet_t *fleet, uint64_t now_us, uint32_t unknown, uint32_t known)
+{
+    MB_AUTO_BUF mb_buf_t addresses = {0};
+    uint32_t named = 0;
+    if (fleet->wait_logged || unknown + known == 0 ||
+        now_us < fleet->owner_since_us +
+                     WAIT_LOG_DELAY_MS * (uint64_t)MB_US_PER_MS) {
+        return;
+    }
+    fleet->wait_logged = true;
+    for (guint i = 0; i < fleet->workers->len && named < WAIT_LOG_WORKERS;
+         i++) {
+        const mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, i);
+        if (worker->may_have_former_runs) {
+            mb_buf_printf(&addresses, "%s%.*s", named == 0 ? "" : ",",
+                          MB_STR_ARG(mb_buf_view(&worker->address)));
+            named++;
+        }
+    }
+    mb_log_notice(&fleet->log,
+                  "tasks wait for workers that have not reported "
+                  "token=%" G_GUINT64_FORMAT " tasks=%u without_record=%u "
+                  "with_record=%u for_at_most_ms=%" G_GUINT64_FORMAT
+                  " addresses=%.*s",
+                  fleet->token, fleet->held_tasks, unknown, known,
+                  (fleet->former_leases_end_us -
+                   MIN(fleet->former_leases_end_us, now_us)) /
+                      MB_US_PER_MS,
+                  MB_STR_ARG(mb_buf_view(&addresses)));
+}
+
+/* Checks which runs of the former owner are known. At the end of its leases,
+   nothing waits for them any more. */
+static void
+check_former_runs(mb_fleet_t *fleet, uint64_t now_us)
+{
+    bool expired = now_us >= fleet->former_leases_end_us;
+#ifdef MB_MUTANT_FLEET_NOT_SETTLED
+    expired = true;
+#endif
+    uint32_t unknown = 0; /* workers without a record that have not reported */
+    uint32_t known = 0;   /* the same with a record */
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, i);
+        if (expired) {
+            mb_fleet_release_absent_tasks(fleet, worker);
+        }
+        known += worker->former_tasks_known;
+        unknown += worker->may_have_former_runs && !worker->former_tasks_known;
+    }
+    if (!fleet->former_runs_resolved && (expired || unknown == 0)) {
         mb_log_notice(&fleet->log,
                       "fleet settled token=%" G_GUINT64_FORMAT
-                      " all_listed=%d runs=%u",
-                      fleet->token, all_reported, fleet->running);
+                      " all_listed=%d runs=%u absent=%u",
+                      fleet->token, unknown == 0, fleet->running, known);
         fleet->former_runs_resolved = true;
         fleet->schedule_due = true;
     }
+    if (!expired) {
+        log_wait(fleet, now_us, unknown, known);
+    }
 }
 
 /* Removes jobs that have an outcome from the open ones. */
@@ -436,6 +507,10 @@
         return;
     }
     check_leases(fleet, now_us);
+    check_former_runs(fleet, now_us);
+    if (fleet->active) {
+        mb_fleet_update_absences(fleet, now_us);
+    }
     remove_closed_jobs(fleet);
     /* Retry delays may have ended and due times may have been reached. */
     fleet->schedule_due = true;
@@ -514,6 +589,7 @@
     mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, number);
     mb_fleet_abandon_runs(fleet, worker, "worker_left");
     worker->may_have_former_runs = false;
+    mb_fleet_release_absent_tasks(fleet, worker);
     worker->removed = true;
 }
 
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -57,12 +57,26 @@
     void (*store)(void *context, const mb_dag_progress_t *progress);
     /* Ends the current group. mb_fleet_progress_stored reports its result. */
     void (*store_group_end)(void *context);
+    /* Stores which tasks (mb_dag_task_id_t) may run on an absent worker, or
+       removes that record if `tasks` is NULL. mb_fleet_absence_stored reports
+       the result. Returns false, without a result, if the record can't be
+       stored at present. */
+    bool (*store_absence)(void *context, uint32_t worker, const GArray *tasks);
     /* Returns the Unix time in milliseconds, for the submission and due times
        of jobs. */
     uint64_t (*unix_ms)(void *context);
     void *context;
 } mb_fleet_callbacks_t;
 
+/* Whether the log has a record of the tasks that may run on an absent
+   worker. */
+typedef enum mb_fleet_absence {
+    MB_FLEET_ABSENCE_NONE,
+    MB_FLEET_ABSENCE_STORING, /* the log may get the record */
+    MB_FLEET_ABSENCE_STORED,
+    MB_FLEET_ABSENCE_REMOVING /* the log may still have the record */
+} mb_fleet_absence_t;
+
 /* Counters for metrics and tests. */
 typedef struct mb_fleet_counts {
     uint64_t starts;
@@ -120,6 +134,13 @@
     bool runs_known;
     bool may_have_former_runs; /* runs of the former owner may be there that
                                   no report has shown yet */
+    /* Unless it is MB_FLEET_ABSENCE_NONE, no owner starts anything there. */
+    mb_fleet_absence_t absence;
+    /* mb_dag_task_id_t. In a process that is not the owner, the tasks of the
+       record in the log. In the owner, the tasks that wait because they may
+       run there; empty if there are none or they are unknown. */
+    GArray *absent_tasks;
+    bool former_tasks_known; /* nothing but `absent_tasks` may run there */
     bool removed;        /* it has left: the log no longer names its agent */
     bool agent_draining; /* the agent drains and will exit */
     mb_worker_state_t state;
@@ -143,7 +164,8 @@
     mb_headroom_load_t recent_load;
     uint64_t recent_load_us;
     mb_health_t health;
-    uint64_t reported_us;     /* time of the latest report */
+    uint64_t reported_us;     /* time of the latest report, or when the worker
+                                 was added */
     uint64_t report_sequence; /* its sequence number; 0: none on this
                                  connection */
     uint64_t lease_end_us; /* all runs have ended by then unless another order
@@ -173,9 +195,14 @@
     uint64_t token; /* fencing token of this ownership */
     /* Time by which all leases granted by the former owner have expired. */
     uint64_t former_leases_end_us;
-    bool former_runs_resolved; /* every run of the former owner has been
-                                  reported, or its lease has expired */
-    GPtrArray *workers;        /* mb_fleet_worker_t by number */
+    /* Every run of the former owner has been reported, its lease has expired,
+       or it is known which tasks wait for it. */
+    bool former_runs_resolved;
+    bool wait_logged; /* what a new owner waits for has been logged */
+    uint64_t owner_since_us;
+    uint32_t held_tasks; /* tasks that wait for workers that have not reported
+                            to this owner, in the latest scheduling pass */
+    GPtrArray *workers;  /* mb_fleet_worker_t by number */
     /* mb_buf_t (address) -> mb_fleet_worker_t, both owned by `workers` */
     GHashTable *workers_by_address;
     /* mb_dag_job_t without an outcome, in scheduling order once sorted. Those
@@ -215,6 +242,13 @@
 void mb_fleet_job_removed(mb_fleet_t *fleet, mb_dag_job_t *job);
 void mb_fleet_progress_stored(mb_fleet_t *fleet, bool ok);
 
+/* Records of absent workers (mb_fleet_absence.c). `tasks` is an array of
+   mb_dag_task_id_t, or NULL if the record was removed; it is copied. `in_log`:
+   the record is, or may be, in the log. */
+void mb_fleet_absence_read(mb_fleet_t *fleet, uint32_t worker,
+                           const GArray *tasks);
+void mb_fleet_absence_stored(mb_fleet_t *fleet, uint32_t worker, bool in_log);
+
 /* Agents and their workers. Workers are named by their number, which
    mb_fleet_add_worker returns; it stays valid until
    mb_fleet_finish. */
--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -112,16 +112,19 @@
 }
 
 /* Tells whether a worker may get starts now: it is ready, its runs are known,
-   it has reported lately and all of them can be accounted for, and its health
-   allows it. */
+   it has reported lately and all of them can be accounted for, the log does
+   not have it as absent, and its health allows it. */
 static bool
 accepts_starts(const mb_fleet_cost_inputs_t *inputs,
                const mb_fleet_worker_t *worker)
 {
-    return worker->connected && worker->runs_known &&
-           !worker->has_unknown_orphan && !worker->agent_draining && worker->state == MB_WORKER_READY &&
-           inputs->now_us < worker->reported_us + MB_FLEET_REPORT_TIMEOUT_MS *
-                                                      (uint64_t)MB_US_PER_MS &&
+    bool recorded_absent = worker->absence != MB_FLEET_ABSENCE_NONE;
+#ifdef MB_MUTANT_FLEET_ABSENT_WORKER_USED
+    recorded_absent = false;
+#endif
+    return worker->state == MB_WORKER_READY && !worker->agent_draining &&
+           !recorded_absent && !worker->has_unknown_orphan &&
+           !mb_fleet_worker_silent(worker, inputs->now_us) &&
            !mb_health_suspended(&worker->health, inputs->now_us);
 }
 
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -3,6 +3,8 @@
    - mb_fleet_report.c applies what the agents report
    - mb_fleet_schedule.c chooses what to start, in the order of
      mb_fleet_order.c and at the costs of mb_fleet_cost.c
+   - mb_fleet_absence.c keeps the records of absent workers, and the tasks that
+     wait for them after a change of ownership
    - these use mb_fleet_headroom.c (effect of best-effort work on service
      tasks), mb_fleet_estimate.c (expected run times) and mb_fleet_state.c
      (runs and jobs) */
@@ -37,6 +39,14 @@
 void mb_fleet_mark_job_startable(mb_fleet_t *fleet, mb_dag_job_t *job);
 bool mb_fleet_task_is_running(const mb_dag_task_t *task);
 
+/* mb_fleet_absence.c */
+void mb_fleet_hold_absent_tasks(mb_fleet_t *fleet);
+void mb_fleet_release_absent_tasks(mb_fleet_t *fleet,
+                                   mb_fleet_worker_t *worker);
+void mb_fleet_reset_absence(mb_fleet_worker_t *worker);
+bool mb_fleet_worker_silent(const mb_fleet_worker_t *worker, uint64_t now_us);
+void mb_fleet_update_absences(mb_fleet_t *fleet, uint64_t now_us);
+
 /* mb_fleet_report.c */
 void mb_fleet_abandon_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                            const char *reason);
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -603,6 +603,7 @@
         }
         worker->runs_known = true;
         worker->may_have_former_runs = false;
+        mb_fleet_release_absent_tasks(fleet, worker);
         fleet->schedule_due = true;
     }
 }
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -180,13 +180,21 @@
     }
 }
 
-/* Tells whether a task may be started now: not done, without a run and past
-   its retry delay. */
+/* Tells whether a task may be started now: not done, without a run, past its
+   retry delay, and not possibly running on an absent worker. */
 static bool
 is_startable(const pass_t *pass, const mb_dag_task_t *task)
 {
-    return !task->done && !mb_fleet_task_is_running(task) &&
-           task->not_before_us <= pass->inputs.now_us;
+    if (task->done || mb_fleet_task_is_running(task)) {
+        return false;
+    }
+#ifndef MB_MUTANT_FLEET_ABSENT_TASKS_START
+    if (task->absent_workers > 0) {
+        pass->inputs.fleet->held_tasks++;
+        return false;
+    }
+#endif
+    return task->not_before_us <= pass->inputs.now_us;
 }
 
 /* Starts the task of `run` on the best worker and numbers the run. Returns
@@ -364,20 +372,39 @@
     job->needs_scheduling = !none_waits;
 }
 
+/* Counts the tasks of a job that are neither done nor running. */
+static uint32_t
+count_waiting_tasks(const mb_dag_job_t *job)
+{
+    uint32_t count = 0;
+    for (uint32_t k = 0; k < job->occurrence_count; k++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            count += job->occurrences[k].unfinished_tasks[s];
+        }
+    }
+    return count - MIN(count, job->running);
+}
+
 /* Runs one scheduling pass over the open jobs. Jobs that the former owner knew
-   are skipped until all of its runs are known or expired, as it may have
-   started their tasks. */
+   are skipped while a worker may run any of their tasks: one that has neither
+   reported nor a record of what may run there. */
 void
 mb_fleet_schedule(mb_fleet_t *fleet)
 {
     pass_t pass = {.inputs = mb_fleet_cost_inputs(fleet)};
     fleet->counts.passes++;
+    fleet->held_tasks = 0;
     mb_fleet_sort_jobs(fleet, pass.inputs.now_us);
     for (guint i = 0; i < fleet->open_jobs->len; i++) {
         mb_dag_job_t *job = g_ptr_array_index(fleet->open_jobs, i);
         bool blocked = job->inherited && !fleet->former_runs_resolved;
-        if (job->outcome == MB_DAG_OPEN && job->needs_scheduling && !blocked) {
-            start_job(&pass, job);
+        if (job->outcome != MB_DAG_OPEN || !job->needs_scheduling) {
+            continue;
+        }
+        if (blocked) {
+            fleet->held_tasks += count_waiting_tasks(job);
+            continue;
         }
+        start_job(&pass, job);
     }
 }
--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -13,6 +13,8 @@
 #define TEXT_MAX 255u
 /* Number of elements of a headroom estimate: key, slope, weight. */
 #define PAIR_ELEMENTS 3u
+/* Number of elements of the id of a task: job, occurrence, step, index. */
+#define TASK_ELEMENTS 4u
 /* Factor by which slopes are multiplied to be stored as integers. */
 #define SLOPE_SCALE 1000.0
 /* Version of the format. Records of other versions are rejected. */
@@ -20,7 +22,7 @@
 
 /* First letter of the key for each kind of record. */
 static const char key_letters[MB_DAG_RECORD_KIND_COUNT] = {'j', 'c', 's', 'w',
-                                                           'o', 'l', 'd'};
+                                                           'o', 'l', 'd', 'a'};
 
 /* Initializes a decoder; returns false when out of memory. */
 bool
@@ -28,6 +30,7 @@
 {
     decoder->rows = g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
     decoder->pairs = g_array_new(FALSE, FALSE, sizeof(mb_headroom_pair_t));
+    decoder->tasks = g_array_new(FALSE, FALSE, sizeof(mb_dag_task_id_t));
     return msgpack_zone_init(&decoder->zone, ZONE_BYTES);
 }
 
@@ -38,6 +41,7 @@
     msgpack_zone_destroy(&decoder->zone);
     g_array_unref(decoder->rows);
     g_array_unref(decoder->pairs);
+    g_array_unref(decoder->tasks);
 }
 
 /* Appends the key of a record; see the header. */
@@ -347,6 +351,51 @@
     reader->failed = reader->failed || rows.failed;
 }
 
+/* Appends the tasks that may run on an absent worker as [version, tasks],
+   where the tasks are one array: job, occurrence, step, index, job, ... */
+void
+mb_dag_record_encode_absence(mb_buf_t *out, const GArray *tasks)
+{
+    msgpack_packer packer;
+    mb_pack_init(&packer, out);
+    (void)msgpack_pack_array(&packer, 2);
+    (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
+    (void)msgpack_pack_array(&packer, (size_t)tasks->len * TASK_ELEMENTS);
+    for (guint i = 0; i < tasks->len; i++) {
+        const mb_dag_task_id_t *id =
+            &g_array_index(tasks, mb_dag_task_id_t, i);
+        mb_pack_str(&packer, mb_dag_id_view(&id->job));
+        (void)msgpack_pack_uint32(&packer, id->occurrence);
+        (void)msgpack_pack_uint32(&packer, id->step);
+        (void)msgpack_pack_uint32(&packer, id->index);
+    }
+}
+
+/* Reads the tasks that may run on an absent worker. They are stored in the
+   decoder. */
+static void
+unpack_absence(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader,
+               mb_dag_record_t *record)
+{
+    mb_unpack_t rows = mb_unpack_next_array(reader);
+    (void)g_array_set_size(decoder->tasks, 0);
+    record->body.tasks = decoder->tasks;
+    if (rows.left > MB_DAG_ABSENT_TASKS_MAX * TASK_ELEMENTS) {
+        reader->failed = true;
+        return;
+    }
+    while (rows.left > 0 && !rows.failed) {
+        mb_dag_task_id_t id = {0};
+        mb_str_t job = mb_unpack_bytes(&rows, MB_DAG_ID_LEN);
+        rows.failed = rows.failed || !mb_dag_id_parse(job, &id.job);
+        id.occurrence = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
+        id.step = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
+        id.index = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
+        g_array_append_val(decoder->tasks, id);
+    }
+    reader->failed = reader->failed || rows.failed;
+}
+
 /* Reads the value of a record after checking its version. Marks `reader` as
    failed if the value is not valid. */
 static void
@@ -371,6 +420,9 @@
     case MB_DAG_RECORD_OWNER:
         unpack_owner(reader, record);
         break;
+    case MB_DAG_RECORD_ABSENCE:
+        unpack_absence(decoder, reader, record);
+        break;
     case MB_DAG_RECORD_HEADROOM:
         unpack_pairs(decoder, reader, record);
         break;
@@ -385,7 +437,8 @@
 static bool
 is_about_agent(mb_dag_record_kind_t kind)
 {
-    return kind == MB_DAG_RECORD_AGENT || kind == MB_DAG_RECORD_DEPARTURE;
+    return kind == MB_DAG_RECORD_AGENT || kind == MB_DAG_RECORD_DEPARTURE ||
+           kind == MB_DAG_RECORD_ABSENCE;
 }
 
 /* Decodes the key of a record. Returns false for an unknown kind, or for a
--- a/lib/protocol/mb_dag_record.h
+++ b/lib/protocol/mb_dag_record.h
@@ -28,6 +28,7 @@
     MB_DAG_RECORD_OWNER,     /* claim, heartbeat or resignation */
     MB_DAG_RECORD_HEADROOM,  /* estimates for the next owner */
     MB_DAG_RECORD_DEPARTURE, /* an agent has left, and nothing runs there */
+    MB_DAG_RECORD_ABSENCE,   /* tasks that may run beside an absent agent */
     MB_DAG_RECORD_KIND_COUNT
 } mb_dag_record_kind_t;
 
@@ -45,6 +46,7 @@
         uint64_t incarnation; /* of an agent's process */
         mb_ownership_record_t owner;
         const GArray *pairs; /* mb_headroom_pair_t */
+        const GArray *tasks; /* mb_dag_task_id_t */
     } body;
 } mb_dag_record_t;
 
@@ -53,6 +55,7 @@
     msgpack_zone zone;
     GArray *rows;  /* mb_dag_progress_row_t */
     GArray *pairs; /* mb_headroom_pair_t */
+    GArray *tasks; /* mb_dag_task_id_t */
     mb_dag_step_t steps[MB_DAG_STEPS_MAX];
 } mb_dag_record_decoder_t;
 
@@ -80,6 +83,8 @@
 void mb_dag_record_encode_agent(mb_buf_t *out, uint64_t incarnation);
 void mb_dag_record_encode_owner(mb_buf_t *out,
                                 const mb_ownership_record_t *owner);
+/* `tasks` is an array of at most MB_DAG_ABSENT_TASKS_MAX mb_dag_task_id_t. */
+void mb_dag_record_encode_absence(mb_buf_t *out, const GArray *tasks);
 /* `pairs` is an array of at most MB_DAG_HEADROOM_PAIRS_MAX mb_headroom_pair_t.
    Slopes are rounded down to thousandths. */
 void mb_dag_record_encode_headroom_pairs(mb_buf_t *out, const GArray *pairs);
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -22,6 +22,8 @@
 #define MB_DAG_PAYLOAD_MAX 4096u
 /* Maximum length of a checkpoint, in bytes. */
 #define MB_DAG_CHECKPOINT_MAX 1024u
+/* Maximum number of tasks in the record of an absent worker. */
+#define MB_DAG_ABSENT_TASKS_MAX 4096u
 /* Maximum number of failures that are counted of a task. */
 #define MB_DAG_FAILURES_MAX 4096u
 /* Maximum number of concurrent runs of a task in a speculative step. */
@@ -130,6 +132,9 @@
     uint64_t last_run;           /* highest number of a run */
     uint64_t not_before_us;      /* end of the retry delay */
     mb_dag_run_t runs[MB_DAG_COPIES_MAX];
+    /* Number of absent workers on which the former owner may have started it;
+       unless 0, it must not be started. */
+    uint32_t absent_workers;
 } mb_dag_task_t;
 
 /* An occurrence of a job. */
--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -210,6 +210,23 @@
     }
 }
 
+/* Applies the record of the tasks that may run beside an absent agent, or its
+   removal if `tasks` is NULL. */
+void
+mb_scheduler_agent_absent(mb_scheduler_node_t *node, mb_str_t address,
+                          const GArray *tasks)
+{
+    if (tasks == NULL &&
+        mb_fleet_find_worker(&node->fleet, address) == UINT32_MAX) {
+        return;
+    }
+    mb_scheduler_agent_t *agent = find_or_add_agent(node, address);
+    if (agent != NULL) {
+        agent->absence_load = node->jobs.loads;
+        mb_fleet_absence_read(&node->fleet, agent->worker, tasks);
+    }
+}
+
 /* Called when the newest records of the job log have been read again. Agents
    whose records are no longer among them have left: their removal was not read
    in order. The owner writes the removals itself and misses none. */
@@ -222,6 +239,9 @@
         if (!mb_fleet_is_owner(&node->fleet)) {
             mb_agent_forget_unread(&agent->presence, node->jobs.loads);
             update_agent(agent);
+            if (agent->absence_load != node->jobs.loads) {
+                mb_fleet_absence_read(&node->fleet, agent->worker, NULL);
+            }
         }
     }
 }
--- a/lib/transport/mb_scheduler_apply.c
+++ b/lib/transport/mb_scheduler_apply.c
@@ -164,6 +164,10 @@
                                         record.body.incarnation);
         }
         break;
+    case MB_DAG_RECORD_ABSENCE:
+        mb_scheduler_agent_absent(node, record.address,
+                                  record.removed ? NULL : record.body.tasks);
+        break;
     case MB_DAG_RECORD_OWNER:
         if (!record.removed) {
             apply_owner(node, &record, in_order);
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -71,6 +71,10 @@
                                  uint64_t incarnation);
 void mb_scheduler_departure_removed(mb_scheduler_node_t *node,
                                     mb_str_t address);
+void mb_scheduler_agent_absent(mb_scheduler_node_t *node, mb_str_t address,
+                               const GArray *tasks);
+bool mb_scheduler_store_absence(void *context, uint32_t worker,
+                                const GArray *tasks);
 void mb_scheduler_jobs_loaded(void *context);
 void mb_scheduler_agents_tick(mb_scheduler_node_t *node);
 void mb_scheduler_close_agents(mb_scheduler_node_t *node);
--- a/lib/transport/mb_scheduler_metrics.c
+++ b/lib/transport/mb_scheduler_metrics.c
@@ -33,6 +33,9 @@
                                   "Runs started by this process"),
         .lost_runs = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_runs_lost",
                                      "Runs given up without an end"),
+        .held_tasks = mb_counters_add(
+            counters, MB_METRIC_GAUGE, "mb_tasks_held",
+            "Tasks that wait for workers that have not reported"),
         .appends = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_log_appends",
                                    "Appends sent to the log"),
         .reads = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_log_reads",
@@ -78,6 +81,8 @@
                      node->configs.follower.failed_reads);
     mb_gauge_set(node->metrics.running, node->fleet.running);
     mb_gauge_set(node->metrics.starts, node->fleet.counts.starts);
+    mb_gauge_set(node->metrics.held_tasks,
+                 mb_fleet_is_owner(&node->fleet) ? node->fleet.held_tasks : 0);
     mb_gauge_set(node->metrics.lost_runs, node->fleet.counts.lost_runs);
     mb_gauge_set(node->metrics.appends,
                  node->journal.appends + (node->owner_journal != NULL
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -234,6 +234,7 @@
         g_hash_table_new_full(mb_dag_id_hash, mb_dag_id_equal, g_free, NULL);
     node->retired_journals = g_ptr_array_new();
     node->agents = g_ptr_array_new_with_free_func(g_free);
+    node->absence_appends = g_ptr_array_new_with_free_func(g_free);
     node->pending_appends = g_ptr_array_new();
     node->pending_cancels = g_ptr_array_new();
     mb_buf_printf(&node->producer, "%.*s-%016" G_GINT64_MODIFIER "x",
@@ -253,6 +254,7 @@
                                   .store = mb_scheduler_store_progress,
                                   .store_group_end =
                                       mb_scheduler_store_group_end,
+                                  .store_absence = mb_scheduler_store_absence,
                                   .unix_ms = fleet_unix_ms,
                                   .context = node};
     mb_follower_callbacks_t jobs = {.apply = mb_scheduler_apply_record,
@@ -419,6 +421,7 @@
     mb_order_decoder_finish(&node->report_decoder);
     g_hash_table_destroy(node->early_cancels);
     g_ptr_array_unref(node->agents);
+    g_ptr_array_unref(node->absence_appends);
     g_ptr_array_unref(node->pending_appends);
     g_ptr_array_unref(node->pending_cancels);
     mb_buf_finish(&node->producer);
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -47,11 +47,13 @@
     uint32_t ip;
     uint16_t port;
     mb_agent_presence_t presence;
-    bool removed;       /* it does not belong to the fleet */
-    bool open;          /* `link` is initialized */
-    mb_link_t link;     /* may still be connecting */
-    uint64_t opened_ms; /* when the latest connection was opened */
-    uint64_t retry_ms;  /* no new connection is opened before */
+    uint32_t absence_load; /* load in or after which its latest record as
+                              absent was read */
+    bool removed;          /* it does not belong to the fleet */
+    bool open;             /* `link` is initialized */
+    mb_link_t link;        /* may still be connecting */
+    uint64_t opened_ms;    /* when the latest connection was opened */
+    uint64_t retry_ms;     /* no new connection is opened before */
     /* When the connection was first found closed after the latest report of
        the agent; 0: not since then. */
     uint64_t unreachable_since_ms;
@@ -66,6 +68,8 @@
     mb_metric_t *running;
     mb_metric_t *starts;
     mb_metric_t *lost_runs;    /* runs given up without a reported end */
+    mb_metric_t *held_tasks;   /* tasks that wait for workers that have not
+                                  reported to this owner */
     mb_metric_t *appends;      /* sent to the log, including retries */
     mb_metric_t *reads;        /* sent to the log */
     mb_metric_t *failed_reads; /* of the log */
@@ -115,6 +119,8 @@
                                     for their last call to the log */
     mb_dag_record_decoder_t decoder;
     mb_order_decoder_t report_decoder; /* decodes reports of agents */
+    GPtrArray *absence_appends; /* records of absent workers without a result
+                                 */
     GPtrArray *agents;          /* mb_scheduler_agent_t by worker number */
     GPtrArray *pending_appends; /* requests whose append has no result yet */
     GPtrArray *pending_cancels; /* cancellations of unknown jobs, which wait
--- a/lib/transport/mb_scheduler_owner.c
+++ b/lib/transport/mb_scheduler_owner.c
@@ -186,6 +186,67 @@
     mb_scheduler_defer_flush(node);
 }
 
+/* A record of an absent worker, or its removal, whose append has no result
+   yet. */
+typedef struct absence_append {
+    mb_scheduler_node_t *node;
+    const mb_journal_t *journal;
+    uint32_t worker;
+    bool removal;
+} absence_append_t;
+
+/* Reports the result of an append about an absent worker to the fleet. The
+   result from an ownership that has ended is ignored. */
+static void
+absence_done(void *context, mb_keyed_result_t result)
+{
+    absence_append_t *append = context;
+    mb_scheduler_node_t *node = append->node;
+    bool in_log =
+        append->removal ? result != MB_KEYED_OK : result != MB_KEYED_NOT_DONE;
+    if (append->journal == node->owner_journal) {
+        mb_fleet_absence_stored(&node->fleet, append->worker, in_log);
+        mb_scheduler_defer_flush(node);
+    }
+    (void)g_ptr_array_remove_fast(node->absence_appends, append);
+}
+
+/* Queues a record of an absent worker, or its removal; implements
+   mb_fleet_callbacks_t.store_absence. While the log does not accept appends,
+   no record is queued: the worker could not be used before its removal. */
+bool
+mb_scheduler_store_absence(void *context, uint32_t worker, const GArray *tasks)
+{
+    mb_scheduler_node_t *node = context;
+    uint64_t deadline_us = UINT64_MAX;
+    if (node->owner_journal == NULL ||
+        (tasks != NULL && node->owner_journal->failing_since_us != 0)) {
+        return false;
+    }
+    mb_buf_clear(&node->key);
+    mb_buf_clear(&node->value);
+    mb_dag_record_encode_key(
+        &node->key, MB_DAG_RECORD_ABSENCE,
+        mb_buf_view(&mb_fleet_get_worker(&node->fleet, worker)->address));
+    if (tasks != NULL) {
+        mb_dag_record_encode_absence(&node->value, tasks);
+        deadline_us = mb_clock_us(&node->clock) +
+                      MB_JOURNAL_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
+    }
+    absence_append_t *append = g_new0(absence_append_t, 1);
+    *append =
+        (absence_append_t){node, node->owner_journal, worker, tasks == NULL};
+    if (!mb_journal_add(node->owner_journal, mb_buf_view(&node->key),
+                        mb_buf_view(&node->value), deadline_us, absence_done,
+                        append)) {
+        g_free(append);
+        return false;
+    }
+    g_ptr_array_add(node->absence_appends, append);
+    mb_scheduler_defer_flush(node);
+    return true;
+}
+
 /* Stores the estimates of the headroom model for the next owner, at intervals.
    An append that fails is not retried beyond one interval, because the next
    one replaces it. */
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -114,6 +114,9 @@
     std::set<std::string> cancelled; /* ids of jobs */
     std::map<std::string, std::string> progress;
     std::vector<std::pair<std::string, std::string>> group;
+    /* Encoded records of absent workers, by number of the worker. */
+    std::map<uint32_t, std::string> absences;
+    uint32_t absence_appends = 0;  /* appends of such records and removals */
     bool store_fails = false;      /* the log rejects groups */
     bool store_unanswered = false; /* the log does not answer */
     /* Tasks with an acknowledged success, which must not be started again. */
@@ -554,6 +557,40 @@
          }});
 }
 
+/* Stores the record of an absent worker after 8 ms, or removes it; or the log
+   rejects it, or never answers. */
+static bool
+store_absence(void *context, uint32_t worker, const GArray *tasks)
+{
+    FleetSimulation *simulation = static_cast<FleetSimulation *>(context);
+    mb_buf_t value = {};
+    if (tasks != nullptr) {
+        mb_dag_record_encode_absence(&value, tasks);
+    }
+    std::string copy(value.data == nullptr ? "" : value.data, value.len);
+    uint64_t token = simulation->token;
+    mb_buf_finish(&value);
+    simulation->absence_appends++;
+    if (simulation->store_unanswered) {
+        return true;
+    }
+    simulation->events.push_back(
+        {simulation->now_us + 8000, [=] {
+             bool ok = simulation->token == token && !simulation->store_fails;
+             if (ok && copy.empty()) {
+                 simulation->absences.erase(worker);
+             }
+             else if (ok) {
+                 simulation->absences[worker] = copy;
+             }
+             if (simulation->token == token) {
+                 mb_fleet_absence_stored(&simulation->fleet, worker,
+                                         ok != copy.empty());
+             }
+         }});
+    return true;
+}
+
 static uint64_t
 read_unix_ms(void *context)
 {
@@ -565,8 +602,9 @@
 {
     mb_clock_t clock = {read_clock, this};
     mb_log_t log = make_log();
-    mb_fleet_callbacks_t callbacks = {send_order, store_progress,
-                                      end_store_group, read_unix_ms, this};
+    mb_fleet_callbacks_t callbacks = {send_order,      store_progress,
+                                      end_store_group, store_absence,
+                                      read_unix_ms,    this};
     mb_dag_table_init(&table);
     (void)mb_dag_record_decoder_init(&record_decoder);
     (void)mb_order_decoder_init(&report_decoder);
@@ -678,6 +716,13 @@
             mb_dag_progress_apply(job, &record.body.progress);
         }
     }
+    for (const auto &item : absences) {
+        mb_dag_record_t record;
+        EXPECT_TRUE(mb_dag_record_decode(
+            &record_decoder, MB_STR_LIT("aworker"),
+            {item.second.data(), item.second.size()}, &record, nullptr));
+        mb_fleet_absence_read(&fleet, item.first, record.body.tasks);
+    }
     mb_fleet_become_owner(&fleet, token, former_leases_end_us);
     mb_fleet_set_active(&fleet, true);
     for (auto &machine : machines) {
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -178,6 +178,115 @@
     expect_no_violations(simulation);
 }
 
+/* Has a worker hold a run of a job of one task, and makes it unreachable for
+   long enough that the log has a record of it. Returns the worker. */
+static Machine &
+make_one_worker_absent(FleetSimulation &simulation, mb_dag_step_t *step)
+{
+    simulation.submit(one_step_job(step, first_id, 1, 800));
+    simulation.advance(500);
+    Machine *machine = simulation.machines[0].get();
+    for (auto &other : simulation.machines) {
+        machine = other->worker.runs.empty() ? machine : other.get();
+    }
+    EXPECT_EQ(machine->worker.runs.size(), 1u);
+    simulation.disconnect(*machine);
+    simulation.advance(MB_FLEET_REPORT_TIMEOUT_MS + 200);
+    EXPECT_EQ(simulation.absences.size(), 1u);
+    return *machine;
+}
+
+/* Guards against a new owner under which nothing starts because one worker is
+   absent: tasks that may not run there start within 2 s of the claim. Also
+   guards against a second run of the task that runs there. */
+TEST(Fleet, NewOwnerHoldsOnlyTasksThatMayRunOnAnAbsentWorker)
+{
+    FleetSimulation simulation(10);
+    std::vector<mb_dag_step_t> steps(2);
+    simulation.task_ms = 3000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    Machine &absent = make_one_worker_absent(simulation, &steps[0]);
+    simulation.task_ms = 300;
+    simulation.submit(one_step_job(&steps[1], second_id, 9, 3000));
+    simulation.fail_over();
+    simulation.disconnect(absent);
+    simulation.advance(2000);
+    EXPECT_EQ(simulation.outcome(second_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(simulation.fleet.held_tasks, 1u);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_OPEN);
+    simulation.connect(absent);
+    simulation.advance(2000);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(simulation.fleet.held_tasks, 0u);
+    EXPECT_TRUE(simulation.absences.empty());
+    expect_no_violations(simulation);
+}
+
+/* Guards against a task that waits for ever for a worker that never comes
+   back, and against its second run while the first one may still go on. */
+TEST(Fleet, TaskOfAnAbsentWorkerStartsWhenAllLeasesHaveEnded)
+{
+    FleetSimulation simulation(3);
+    mb_dag_step_t step;
+    simulation.task_ms = 4400;
+    simulation.fail_over();
+    simulation.advance(2500);
+    Machine &absent = make_one_worker_absent(simulation, &step);
+    simulation.fail_over();
+    simulation.disconnect(absent);
+    simulation.advance(MB_OWNERSHIP_LEASE_MS + mb_fleet_max_lease_us() / 1000 -
+                       100);
+    EXPECT_EQ(simulation.running(), 0u);
+    simulation.advance(500);
+    EXPECT_EQ(simulation.running(), 1u);
+    expect_no_violations(simulation);
+}
+
+/* Guards against two runs of a task after two changes of ownership. The worker
+   came back under the second owner, whose removal of the record was not
+   stored, so the third owner still reads the record: nothing may have been
+   started there meanwhile. */
+TEST(Fleet, StartsNothingOnAWorkerWhoseRecordIsInTheLog)
+{
+    FleetSimulation simulation(2);
+    std::vector<mb_dag_step_t> steps(2);
+    simulation.task_ms = 1000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    Machine &absent = make_one_worker_absent(simulation, &steps[0]);
+    simulation.store_unanswered = true;
+    simulation.advance(500);
+    simulation.fail_over();
+    simulation.task_ms = 3000;
+    simulation.submit(one_step_job(&steps[1], second_id, 2, 3000));
+    simulation.advance(1500);
+    EXPECT_TRUE(absent.worker.runs.empty());
+    EXPECT_EQ(simulation.running(), 1u);
+    simulation.store_unanswered = false;
+    simulation.fail_over();
+    simulation.advance(1500);
+    EXPECT_TRUE(simulation.absences.empty());
+    EXPECT_EQ(simulation.running(), 2u);
+    expect_no_violations(simulation);
+}
+
+/* Guards against records that are written all the time: a worker that reports
+   0.9 s late has none. */
+TEST(Fleet, LateReportsStoreNothing)
+{
+    FleetSimulation simulation(2);
+    simulation.fail_over();
+    simulation.advance(2500);
+    for (int i = 0; i < 5; i++) {
+        simulation.disconnect(*simulation.machines[0]);
+        simulation.advance(600);
+        simulation.connect(*simulation.machines[0]);
+        simulation.advance(500);
+    }
+    EXPECT_EQ(simulation.absence_appends, 0u);
+}
+
 /* Guards against more attempts than allowed. The former owner could not store
    a failure, and the new owner hears of a later run of the task first. */
 TEST(Fleet, CountsAFailureThatTheFormerOwnerCouldNotStore)
@@ -785,8 +894,32 @@
     EXPECT_TRUE(mb_agent_worker_has_left(machine.agent));
 }
 
+/* Makes another process the owner, up to 3 s after a worker became
+   unreachable. The worker comes back to the new owner later or leaves. */
+static void
+fail_over_without_a_worker(FleetSimulation &simulation, Machine &machine)
+{
+    simulation.disconnect(machine);
+    simulation.advance(simulation.random() % 3000);
+    simulation.fail_over();
+    simulation.disconnect(machine);
+    simulation.advance(simulation.random() % 3000);
+    if (simulation.random() % 4 == 0) {
+        simulation.restart_agent(machine);
+    }
+    else if (simulation.random() % 3 == 0) {
+        machine.worker.crash();
+        mb_fleet_worker_removed(&simulation.fleet, machine.number);
+        simulation.advance(simulation.random() % 1500);
+        (void)mb_fleet_add_worker(
+            &simulation.fleet,
+            {machine.worker.name.data(), machine.worker.name.size()});
+    }
+}
+
 /* Random combinations of faults: lost connections, crashed workers, unanswered
-   starts, fail-overs and rejected appends to the log. Guards against two runs
+   starts, fail-overs with and without all workers, workers that leave and come
+   back, and rejected appends to the log. Guards against two runs
    of a task, a start after an acknowledged success, more work on a worker than
    its capacity, and jobs that are never completed. */
 static void
@@ -800,7 +933,7 @@
     simulation.advance(2500);
     for (int event = 0; event < 60; event++) {
         Machine &machine = *simulation.machines[simulation.random() % 3];
-        switch (simulation.random() % 9) {
+        switch (simulation.random() % 10) {
         case 0:
             simulation.disconnect(machine);
             break;
@@ -823,6 +956,9 @@
         case 6:
             simulation.store_fails = simulation.random() % 4 == 0;
             break;
+        case 7:
+            fail_over_without_a_worker(simulation, machine);
+            break;
         default:
             break;
         }
--- a/tests/unit/test_scheduler_records.cc
+++ b/tests/unit/test_scheduler_records.cc
@@ -186,3 +186,66 @@
     mb_agent_announced(&presence, 3, 0);
     EXPECT_TRUE(mb_agent_is_present(&presence));
 }
+
+/* Guards against tasks that wait, or that start twice, because a scheduler has
+   a wrong idea of what may run beside an absent agent. The record may be read
+   before the announcement, and be removed while the log is not read in
+   order. */
+TEST(SchedulerRecords, KeepsTheRecordsOfAbsentAgents)
+{
+    SchedulerRecords records;
+    mb_dag_task_id_t id = {};
+    g_autoptr(GArray) tasks =
+        g_array_new(FALSE, FALSE, sizeof(mb_dag_task_id_t));
+    mb_buf_t value = {};
+    ASSERT_TRUE(mb_dag_id_parse(MB_STR_LIT("0123456789abcdef"), &id.job));
+    id.index = 26;
+    g_array_append_val(tasks, id);
+    mb_dag_record_encode_absence(&value, tasks);
+    records.remove("a10.0.0.2:7480");
+    EXPECT_EQ(records.node.fleet.workers->len, 0u);
+    records.apply("a10.0.0.1:7480", value);
+    records.announce("10.0.0.1:7480", 1);
+    const mb_fleet_worker_t *worker =
+        mb_fleet_get_worker(&records.node.fleet, 0);
+    EXPECT_EQ(worker->absence, MB_FLEET_ABSENCE_STORED);
+    ASSERT_EQ(worker->absent_tasks->len, 1u);
+    const mb_dag_task_id_t *read =
+        &g_array_index(worker->absent_tasks, mb_dag_task_id_t, 0);
+    EXPECT_TRUE(mb_dag_task_id_equal(read, &id));
+    records.remove("a10.0.0.1:7480");
+    EXPECT_EQ(worker->absence, MB_FLEET_ABSENCE_NONE);
+    records.apply("a10.0.0.1:7480", value);
+    records.reload({"10.0.0.1:7480"});
+    EXPECT_EQ(worker->absence, MB_FLEET_ABSENCE_NONE);
+    EXPECT_EQ(worker->absent_tasks->len, 0u);
+    mb_buf_finish(&value);
+}
+
+/* Guards against records of another writer that end a scheduler: deeply nested
+   values, numbers that are too large, ports out of range. They are ignored. */
+TEST(SchedulerRecords, OddRecordsChangeNothing)
+{
+    SchedulerRecords records;
+    std::string nested(100000, (char)0x91);         /* arrays of one element */
+    std::string large = "\x92\x01\xca\x7f\x80\x00"; /* a float, cut off */
+    std::string huge = "\x92\x01\xdd\xff\xff\xff\xff"; /* 2^32 elements */
+    for (const std::string &text : {nested, large, huge}) {
+        for (const char *kind : {"j", "c", "s", "w", "o", "l", "d", "a"}) {
+            mb_buf_t value = {};
+            mb_buf_set(&value, {text.data(), text.size()});
+            records.apply(kind + std::string("0123456789abcdef"), value);
+            records.apply(kind + std::string("10.0.0.1:7480"), value);
+            records.apply(kind + std::string(), value);
+            mb_buf_finish(&value);
+        }
+    }
+    records.announce("10.0.0.1:65536", 1);
+    records.announce("10.0.0.1:0", 1);
+    records.announce("10.0.0.1:-1", 1);
+    records.announce("10.0.0.256:7480", 1);
+    records.announce("", 1);
+    EXPECT_EQ(records.node.fleet.workers->len, 0u);
+    EXPECT_EQ(g_hash_table_size(records.node.table.jobs), 0u);
+    EXPECT_EQ(records.node.ownership.latest.token, 0u);
+}
