Let tasks that fit start although others of their pool find no worker

Cause: after 24 consecutive tasks that found no worker, a scheduling pass skipped all other tasks of the pool, whatever the 24 had asked for: a label that no worker has, or more processors or memory than any has.

What callers saw: jobs that a worker could take wait as long as 24 tasks that can't be placed come before them, possibly for ever.

Evidence: Fleet.TasksThatNoWorkerCanTakeDoNotBlockOthers (90 jobs that ask for a label, 5 processors or 200 GB; 2 workers of 4 processors) failed before: the job that fits had not begun after 1 s.

Fix: a pass remembers the requests that found no worker, and skips only tasks that ask for as much of everything: pool, label, processors, memory, accelerators, and for best-effort work image and cost limit. Room only shrinks during a pass, so these would find none either. A rack-local gang tries each rack once instead of once for each of its workers.

--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -7,54 +7,88 @@
 
 #include "mb_fleet_internal.h"
 
-/* After this many consecutive placements that found no worker of a service, a
-   pass skips the remaining tasks of that service. Its workers are full by
-   then, and trying every job would cost more time than it is worth. */
-#define FAILED_PLACEMENTS_MAX 24u
-/* Number of counters of failed placements in a pass. Services beyond that
-   share the last one. */
-#define COUNTERS_MAX 32u
+/* Number of requests without a worker that a pass remembers. */
+#define HOPELESS_MAX 64u
 /* Time for which a run must have been severely throttled before it is moved to
    another worker, in microseconds: a stop and a new start take most of a
    second. */
 #define MOVE_DELAY_US UINT64_C(700000)
 
-/* Counter of consecutive placements that found no worker of a service.
-   Best-effort tasks are counted apart from others: they use what those leave,
-   and may find room when those don't. */
-typedef struct failed_placements {
+/* What a task asks for, as far as it decides which workers can take it. */
+typedef struct request {
     mb_str_t service;
+    mb_str_t label;
+    mb_size_t size;
     bool best_effort;
-    uint32_t count;
-} failed_placements_t;
+    /* Only for best-effort tasks, whose place depends on them: */
+    uint64_t image_hash;
+    uint64_t cost_limit;
+} request_t;
 
 /* State of one pass over the waiting jobs. */
 typedef struct pass {
     mb_fleet_cost_inputs_t inputs;
-    uint32_t counter_count;
-    failed_placements_t failed_placements[COUNTERS_MAX];
+    /* Requests for which no worker was found in this pass. Room only shrinks
+       during a pass, so they, and those that ask for more, find none. */
+    uint32_t hopeless_count;
+    request_t hopeless[HOPELESS_MAX];
 } pass_t;
 
-/* Returns the counter of failed placements that a run belongs to. */
-static uint32_t *
-get_failed_placements(pass_t *pass, const mb_fleet_run_t *run)
+/* Returns what the tasks of a run's step ask for. */
+static request_t
+get_request(const pass_t *pass, const mb_fleet_run_t *run)
 {
-    mb_str_t service = run->job->spec.policy.service;
-    bool best_effort = run->job->steps[run->step].best_effort;
-    uint32_t index = 0;
-    while (index < pass->counter_count &&
-           !(pass->failed_placements[index].best_effort == best_effort &&
-             mb_str_equal(pass->failed_placements[index].service, service))) {
-        index++;
+    const mb_dag_step_t *step = &run->job->steps[run->step];
+    request_t request = {.service = run->job->spec.policy.service,
+                         .label = step->label,
+                         .size = step->size,
+                         .best_effort = step->best_effort};
+    if (step->best_effort) {
+        request.image_hash = mb_str_hash(step->image);
+        request.cost_limit = mb_fleet_placement_cost_limit(&pass->inputs, run);
     }
-    if (index == COUNTERS_MAX) {
-        return &pass->failed_placements[COUNTERS_MAX - 1].count;
+    return request;
+}
+
+/* Tells whether every worker that can take `request` can take `other` too. */
+static bool
+asks_for_more(const request_t *request, const request_t *other)
+{
+    return request->best_effort == other->best_effort &&
+           request->size.cpu_milli >= other->size.cpu_milli &&
+           request->size.memory_mb >= other->size.memory_mb &&
+           request->size.accelerators >= other->size.accelerators &&
+           request->image_hash == other->image_hash &&
+           request->cost_limit <= other->cost_limit &&
+           mb_str_equal(request->service, other->service) &&
+           (other->label.len == 0 ||
+            mb_str_equal(request->label, other->label));
+}
+
+/* Tells whether it is known that no worker takes a task of a run's step. */
+static bool
+is_hopeless(const pass_t *pass, const mb_fleet_run_t *run)
+{
+    request_t request = get_request(pass, run);
+    for (uint32_t i = 0; i < pass->hopeless_count; i++) {
+        if (asks_for_more(&request, &pass->hopeless[i])) {
+            return true;
+        }
     }
-    if (index == pass->counter_count) {
-        pass->failed_placements[pass->counter_count++] =
-            (failed_placements_t){service, best_effort, 0};
+    return false;
+}
+
+/* Remembers that no worker takes the task of a run. A step with a maximum
+   number of tasks per worker, or a task that has failed on a worker before,
+   may have found none for that reason, which says nothing about others. */
+static void
+add_hopeless(pass_t *pass, const mb_fleet_run_t *run)
+{
+    if (run->job->steps[run->step].per_worker_max == 0 &&
+        mb_fleet_run_task(run)->last_failed_worker == 0 &&
+        pass->hopeless_count < HOPELESS_MAX) {
+        pass->hopeless[pass->hopeless_count++] = get_request(pass, run);
     }
-    return &pass->failed_placements[index].count;
 }
 
 /* Returns the worker where a run has the lowest cost, or NULL if the cost is
@@ -204,10 +238,9 @@
 {
     mb_fleet_worker_t *worker = choose_worker(pass, run, MB_STR_EMPTY);
     if (worker == NULL) {
-        (*get_failed_placements(pass, run))++;
+        add_hopeless(pass, run);
         return false;
     }
-    *get_failed_placements(pass, run) = 0;
     run->number = next_run_number(pass->inputs.fleet, mb_fleet_run_task(run));
     start_run(pass, worker, run);
     return true;
@@ -294,6 +327,20 @@
     return all_placed;
 }
 
+/* GHashFunc over the racks of workers (mb_buf_t). */
+static guint
+hash_rack(gconstpointer key)
+{
+    return (guint)mb_str_hash(mb_buf_view(key));
+}
+
+/* GEqualFunc over the racks of workers (mb_buf_t). */
+static gboolean
+equal_rack(gconstpointer a, gconstpointer b)
+{
+    return mb_str_equal(mb_buf_view(a), mb_buf_view(b));
+}
+
 /* Chooses the workers of a gang as choose_gang_workers does. If its step is
    rack-local, tries each rack first and the whole fleet last. */
 static bool
@@ -301,12 +348,16 @@
                   GPtrArray *workers)
 {
     bool rack_local = run->job->steps[run->step].rack_local;
+    g_autoptr(GHashTable) tried_racks =
+        g_hash_table_new(hash_rack, equal_rack);
     for (guint i = 0; rack_local && i < pass->inputs.fleet->workers->len;
          i++) {
-        mb_str_t rack =
-            mb_buf_view(&mb_fleet_get_worker(pass->inputs.fleet, i)->rack);
+        mb_buf_t *rack = &mb_fleet_get_worker(pass->inputs.fleet, i)->rack;
+        if (rack->len == 0 || !g_hash_table_add(tried_racks, rack)) {
+            continue;
+        }
         (void)g_ptr_array_set_size(workers, 0);
-        if (rack.len > 0 && choose_gang_workers(pass, run, rack, workers)) {
+        if (choose_gang_workers(pass, run, mb_buf_view(rack), workers)) {
             return true;
         }
     }
@@ -324,10 +375,11 @@
         return false;
     }
     if (!find_gang_workers(pass, run, workers)) {
-        (*get_failed_placements(pass, run))++;
+        if (workers->len == 0) {
+            add_hopeless(pass, run);
+        }
         return false;
     }
-    *get_failed_placements(pass, run) = 0;
     mb_fleet_run_t member = *run;
     member.number = next_gang_run_number(pass, run);
     for (member.index = 0; member.index < workers->len; member.index++) {
@@ -364,9 +416,8 @@
                 continue;
             }
             mb_fleet_run_t run = {.job = job, .occurrence = k, .step = s};
-            bool service_full =
-                *get_failed_placements(pass, &run) >= FAILED_PLACEMENTS_MAX;
-            none_waits = !service_full && start_step(pass, &run) && none_waits;
+            none_waits = !is_hopeless(pass, &run) && start_step(pass, &run) &&
+                         none_waits;
         }
     }
     job->needs_scheduling = !none_waits;
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -598,6 +598,40 @@
     EXPECT_EQ(simulation.machines[0]->worker.runs.size(), 6u);
 }
 
+/* Guards against tasks that wait although a worker would take them, because
+   many others ask for what no worker has: a label, more processors or more
+   memory than any has. */
+TEST(Fleet, TasksThatNoWorkerCanTakeDoNotBlockOthers)
+{
+    FleetSimulation simulation(2);
+    std::vector<mb_dag_step_t> steps(91);
+    simulation.fail_over();
+    simulation.advance(2500);
+    for (size_t i = 0; i < 90; i++) {
+        char id[MB_DAG_ID_LEN + 1];
+        (void)snprintf(id, sizeof(id), "%016zx", i + 1);
+        mb_dag_spec_t spec = one_step_job(&steps[i], id, 1, 100);
+        if (i % 3 == 0) {
+            steps[i].label = MB_STR_LIT("gpu");
+        }
+        else if (i % 3 == 1) {
+            steps[i].size.cpu_milli = 5000;
+        }
+        else {
+            steps[i].size.memory_mb = 200000;
+        }
+        steps[i].estimate_ms = 1;
+        spec.submitted_ms = simulation.now_us / 1000;
+        simulation.submit(spec);
+    }
+    mb_dag_spec_t spec = one_step_job(&steps[90], second_id, 4, 800);
+    spec.submitted_ms = simulation.now_us / 1000;
+    simulation.submit(spec);
+    simulation.advance(1000);
+    EXPECT_EQ(simulation.outcome(second_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
+
 /* Guards against jobs of another service, and best-effort jobs of the same
    one, that a pass does not consider because many jobs wait for a service
    whose workers are full. */
