Place the tasks of a step without a look at every worker for each

Each task of a step computed its cost on every worker, although a placement changes the cost of one worker only. The costs are now computed once a step and kept in a heap, whose first element is corrected after each placement. Equal costs are decided by the number of the worker, as before, so that the choices are the same; a task that has failed before has costs of its own and is placed as before.

Test: Fleet.KeptCostsChooseTheSameWorkersAsALookAtAll places random steps with latency targets, best-effort work and maxima per worker both ways.

--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -2,7 +2,8 @@
    - mb_fleet.c (ownership, timers, sending) calls the files below
    - mb_fleet_report.c applies what the agents report
    - mb_fleet_schedule.c chooses what to start, in the order of
-     mb_fleet_order.c and at the costs of mb_fleet_cost.c
+     mb_fleet_order.c and at the costs of mb_fleet_cost.c, which
+     mb_fleet_candidates.c keeps while the tasks of one step are placed
    - mb_fleet_absence.c keeps the records of absent workers, and the tasks that
      wait for them after a change of ownership
    - these use mb_fleet_headroom.c (effect of best-effort work on service
@@ -68,6 +69,31 @@
 uint64_t mb_fleet_placement_cost_limit(const mb_fleet_cost_inputs_t *inputs,
                                        const mb_fleet_run_t *run);
 
+/* The workers that can take a task of one step, as a heap with the lowest cost
+   first; among equal costs, the lowest number first. */
+typedef struct mb_fleet_candidate {
+    uint64_t cost;
+    uint32_t worker;
+} mb_fleet_candidate_t;
+
+typedef struct mb_fleet_candidates {
+    GArray *heap; /* mb_fleet_candidate_t */
+    bool filled;
+} mb_fleet_candidates_t;
+
+/* mb_fleet_candidates.c */
+void mb_fleet_candidates_init(mb_fleet_candidates_t *candidates);
+void mb_fleet_candidates_finish(mb_fleet_candidates_t *candidates);
+void mb_fleet_candidates_clear(mb_fleet_candidates_t *candidates);
+mb_fleet_worker_t *
+mb_fleet_candidates_best(mb_fleet_candidates_t *candidates,
+                         const mb_fleet_cost_inputs_t *inputs,
+                         const mb_fleet_run_t *run);
+void mb_fleet_candidates_changed(mb_fleet_candidates_t *candidates,
+                                 const mb_fleet_cost_inputs_t *inputs,
+                                 const mb_fleet_worker_t *worker,
+                                 const mb_fleet_run_t *run);
+
 /* mb_fleet_order.c */
 void mb_fleet_sort_jobs(mb_fleet_t *fleet, uint64_t now_us);
 
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -32,6 +32,7 @@
        during a pass, so they, and those that ask for more, find none. */
     uint32_t hopeless_count;
     request_t hopeless[HOPELESS_MAX];
+    mb_fleet_candidates_t candidates;
 } pass_t;
 
 /* Returns what the tasks of a run's step ask for. */
@@ -232,17 +233,23 @@
 }
 
 /* Starts the task of `run` on the best worker and numbers the run. Returns
-   false if no worker takes it. */
+   false if no worker takes it. The candidates are those of the step; a task
+   that has failed has other costs than the rest of its step. */
 static bool
 start_task(pass_t *pass, mb_fleet_run_t *run)
 {
-    mb_fleet_worker_t *worker = choose_worker(pass, run, MB_STR_EMPTY);
+    mb_fleet_candidates_t *candidates = &pass->candidates;
+    bool has_failed = mb_fleet_run_task(run)->last_failed_worker != 0;
+    mb_fleet_worker_t *worker =
+        has_failed ? choose_worker(pass, run, MB_STR_EMPTY)
+                   : mb_fleet_candidates_best(candidates, &pass->inputs, run);
     if (worker == NULL) {
         add_hopeless(pass, run);
         return false;
     }
     run->number = next_run_number(pass->inputs.fleet, mb_fleet_run_task(run));
     start_run(pass, worker, run);
+    mb_fleet_candidates_changed(candidates, &pass->inputs, worker, run);
     return true;
 }
 
@@ -254,6 +261,7 @@
 {
     const mb_dag_step_t *step = &run->job->steps[run->step];
     bool none_waits = true;
+    mb_fleet_candidates_clear(&pass->candidates);
     for (run->index = 0; run->index < step->count; run->index++) {
         mb_dag_task_t *task = mb_fleet_run_task(run);
         if (!is_startable(pass, task)) {
@@ -443,6 +451,7 @@
 mb_fleet_schedule(mb_fleet_t *fleet)
 {
     pass_t pass = {.inputs = mb_fleet_cost_inputs(fleet)};
+    mb_fleet_candidates_init(&pass.candidates);
     fleet->counts.passes++;
     fleet->held_tasks = 0;
     mb_fleet_sort_jobs(fleet, pass.inputs.now_us);
@@ -458,4 +467,5 @@
         }
         start_job(&pass, job);
     }
+    mb_fleet_candidates_finish(&pass.candidates);
 }
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -4,6 +4,10 @@
 
 #include "fleet_histories.h"
 
+extern "C" {
+#include "mb_fleet_internal.h"
+}
+
 static const char *const first_id = "0123456789abcdef";
 static const char *const second_id = "fedcba9876543210";
 
@@ -598,6 +602,75 @@
     EXPECT_EQ(simulation.machines[0]->worker.runs.size(), 6u);
 }
 
+/* Returns the worker with the lowest cost for a run by a look at all. */
+static mb_fleet_worker_t *
+find_cheapest_worker(const mb_fleet_cost_inputs_t &inputs,
+                     const mb_fleet_run_t *run)
+{
+    mb_fleet_worker_t *best = nullptr;
+    uint64_t best_cost = mb_fleet_placement_cost_limit(&inputs, run);
+    for (guint i = 0; i < inputs.fleet->workers->len; i++) {
+        mb_fleet_worker_t *worker = mb_fleet_get_worker(inputs.fleet, i);
+        uint64_t cost = mb_fleet_placement_cost(&inputs, worker, run);
+        if (cost < best_cost) {
+            best = worker;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+/* Guards against placements that get worse because costs are kept while the
+   tasks of a step are placed. */
+TEST(Fleet, KeptCostsChooseTheSameWorkersAsALookAtAll)
+{
+    FleetSimulation simulation(12);
+    std::vector<mb_dag_step_t> steps(40);
+    mb_fleet_candidates_t candidates;
+    uint32_t unplaced = 0;
+    simulation.capacity_milli = 16000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_fleet_set_active(&simulation.fleet, false);
+    mb_fleet_candidates_init(&candidates);
+    for (size_t i = 0; i < steps.size(); i++) {
+        char id[MB_DAG_ID_LEN + 1];
+        (void)snprintf(id, sizeof(id), "%016zx", i + 1);
+        uint32_t count = 1 + (uint32_t)(simulation.random() % 27);
+        mb_dag_spec_t spec =
+            one_step_job(&steps[i], id, count,
+                         100 + (uint32_t)(simulation.random() % 1200));
+        steps[i].per_worker_max = simulation.random() % 4 == 0 ? 2 : 0;
+        steps[i].latency_target_ms = simulation.random() % 3 == 0 ? 50 : 0;
+        steps[i].best_effort =
+            steps[i].latency_target_ms == 0 && simulation.random() % 3 == 0;
+        spec.submitted_ms = simulation.now_us / 1000;
+        mb_dag_job_t *job = simulation.submit(spec);
+        mb_fleet_cost_inputs_t inputs =
+            mb_fleet_cost_inputs(&simulation.fleet);
+        mb_fleet_candidates_clear(&candidates);
+        for (uint32_t k = 0; k < count; k++) {
+            mb_fleet_run_t run = {};
+            run.job = job;
+            run.index = k;
+            run.number = 1;
+            mb_fleet_worker_t *expected = find_cheapest_worker(inputs, &run);
+            mb_fleet_worker_t *best =
+                mb_fleet_candidates_best(&candidates, &inputs, &run);
+            ASSERT_EQ(best, expected) << "job " << i << " task " << k;
+            if (best == nullptr) {
+                unplaced++;
+                break;
+            }
+            (void)mb_fleet_add_run(&simulation.fleet, best, &run);
+            mb_fleet_candidates_changed(&candidates, &inputs, best, &run);
+        }
+    }
+    EXPECT_GT(unplaced, 0u);
+    EXPECT_LT(unplaced, steps.size());
+    mb_fleet_candidates_finish(&candidates);
+}
+
 /* Guards against tasks that wait although a worker would take them, because
    many others ask for what no worker has: a label, more processors or more
    memory than any has. */
