Reject heartbeats whose numbers or address are out of range

Cause: the members of a heartbeat were checked for their type at most. Numbers were cut to 32 bits, negative ones read as 0, and those with a fraction above 2^64 were converted without a check, as were numbers in the lists of runs.

What operators saw: an odd entry of another writer registers an executor or changes one: a capacity of 2^40 + 5 thousandths of a processor is taken as 5, a sequence number near 2^63 makes all later heartbeats late.

A heartbeat with a member out of range, or whose address is not IPv4:port with a port from 1 to 65535, is ignored as a whole, with a line that names the sender, and counted in mb_registrations_rejected_total. The stand-in of the executor sends its real address.

--- a/lib/transport/mb_agent_node.c
+++ b/lib/transport/mb_agent_node.c
@@ -303,6 +303,7 @@
         mb_http_respond(exchange, 200, &headers, MB_STR_LIT("{}"));
         return;
     }
+    mb_counter_add(node->rejected_metric, 1);
     mb_log_warning(&node->log, "registration refused: %s", error->message);
     mb_http_respond_error(exchange, mb_error_kind(error),
                           mb_str_from_cstr(error->message));
@@ -352,6 +353,9 @@
     node->owners = g_ptr_array_new();
     node->runs_metric = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_runs",
                                         "Runs at the worker");
+    node->rejected_metric = mb_counters_add(
+        counters, MB_METRIC_COUNTER, "mb_registrations_rejected_total",
+        "Heartbeats and other requests that name no worker to use");
     node->throttle_metric =
         mb_counters_add(counters, MB_METRIC_GAUGE, "mb_filling_pace_percent",
                         "Pace of the filling runs");
--- a/lib/transport/mb_agent_node.h
+++ b/lib/transport/mb_agent_node.h
@@ -74,6 +74,8 @@
     mb_http_server_t metrics_server;
     mb_counters_t *counters;
     mb_metric_t *runs_metric;
+    mb_metric_t *rejected_metric; /* requests of the worker's address that
+                                     were rejected */
     mb_metric_t *throttle_metric; /* percent of full speed of best-effort
                                      runs */
     /* The following are used only on the thread of the loop. */
--- a/tests/standins/executor.c
+++ b/tests/standins/executor.c
@@ -258,20 +258,23 @@
     json_decref(body);
 }
 
-/* Sends a heartbeat to the agent at `control`. Failures are ignored: the next
+/* Sends a heartbeat of the executor at `address` to the agent at `control`.
+   Failures are ignored: the next
    heartbeat follows soon. */
 static void
-send_heartbeat(const char *control, const char *name, uint64_t sequence)
+send_heartbeat(const char *control, const char *address, const char *name,
+               uint64_t sequence)
 {
     static CURL *easy;
     g_autofree char *url =
         g_strdup_printf("http://%s/api/Instances.Heartbeat/%s", control, name);
     g_autofree char *body = g_strdup_printf(
-        "{\"service\":\"echo\",\"address\":\"x\",\"zone\":\"domain-1\","
+        "{\"service\":\"echo\",\"address\":\"%s\",\"zone\":\"domain-1\","
         "\"state\":\"ready\",\"capacity\":{\"cpu\":4000,"
         "\"memory_limit_mb\":8000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
         "\"sequence\":%llu,\"born\":%llu}",
-        (unsigned long long)sequence, (unsigned long long)start_time_ms);
+        address, (unsigned long long)sequence,
+        (unsigned long long)start_time_ms);
     if (easy == NULL) {
         easy = curl_easy_init();
     }
@@ -311,7 +314,7 @@
     }
     for (uint64_t tick = 0;; tick++) {
         if (tick % HEARTBEAT_TICKS == 0) {
-            send_heartbeat(argv[4], argv[6], tick + 1);
+            send_heartbeat(argv[4], argv[2], argv[6], tick + 1);
         }
         (void)usleep(POLL_US);
         g_mutex_lock(&lock);
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -106,6 +106,49 @@
     EXPECT_EQ(received.count, 0);
 }
 
+/* Guards against an odd entry of another writer that registers an executor, or
+   changes one: a number that is negative, has a fraction or is too large, an
+   address that is not one, and deep nesting. */
+TEST(Registration, RejectsNumbersAndAddressesOutOfRange)
+{
+    static const struct {
+        const char *part;
+        const char *odd;
+    } changes[] = {
+        {"16000", "1099511627781"},
+        {"16000", "-1"},
+        {"16000", "16000.5"},
+        {":100", ":1099511627776"},
+        {":100", ":-100"},
+        {"\"gpu\":1", "\"gpu\":1e300"},
+        {"\"gpu\":1", "\"gpu\":[]"},
+        {"\"gpu\":1", "\"gpu\":4294967297"},
+        {":12}", ":1e300}"},
+        {":12}", ":-12}"},
+        {":12}", ":\"12\"}"},
+        {":4,", ":9223372036854775807,"},
+        {":4,", ":-4,"},
+        {"10.0.0.1:1", "10.0.0.1:65536"},
+        {"10.0.0.1:1", "10.0.0.1:0"},
+        {"10.0.0.1:1", "10.0.0.1:-1"},
+        {"10.0.0.1:1", "10.0.0.1"},
+        {"10.0.0.1:1", "10.0.0.999:1"},
+        {"\"z\"", "17"},
+    };
+    Received received;
+    std::string uri = "/api/Instances.Heartbeat/i-1";
+    for (const auto &change : changes) {
+        std::string body = heartbeat;
+        body.replace(body.find(change.part), strlen(change.part), change.odd);
+        EXPECT_FALSE(decode_registration(&received, uri, body)) << body;
+    }
+    std::string nested(200000, '[');
+    EXPECT_FALSE(decode_registration(&received, uri, nested));
+    EXPECT_FALSE(
+        decode_registration(&received, uri, "{\"labels\":" + nested + "}"));
+    EXPECT_EQ(received.count, 0);
+}
+
 /* Guards against bodies that end the process or that leave the result and the
    error inconsistent. */
 RC_GTEST_PROP(Registration, AnyBytesAreDecodedOrRejected,
