Believe the worker's own address rather than heartbeats of other senders

Cause: an agent switched to whatever worker the latest heartbeat named, if its start time was later than the known one, and ignored every heartbeat of the known worker whose sequence number was not above the highest ever seen. Anyone can send a heartbeat.

What operators saw: after one entry of another writer, with another name and a start in the future, the agent follows a worker that isn't there, and ignores the good one as an earlier incarnation until it is restarted; one entry with a huge sequence number makes all good ones late, so that a worker that drains goes on getting tasks.

Fix: a worker that has answered a list call is displaced by a heartbeat only when its address has answered that another worker is there, when it has deregistered, or when it is unreachable and its lease has ended. An answer of that address to a call made after the heartbeat is right even if its start time is earlier. A heartbeat out of sequence, or more than 10,000 numbers ahead, is ignored for 5 s after the latest one; after that the next one counts.

The fake executor of the tests answers calls that name another worker as the platform does.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -57,22 +57,59 @@
     }
 }
 
-/* Handles a heartbeat of the worker. Delayed ones are ignored: those of an
-   incarnation that started before the known one, and those out of sequence. */
+/* Returns whether a heartbeat of another worker or incarnation than the known
+   one is to be believed. Anyone may send one, so it does not displace a worker
+   that has answered at its own address, and that may hold runs: that address
+   tells when another one is there. */
+static bool
+may_be_displaced(const mb_agent_t *agent, uint64_t now_us)
+{
+#ifdef MB_MUTANT_AGENT_BELIEVES_HEARTBEATS
+    return true;
+#endif
+    return agent->last_list_us == 0 || agent->departed ||
+           agent->worker_replaced ||
+           (!mb_agent_worker_reachable(agent, now_us) &&
+            mb_agent_lease_has_ended(agent, now_us));
+}
+
+/* Returns whether a heartbeat of the known incarnation was delayed, or has a
+   sequence number that the worker can't have reached. */
+static bool
+is_out_of_sequence(const mb_agent_t *agent, uint64_t sequence, uint64_t now_us)
+{
+    uint64_t latest = agent->heartbeat_sequence;
+    if (now_us - agent->heartbeat_us >=
+        MB_AGENT_HEARTBEAT_LATE_MS * (uint64_t)MB_US_PER_MS) {
+        return false;
+    }
+    return sequence <= latest ||
+           sequence - latest > MB_AGENT_SEQUENCE_STEP_MAX;
+}
+
+/* Handles a heartbeat of the worker. It is ignored if it was delayed or may be
+   of another sender. */
 void
 mb_agent_heartbeat(mb_agent_t *agent, const mb_worker_info_t *info,
                    uint64_t sequence)
 {
     bool known = agent->info.name.len > 0;
     bool same = known && info->incarnation == agent->info.incarnation;
-    if (known && !same && info->start_time_ms < agent->info.start_time_ms) {
+    uint64_t now_us = mb_clock_us(&agent->clock);
+    if (known && !same && !may_be_displaced(agent, now_us)) {
         mb_log_info(&agent->log,
-                    "heartbeat of an earlier incarnation ignored "
-                    "name=%.*s",
-                    MB_STR_ARG(info->name));
+                    "heartbeat ignored: another worker is known to be there "
+                    "name=%.*s born_ms=%" G_GUINT64_FORMAT " known=%.*s",
+                    MB_STR_ARG(info->name), info->start_time_ms,
+                    MB_STR_ARG(agent->info.name));
         return;
     }
-    if (same && sequence <= agent->heartbeat_sequence) {
+    if (same && is_out_of_sequence(agent, sequence, now_us)) {
+        mb_log_debug(
+            &agent->log,
+            "heartbeat out of sequence ignored name=%.*s "
+            "sequence=%" G_GUINT64_FORMAT " latest=%" G_GUINT64_FORMAT,
+            MB_STR_ARG(info->name), sequence, agent->heartbeat_sequence);
         return;
     }
     if (!same) {
@@ -91,6 +128,7 @@
         agent->report_due = true;
     }
     agent->heartbeat_sequence = sequence;
+    agent->heartbeat_us = now_us;
     copy_info(agent, info);
 }
 
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -40,6 +40,11 @@
 /* Time after the departure of a worker within which its runs end, in
    milliseconds. */
 #define MB_AGENT_DEPARTURE_GRACE_MS 300u
+/* A heartbeat whose sequence number is not above the latest one, or is above
+   it by more than MB_AGENT_SEQUENCE_STEP_MAX, is ignored for this time after
+   the latest one, in milliseconds: it was delayed, or is of another sender. */
+#define MB_AGENT_HEARTBEAT_LATE_MS 5000u
+#define MB_AGENT_SEQUENCE_STEP_MAX 10000u
 /* Number of latest reports whose send time is kept. */
 #define MB_AGENT_REPORT_TIMES_MAX 64u
 
@@ -58,7 +63,11 @@
     mb_worker_info_t info; /* views of `text` */
     mb_buf_t text[4 + MB_WORKER_LABELS_MAX];
     uint64_t heartbeat_sequence; /* of the latest heartbeat */
-    bool departed;               /* the worker has deregistered */
+    uint64_t heartbeat_us;       /* when it was received */
+    uint64_t known_since_us;     /* when the incarnation became known */
+    /* The worker's address has answered that another worker is there. */
+    bool worker_replaced;
+    bool departed; /* the worker has deregistered */
     uint64_t departed_us;
     uint64_t unlisted_us; /* since when it is unknown what the worker runs */
     bool has_clock;       /* the two members below are set */
--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -71,6 +71,7 @@
 /* mb_agent_worker.c */
 uint64_t mb_agent_lease_end_ms(mb_agent_t *agent);
 void mb_agent_worker_tick(mb_agent_t *agent, uint64_t now_us);
+bool mb_agent_lease_has_ended(const mb_agent_t *agent, uint64_t now_us);
 bool mb_agent_worker_reachable(const mb_agent_t *agent, uint64_t now_us);
 void mb_agent_reset_worker(mb_agent_t *agent);
 
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -13,7 +13,7 @@
 bool
 mb_agent_worker_reachable(const mb_agent_t *agent, uint64_t now_us)
 {
-    return agent->last_list_us != 0 &&
+    return agent->last_list_us != 0 && !agent->worker_replaced &&
            now_us - agent->last_list_us <
                MB_AGENT_WORKER_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
 }
@@ -65,6 +65,8 @@
     }
     (void)g_array_set_size(agent->ends, 0);
     agent->departed = false;
+    agent->worker_replaced = false;
+    agent->known_since_us = mb_clock_us(&agent->clock);
     agent->last_end = 0;
     agent->acknowledged = 0;
     agent->reported_end = 0;
@@ -207,7 +209,10 @@
 static void
 handle_restart(mb_agent_t *agent, const mb_executor_answer_t *answer)
 {
-    if (answer->start_time_ms < agent->info.start_time_ms) {
+    if (answer->start_time_ms < agent->info.start_time_ms &&
+        agent->list_start_us < agent->known_since_us) {
+        /* The answer was delayed. One to a later call is right: the heartbeat
+           with the later start time was of another sender. */
         return;
     }
     mb_log_notice(
@@ -239,6 +244,10 @@
     uint64_t now_us = mb_clock_us(&agent->clock);
     agent->list_pending = false;
     agent->open_calls--;
+    if (answer->result == MB_EXECUTOR_OTHER &&
+        agent->list_start_us >= agent->known_since_us) {
+        agent->worker_replaced = true;
+    }
     if (answer->result != MB_EXECUTOR_OK || agent->info.name.len == 0) {
         agent->list_due_us = now_us + MB_AGENT_RETRY_DELAY_MS * MB_US_PER_MS;
         return;
@@ -285,18 +294,25 @@
     }
 }
 
-/* Gives up the runs of an unreachable worker when its lease has expired, with
-   a margin of 2 % of the time from its latest answer to the end of the lease,
-   as its clock may be slow, plus 200 ms. */
-static void
-check_lease(mb_agent_t *agent, uint64_t now_us)
+/* Returns whether the latest lease that was sent to the worker has certainly
+   expired, with a margin of 2 % of the time from its latest answer to the end
+   of the lease, as its clock may be slow, plus 200 ms. */
+bool
+mb_agent_lease_has_ended(const mb_agent_t *agent, uint64_t now_us)
 {
     uint64_t end_us = agent->lease_end_us;
     uint64_t margin_us =
         (end_us - MIN(end_us, agent->last_list_us)) / 50 + 200 * MB_US_PER_MS;
-    if (end_us == 0 || agent->runs->len == 0 ||
+    return end_us == 0 || now_us >= end_us + margin_us;
+}
+
+/* Gives up the runs of an unreachable worker when its lease has expired. */
+static void
+check_lease(mb_agent_t *agent, uint64_t now_us)
+{
+    if (agent->lease_end_us == 0 || agent->runs->len == 0 ||
         mb_agent_worker_reachable(agent, now_us) ||
-        now_us < end_us + margin_us) {
+        !mb_agent_lease_has_ended(agent, now_us)) {
         return;
     }
     mb_log_notice(
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -396,8 +396,13 @@
     FakeWorker *worker = &machine->worker;
     (void)wait_ms;
     auto runs = std::make_shared<std::vector<mb_report_run_t>>();
+    std::string expected_name = to_std_string(call->worker);
     auto perform = [=](mb_executor_answer_t *answer) {
         answer->result = MB_EXECUTOR_UNANSWERED;
+        if (worker->is_up && worker->name != expected_name) {
+            answer->result = MB_EXECUTOR_OTHER;
+            return;
+        }
         answer->runs = g_array_new(FALSE, FALSE, sizeof(mb_report_run_t));
         answer->ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
         if (!worker->is_up) {
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -931,6 +931,79 @@
     EXPECT_EQ(simulation.machines[0]->agent->info.incarnation, 5u);
 }
 
+/* Has an agent receive a heartbeat of another writer. */
+static void
+send_odd_heartbeat(FleetSimulation &simulation, const char *name,
+                   uint64_t started_ms, uint64_t sequence)
+{
+    mb_worker_info_t info = {};
+    info.state = MB_WORKER_READY;
+    info.name = mb_str_from_cstr(name);
+    info.service = MB_STR_LIT("service");
+    info.incarnation = started_ms;
+    info.start_time_ms = started_ms;
+    info.capacity = {4000, 100000, 0};
+    mb_agent_heartbeat(simulation.machines[0]->agent, &info, sequence);
+}
+
+/* Returns whether a job of one task is completed within 2 s. */
+static bool
+completes_a_job(FleetSimulation &simulation, const char *id)
+{
+    mb_dag_step_t step;
+    mb_dag_spec_t spec = one_step_job(&step, id, 1, 800);
+    spec.submitted_ms = simulation.now_us / 1000;
+    simulation.submit(spec);
+    simulation.advance(2000);
+    return simulation.outcome(id) == MB_DAG_COMPLETED;
+}
+
+/* Guards against an entry of another writer, with another name and a start far
+   in the future, that takes the place of an executor which is alive and lists
+   its runs. */
+TEST(Agent, HeartbeatOfAnotherWriterDoesNotDisplaceAWorkerThatAnswers)
+{
+    FleetSimulation simulation(1);
+    simulation.fail_over();
+    simulation.advance(2500);
+    send_odd_heartbeat(simulation, "worker-9", 1u << 30, 1);
+    simulation.advance(200);
+    send_odd_heartbeat(simulation, "worker-0", 1u << 30, 1);
+    EXPECT_TRUE(completes_a_job(simulation, first_id));
+    EXPECT_EQ(to_std_string(simulation.machines[0]->agent->info.name),
+              "worker-0");
+    expect_no_violations(simulation);
+}
+
+/* Guards against an agent that follows the entry of another writer for good,
+   because it came before the first heartbeat of the executor. */
+TEST(Agent, HeartbeatOfAnotherWriterIsReplacedByTheWorkerThatAnswers)
+{
+    FleetSimulation simulation(1);
+    send_odd_heartbeat(simulation, "worker-9", 1u << 30, 1u << 30);
+    simulation.fail_over();
+    simulation.advance(4000);
+    EXPECT_EQ(to_std_string(simulation.machines[0]->agent->info.name),
+              "worker-0");
+    EXPECT_TRUE(completes_a_job(simulation, first_id));
+}
+
+/* Guards against good heartbeats that count as late for ever, because one of
+   another writer had a huge sequence number: the worker is told to drain, and
+   its agent must not take starts any more. */
+TEST(Agent, HugeSequenceNumberDoesNotMakeLaterHeartbeatsLate)
+{
+    FleetSimulation simulation(1);
+    simulation.fail_over();
+    simulation.advance(2500);
+    send_odd_heartbeat(simulation, "worker-0", 1, UINT64_C(1) << 40);
+    simulation.advance(1000);
+    EXPECT_LT(simulation.machines[0]->agent->heartbeat_sequence, 100u);
+    /* A plausible one, of a worker whose earlier heartbeats were lost. */
+    send_odd_heartbeat(simulation, "worker-0", 1, 100);
+    EXPECT_EQ(simulation.machines[0]->agent->heartbeat_sequence, 100u);
+}
+
 /* Guards against a new owner that waits for a worker which has left, and
    against runs that no later owner knows of: while the log may say that the
    agent has departed, it takes no starts, also for a worker that registers
