Check the ownership when orders are sent, not only at the tick

Cause: whether the owner may act was computed by the tick, every 25 ms. A process that was paused handled the events that had gathered first, and these end in a flush that sends orders, before the next tick noticed that the permission had ended.

What it could do: an owner that was paused for longer than its lease sends orders for a moment. Agents that follow a newer owner refuse them, and starts that answer a report older than 1.5 s; others would get their lease extended after the time that a new owner counts on.

Evidence: SchedulerRecords.OwnerThatWasPausedSendsNothing sent an order 10 s after the latest read of the log before the change.

Fix: each flush computes it anew, and each order is checked again when it is sent; an order that comes too late closes the connection, as one that can't be sent does. Mutant PERMISSION_CHECKED_BY_TICK.

--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -325,7 +325,8 @@
 
 /* Sends an order to the agent of a worker; implements
    mb_fleet_callbacks_t.send. Without a connection the order is dropped. If the
-   send queue is full, the connection is closed and opened anew. */
+   send queue is full, or this process was paused during the pass and its
+   ownership has become uncertain, the connection is closed and opened anew. */
 void
 mb_scheduler_send_order(void *context, uint32_t worker,
                         const mb_order_t *order)
@@ -336,6 +337,14 @@
     if (!agent->open) {
         return;
     }
+    if (!mb_ownership_may_act(&node->ownership)) {
+        mb_log_warning(&node->log,
+                       "order not sent: ownership became uncertain during the "
+                       "pass token=%" G_GUINT64_FORMAT,
+                       order->token);
+        mb_link_fail(&agent->link);
+        return;
+    }
     mb_order_encode(&bytes, order);
     mb_message_t message = {.type = MB_MESSAGE_ORDER,
                             .body.packed = mb_buf_view(&bytes)};
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -54,11 +54,16 @@
     mb_loop_defer(&node->loop, &node->flush);
 }
 
-/* Runs the fleet's scheduling and sends the queued records to the log. */
+/* Runs the fleet's scheduling and sends the queued records to the log. The
+   process may have been paused since the latest tick, so that its ownership
+   may have become uncertain. */
 static void
 run_flush(void *context)
 {
     mb_scheduler_node_t *node = context;
+#ifndef MB_MUTANT_PERMISSION_CHECKED_BY_TICK
+    mb_fleet_set_active(&node->fleet, mb_ownership_may_act(&node->ownership));
+#endif
     mb_fleet_flush(&node->fleet);
     mb_journal_run(&node->journal);
     if (node->owner_journal != NULL) {
--- a/tests/unit/test_scheduler_records.cc
+++ b/tests/unit/test_scheduler_records.cc
@@ -32,6 +32,12 @@
     mb_epoch_t epoch;
     mb_counters_t counters;
     mb_scheduler_node_t node;
+    uint64_t now_us = 1000000000;
+
+    static uint64_t read_clock(void *context)
+    {
+        return static_cast<SchedulerRecords *>(context)->now_us;
+    }
 
     SchedulerRecords()
     {
@@ -43,6 +49,7 @@
         mb_counters_init(&counters);
         EXPECT_TRUE(mb_scheduler_node_init(&node, &config, &epoch, &counters,
                                            &log, nullptr));
+        node.clock = {read_clock, this};
         node.keyed_log = {refuse_append, refuse_read, refuse_read, nullptr};
         mb_scheduler_init_modules(&node);
     }
@@ -80,6 +87,36 @@
         mb_buf_finish(&value);
     }
 
+    /* Makes this process the owner, as if its claim had been read back in a
+       complete read that has just begun. */
+    void own_fleet(uint64_t token)
+    {
+        mb_buf_t value = {};
+        mb_ownership_record_t owner = {token, node.config.incarnation, 1,
+                                       false};
+        mb_dag_record_encode_owner(&value, &owner);
+        apply("o", value);
+        mb_buf_finish(&value);
+        mb_scheduler_note_jobs_read(&node, now_us);
+        node.flush.run(node.flush.context);
+        mb_fleet_set_active(&node.fleet, true);
+    }
+
+    /* Has the owner receive a complete report of the only worker. */
+    void report(uint64_t token, uint64_t sequence)
+    {
+        mb_report_t report;
+        mb_report_init(&report);
+        report.token = token;
+        report.sequence = sequence;
+        report.complete = true;
+        report.worker.state = MB_WORKER_READY;
+        report.worker.name = MB_STR_LIT("i-1");
+        report.worker.incarnation = 1;
+        mb_fleet_handle_report(&node.fleet, 0, &report);
+        mb_report_finish(&report);
+    }
+
     /* Reads the newest records again, of which the agents at `addresses` have
        announcements. */
     void reload(const std::vector<std::string> &addresses)
@@ -249,3 +286,26 @@
     EXPECT_EQ(g_hash_table_size(records.node.table.jobs), 0u);
     EXPECT_EQ(records.node.ownership.latest.token, 0u);
 }
+
+/* Guards against an owner that was paused, and sends orders on resuming before
+   it notices that its permission has ended: the events that wait are handled
+   before the next tick. */
+TEST(SchedulerRecords, OwnerThatWasPausedSendsNothing)
+{
+    SchedulerRecords records;
+    records.announce("10.0.0.1:7480", 1);
+    records.own_fleet(1);
+    ASSERT_TRUE(mb_fleet_is_owner(&records.node.fleet));
+    mb_fleet_agent_connected(&records.node.fleet, 0);
+    const mb_fleet_worker_t *worker =
+        mb_fleet_get_worker(&records.node.fleet, 0);
+    records.report(1, 1);
+    records.node.flush.run(records.node.flush.context);
+    uint64_t sent = worker->order_sequence;
+    EXPECT_GT(sent, 0u);
+    records.now_us += MB_OWNERSHIP_LEASE_MS * UINT64_C(1000);
+    records.report(1, 2);
+    mb_fleet_get_worker(&records.node.fleet, 0)->order_due = true;
+    records.node.flush.run(records.node.flush.context);
+    EXPECT_EQ(worker->order_sequence, sent);
+}
