Grant a lease that outlasts four seconds of silence

Cause: a lease of 4.5 s counts from the report that an order answers. When a worker falls silent, that report is up to a report interval and an order interval old (0.6 s), so the lease could end after 3.9 s, and it has to reach the worker again after the silence.

What callers saw: a worker whose agent was cut off for 4 s lost its running work, which was started again elsewhere.

Evidence: Fleet.WorkerThatIsSilentForAWhileKeepsItsRuns, 0.5 to 4 s in steps of 0.5 s, failed at 4 s before: a third start, and a task that began anew.

Fix: a lease of 4.8 s. Tasks of a worker that does not come back are started again 0.3 s later.

--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -23,10 +23,11 @@
 /* Maximum number of workers of a fleet. Further ones are ignored with an error
    in the log. */
 #define MB_FLEET_WORKERS_MAX 32768u
-/* Lease that an order grants to the runs of a worker, in milliseconds. Longer
-   than the outage of a single process that is killed or frozen, plus the time
-   to reconnect. */
-#define MB_FLEET_LEASE_MS 4500u
+/* Lease that an order grants to the runs of a worker, in milliseconds. A worker
+   that is silent for 4 s keeps its runs: when it falls silent, the report that
+   its latest order answered may be a report interval and an order interval old,
+   and afterwards the lease must reach it again. */
+#define MB_FLEET_LEASE_MS 4800u
 /* A worker's clock may be slow by up to 1 / MB_FLEET_CLOCK_DRIFT_DIVISOR. */
 #define MB_FLEET_CLOCK_DRIFT_DIVISOR 50u
 /* Margin that is added to a lease for messages in transit, in milliseconds. */
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -94,6 +94,30 @@
     expect_no_violations(simulation);
 }
 
+/* Guards against work that is started again, or given up, because a machine
+   was silent or slow to report for a while: its lease lasts longer. */
+TEST(Fleet, WorkerThatIsSilentForAWhileKeepsItsRuns)
+{
+    for (uint64_t silent_ms = 500; silent_ms <= 4000; silent_ms += 500) {
+        FleetSimulation simulation(2);
+        mb_dag_step_t step;
+        simulation.task_ms = 20000;
+        simulation.fail_over();
+        simulation.advance(2500);
+        simulation.submit(one_step_job(&step, first_id, 2, 3000));
+        simulation.advance(500);
+        EXPECT_EQ(simulation.running(), 2u);
+        simulation.disconnect(*simulation.machines[0]);
+        simulation.advance(silent_ms);
+        simulation.connect(*simulation.machines[0]);
+        simulation.advance(20000);
+        EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+        EXPECT_EQ(simulation.fleet.counts.starts, 2u) << silent_ms;
+        EXPECT_EQ(simulation.fleet.counts.lost_runs, 0u) << silent_ms;
+        expect_no_violations(simulation);
+    }
+}
+
 /* Guards against a new owner that waits for a departed worker without runs,
    and against the removal of a worker whose runs are still under their lease.
  */
