Trust the record of an absent worker only under the next owner

Cause: a record of an absent worker has all tasks that may run there, because no owner starts anything where the log has one. An owner of an earlier version knows nothing of records, and starts tasks there when the worker comes back; a later owner of this version would still trust the record.

What callers could see: two runs of a task, in a rolling upgrade with two changes of owner.

Evidence: Fleet.RecordCountsOnlyUnderTheNextOwner fails without the check (mutant FLEET_OLD_RECORD_TRUSTED).

--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -23,10 +23,10 @@
 /* Maximum number of workers of a fleet. Further ones are ignored with an error
    in the log. */
 #define MB_FLEET_WORKERS_MAX 32768u
-/* Lease that an order grants to the runs of a worker, in milliseconds. A worker
-   that is silent for 4 s keeps its runs: when it falls silent, the report that
-   its latest order answered may be a report interval and an order interval old,
-   and afterwards the lease must reach it again. */
+/* Lease that an order grants to the runs of a worker, in milliseconds. A
+   worker that is silent for 4 s keeps its runs: when it falls silent, the
+   report that its latest order answered may be a report interval and an order
+   interval old, and afterwards the lease must reach it again. */
 #define MB_FLEET_LEASE_MS 4800u
 /* A worker's clock may be slow by up to 1 / MB_FLEET_CLOCK_DRIFT_DIVISOR. */
 #define MB_FLEET_CLOCK_DRIFT_DIVISOR 50u
@@ -137,6 +137,8 @@
                                   no report has shown yet */
     /* Unless it is MB_FLEET_ABSENCE_NONE, no owner starts anything there. */
     mb_fleet_absence_t absence;
+    uint64_t absence_token; /* of the owner that wrote the record in the log;
+                               0: there is none */
     /* mb_dag_task_id_t. In a process that is not the owner, the tasks of the
        record in the log. In the owner, the tasks that wait because they may
        run there; empty if there are none or they are unknown. */
@@ -244,9 +246,10 @@
 void mb_fleet_progress_stored(mb_fleet_t *fleet, bool ok);
 
 /* Records of absent workers (mb_fleet_absence.c). `tasks` is an array of
-   mb_dag_task_id_t, or NULL if the record was removed; it is copied. `in_log`:
-   the record is, or may be, in the log. */
-void mb_fleet_absence_read(mb_fleet_t *fleet, uint32_t worker,
+   mb_dag_task_id_t, or NULL if the record was removed; it is copied. `token`
+   is that of the owner that wrote the record. `in_log`: the record that was to
+   be stored or removed is, or may be, in the log. */
+void mb_fleet_absence_read(mb_fleet_t *fleet, uint32_t worker, uint64_t token,
                            const GArray *tasks);
 void mb_fleet_absence_stored(mb_fleet_t *fleet, uint32_t worker, bool in_log);
 
--- a/lib/coordination/mb_fleet_absence.c
+++ b/lib/coordination/mb_fleet_absence.c
@@ -6,9 +6,13 @@
    The owner starts nothing on a worker that has not reported for a while. The
    tasks that may run there can't change any more, and are stored in the log.
    The owner starts nothing on a worker that has such a record, even if it
-   reports again, until the removal of the record is stored. Thus whoever reads
-   a record knows all tasks that any owner may have started there; after a
-   change of ownership, only these wait for the worker. */
+   reports again, until the removal of the record is stored. Thus a record has
+   all tasks that its owner, and those before it, may have started there; after
+   a change of ownership, only these wait for the worker.
+
+   A record counts only under the next owner, which stores it again if the
+   worker stays absent: an owner of an earlier version knows nothing of
+   records, and may start tasks on the worker. */
 #include "mb_fleet_internal.h"
 
 /* Tells whether a worker gets no starts because it has not reported for a
@@ -33,7 +37,8 @@
 /* Applies the record of an absent worker, or its removal, as read from the
    log. The owner ignores it, because it writes the records itself. */
 void
-mb_fleet_absence_read(mb_fleet_t *fleet, uint32_t number, const GArray *tasks)
+mb_fleet_absence_read(mb_fleet_t *fleet, uint32_t number, uint64_t token,
+                      const GArray *tasks)
 {
     mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, number);
     if (fleet->is_owner) {
@@ -42,6 +47,7 @@
     mb_fleet_reset_absence(worker);
     if (tasks != NULL) {
         worker->absence = MB_FLEET_ABSENCE_STORED;
+        worker->absence_token = token;
         g_array_append_vals(worker->absent_tasks, tasks->data, tasks->len);
     }
 }
@@ -51,6 +57,7 @@
 mb_fleet_reset_absence(mb_fleet_worker_t *worker)
 {
     worker->absence = MB_FLEET_ABSENCE_NONE;
+    worker->absence_token = 0;
     worker->former_tasks_known = false;
     (void)g_array_set_size(worker->absent_tasks, 0);
 }
@@ -62,8 +69,12 @@
 {
     for (guint i = 0; i < fleet->workers->len; i++) {
         mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, i);
+        bool trusted = worker->absence_token == fleet->token - 1;
+#ifdef MB_MUTANT_FLEET_OLD_RECORD_TRUSTED
+        trusted = true;
+#endif
         worker->former_tasks_known =
-            worker->may_have_former_runs &&
+            worker->may_have_former_runs && trusted &&
             worker->absence == MB_FLEET_ABSENCE_STORED;
         if (!worker->former_tasks_known) {
             (void)g_array_set_size(worker->absent_tasks, 0);
@@ -102,7 +113,8 @@
 }
 
 /* Stores which tasks may run on a worker, unless there are too many for a
-   record. Nothing is started there from now on. */
+   record: its runs, or the tasks that wait for it. Nothing is started there
+   from now on. */
 static void
 store_absence(mb_fleet_t *fleet, mb_fleet_worker_t *worker)
 {
@@ -113,6 +125,8 @@
             &g_array_index(worker->runs, mb_fleet_run_t, i));
         g_array_append_val(tasks, id);
     }
+    g_array_append_vals(tasks, worker->absent_tasks->data,
+                        worker->absent_tasks->len);
     if (tasks->len <= MB_DAG_ABSENT_TASKS_MAX &&
         fleet->callbacks.store_absence(fleet->callbacks.context,
                                        worker->number, tasks)) {
@@ -134,6 +148,20 @@
     }
 }
 
+/* Tells whether a worker is to have a record under this owner: it is absent,
+   and all tasks that may run there are known. */
+static bool
+is_record_due(const mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
+              uint64_t now_us)
+{
+    uint64_t since_us = MAX(worker->reported_us, fleet->owner_since_us);
+    bool overdue = now_us >= since_us + MB_FLEET_REPORT_TIMEOUT_MS *
+                                            (uint64_t)MB_US_PER_MS;
+    return overdue && !worker->removed &&
+           worker->absence_token != fleet->token &&
+           (worker->former_tasks_known || !worker->may_have_former_runs);
+}
+
 /* Stores the records of workers that have become absent, and removes those of
    workers that are not absent any more. */
 void
@@ -141,11 +169,9 @@
 {
     for (guint i = 0; i < fleet->workers->len; i++) {
         mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, i);
-        bool overdue =
-            now_us >= worker->reported_us +
-                          MB_FLEET_REPORT_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
-        if (worker->absence == MB_FLEET_ABSENCE_NONE && overdue &&
-            !worker->removed && !worker->may_have_former_runs) {
+        bool pending = worker->absence == MB_FLEET_ABSENCE_STORING ||
+                       worker->absence == MB_FLEET_ABSENCE_REMOVING;
+        if (!pending && is_record_due(fleet, worker, now_us)) {
             store_absence(fleet, worker);
         }
         else if (worker->absence == MB_FLEET_ABSENCE_STORED &&
@@ -164,6 +190,13 @@
     if (!fleet->is_owner) {
         return;
     }
-    worker->absence = in_log ? MB_FLEET_ABSENCE_STORED : MB_FLEET_ABSENCE_NONE;
+    if (worker->absence == MB_FLEET_ABSENCE_STORING && in_log) {
+        worker->absence_token = fleet->token;
+    }
+    else if (worker->absence == MB_FLEET_ABSENCE_REMOVING && !in_log) {
+        worker->absence_token = 0;
+    }
+    worker->absence = worker->absence_token != 0 ? MB_FLEET_ABSENCE_STORED
+                                                 : MB_FLEET_ABSENCE_NONE;
     fleet->schedule_due = true;
 }
--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -351,15 +351,19 @@
     reader->failed = reader->failed || rows.failed;
 }
 
-/* Appends the tasks that may run on an absent worker as [version, tasks],
-   where the tasks are one array: job, occurrence, step, index, job, ... */
+/* Appends the tasks that may run beside an absent agent as [version, fencing
+   token, tasks], where the tasks are one array: job, occurrence, step, index,
+   job, ... */
 void
-mb_dag_record_encode_absence(mb_buf_t *out, const GArray *tasks)
+mb_dag_record_encode_absence(mb_buf_t *out,
+                             const mb_dag_absence_record_t *absence)
 {
+    const GArray *tasks = absence->tasks;
     msgpack_packer packer;
     mb_pack_init(&packer, out);
-    (void)msgpack_pack_array(&packer, 2);
+    (void)msgpack_pack_array(&packer, 3);
     (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
+    (void)msgpack_pack_uint64(&packer, absence->token);
     (void)msgpack_pack_array(&packer, (size_t)tasks->len * TASK_ELEMENTS);
     for (guint i = 0; i < tasks->len; i++) {
         const mb_dag_task_id_t *id =
@@ -371,15 +375,16 @@
     }
 }
 
-/* Reads the tasks that may run on an absent worker. They are stored in the
+/* Reads the tasks that may run beside an absent agent. They are stored in the
    decoder. */
 static void
 unpack_absence(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader,
                mb_dag_record_t *record)
 {
+    record->body.absence.token = mb_unpack_u64(reader, UINT64_MAX);
+    record->body.absence.tasks = decoder->tasks;
     mb_unpack_t rows = mb_unpack_next_array(reader);
     (void)g_array_set_size(decoder->tasks, 0);
-    record->body.tasks = decoder->tasks;
     if (rows.left > MB_DAG_ABSENT_TASKS_MAX * TASK_ELEMENTS) {
         reader->failed = true;
         return;
--- a/lib/protocol/mb_dag_record.h
+++ b/lib/protocol/mb_dag_record.h
@@ -32,6 +32,12 @@
     MB_DAG_RECORD_KIND_COUNT
 } mb_dag_record_kind_t;
 
+/* The tasks that may run beside an absent agent. */
+typedef struct mb_dag_absence_record {
+    uint64_t token;      /* of the owner that wrote the record */
+    const GArray *tasks; /* mb_dag_task_id_t */
+} mb_dag_absence_record_t;
+
 /* One decoded record. Views point into the memory of the decoder or into the
    input. */
 typedef struct mb_dag_record {
@@ -46,7 +52,7 @@
         uint64_t incarnation; /* of an agent's process */
         mb_ownership_record_t owner;
         const GArray *pairs; /* mb_headroom_pair_t */
-        const GArray *tasks; /* mb_dag_task_id_t */
+        mb_dag_absence_record_t absence;
     } body;
 } mb_dag_record_t;
 
@@ -83,8 +89,9 @@
 void mb_dag_record_encode_agent(mb_buf_t *out, uint64_t incarnation);
 void mb_dag_record_encode_owner(mb_buf_t *out,
                                 const mb_ownership_record_t *owner);
-/* `tasks` is an array of at most MB_DAG_ABSENT_TASKS_MAX mb_dag_task_id_t. */
-void mb_dag_record_encode_absence(mb_buf_t *out, const GArray *tasks);
+/* With at most MB_DAG_ABSENT_TASKS_MAX tasks. */
+void mb_dag_record_encode_absence(mb_buf_t *out,
+                                  const mb_dag_absence_record_t *absence);
 /* `pairs` is an array of at most MB_DAG_HEADROOM_PAIRS_MAX mb_headroom_pair_t.
    Slopes are rounded down to thousandths. */
 void mb_dag_record_encode_headroom_pairs(mb_buf_t *out, const GArray *pairs);
--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -211,19 +211,21 @@
 }
 
 /* Applies the record of the tasks that may run beside an absent agent, or its
-   removal if `tasks` is NULL. */
+   removal if `absence` is NULL. */
 void
 mb_scheduler_agent_absent(mb_scheduler_node_t *node, mb_str_t address,
-                          const GArray *tasks)
+                          const mb_dag_absence_record_t *absence)
 {
-    if (tasks == NULL &&
+    if (absence == NULL &&
         mb_fleet_find_worker(&node->fleet, address) == UINT32_MAX) {
         return;
     }
     mb_scheduler_agent_t *agent = find_or_add_agent(node, address);
     if (agent != NULL) {
         agent->absence_load = node->jobs.loads;
-        mb_fleet_absence_read(&node->fleet, agent->worker, tasks);
+        mb_fleet_absence_read(&node->fleet, agent->worker,
+                              absence == NULL ? 0 : absence->token,
+                              absence == NULL ? NULL : absence->tasks);
     }
 }
 
@@ -240,7 +242,7 @@
             mb_agent_forget_unread(&agent->presence, node->jobs.loads);
             update_agent(agent);
             if (agent->absence_load != node->jobs.loads) {
-                mb_fleet_absence_read(&node->fleet, agent->worker, NULL);
+                mb_fleet_absence_read(&node->fleet, agent->worker, 0, NULL);
             }
         }
     }
--- a/lib/transport/mb_scheduler_apply.c
+++ b/lib/transport/mb_scheduler_apply.c
@@ -166,7 +166,8 @@
         break;
     case MB_DAG_RECORD_ABSENCE:
         mb_scheduler_agent_absent(node, record.address,
-                                  record.removed ? NULL : record.body.tasks);
+                                  record.removed ? NULL
+                                                 : &record.body.absence);
         break;
     case MB_DAG_RECORD_OWNER:
         if (!record.removed) {
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -72,7 +72,7 @@
 void mb_scheduler_departure_removed(mb_scheduler_node_t *node,
                                     mb_str_t address);
 void mb_scheduler_agent_absent(mb_scheduler_node_t *node, mb_str_t address,
-                               const GArray *tasks);
+                               const mb_dag_absence_record_t *absence);
 bool mb_scheduler_store_absence(void *context, uint32_t worker,
                                 const GArray *tasks);
 void mb_scheduler_jobs_loaded(void *context);
--- a/lib/transport/mb_scheduler_owner.c
+++ b/lib/transport/mb_scheduler_owner.c
@@ -229,7 +229,8 @@
         &node->key, MB_DAG_RECORD_ABSENCE,
         mb_buf_view(&mb_fleet_get_worker(&node->fleet, worker)->address));
     if (tasks != NULL) {
-        mb_dag_record_encode_absence(&node->value, tasks);
+        mb_dag_absence_record_t absence = {node->fleet.token, tasks};
+        mb_dag_record_encode_absence(&node->value, &absence);
         deadline_us = mb_clock_us(&node->clock) +
                       MB_JOURNAL_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
     }
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -570,7 +570,8 @@
     FleetSimulation *simulation = static_cast<FleetSimulation *>(context);
     mb_buf_t value = {};
     if (tasks != nullptr) {
-        mb_dag_record_encode_absence(&value, tasks);
+        mb_dag_absence_record_t absence = {simulation->token, tasks};
+        mb_dag_record_encode_absence(&value, &absence);
     }
     std::string copy(value.data == nullptr ? "" : value.data, value.len);
     uint64_t token = simulation->token;
@@ -726,7 +727,8 @@
         EXPECT_TRUE(mb_dag_record_decode(
             &record_decoder, MB_STR_LIT("aworker"),
             {item.second.data(), item.second.size()}, &record, nullptr));
-        mb_fleet_absence_read(&fleet, item.first, record.body.tasks);
+        mb_fleet_absence_read(&fleet, item.first, record.body.absence.token,
+                              record.body.absence.tasks);
     }
     mb_fleet_become_owner(&fleet, token, former_leases_end_us);
     mb_fleet_set_active(&fleet, true);
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -299,6 +299,33 @@
     expect_no_violations(simulation);
 }
 
+/* Guards against two runs of a task in a rolling upgrade: the second owner is
+   of an earlier version, which knows nothing of records and may have started
+   other tasks on the worker. The third owner must not trust the record of the
+   first. */
+TEST(Fleet, RecordCountsOnlyUnderTheNextOwner)
+{
+    for (bool stored_again : {false, true}) {
+        FleetSimulation simulation(3);
+        std::vector<mb_dag_step_t> steps(2);
+        simulation.task_ms = 60000;
+        simulation.fail_over();
+        simulation.advance(2500);
+        Machine &absent = make_one_worker_absent(simulation, &steps[0]);
+        simulation.fail_over();
+        simulation.store_unanswered = !stored_again;
+        simulation.disconnect(absent);
+        simulation.advance(1500);
+        simulation.store_unanswered = false;
+        simulation.submit(one_step_job(&steps[1], second_id, 1, 800));
+        simulation.fail_over();
+        simulation.disconnect(absent);
+        simulation.advance(1500);
+        EXPECT_EQ(simulation.running(), stored_again ? 2u : 1u);
+        expect_no_violations(simulation);
+    }
+}
+
 /* Guards against records that are written all the time: a worker that reports
    0.9 s late has none. */
 TEST(Fleet, LateReportsStoreNothing)
--- a/tests/unit/test_fleet_takeover.cc
+++ b/tests/unit/test_fleet_takeover.cc
@@ -110,7 +110,7 @@
                 g_array_new(FALSE, FALSE, sizeof(mb_dag_task_id_t));
             mb_dag_task_id_t id = running_task(worker);
             g_array_append_val(tasks, id);
-            mb_fleet_absence_read(&fleet, worker, tasks);
+            mb_fleet_absence_read(&fleet, worker, 1, tasks);
         }
     }
 
--- a/tests/unit/test_scheduler_records.cc
+++ b/tests/unit/test_scheduler_records.cc
@@ -238,7 +238,8 @@
     ASSERT_TRUE(mb_dag_id_parse(MB_STR_LIT("0123456789abcdef"), &id.job));
     id.index = 26;
     g_array_append_val(tasks, id);
-    mb_dag_record_encode_absence(&value, tasks);
+    mb_dag_absence_record_t absence = {1, tasks};
+    mb_dag_record_encode_absence(&value, &absence);
     records.remove("a10.0.0.2:7480");
     EXPECT_EQ(records.node.fleet.workers->len, 0u);
     records.apply("a10.0.0.1:7480", value);
