Begin no removal of an agent while the log fails appends

Cause: the owner queues the removal of an agent that has been unreachable for 1 s without runs, and uses the agent again only after the removal and a new announcement have been read back. In an outage of the log neither gets there.

What callers saw: a worker whose agent was restarted during an outage of the log is not used until the log is back, 4 to 9 s later.

Evidence: SchedulerRecords.RemovesNoAgentWhileTheLogFails failed before.

Fix: removals are begun only while the latest append succeeded.

--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -265,6 +265,16 @@
     update_agent(agent);
 }
 
+/* Tells whether the owner may begin to remove agents: the agent can't be used
+   before the removal is stored, so none is begun while the log fails appends.
+ */
+static bool
+may_remove_agents(const mb_scheduler_node_t *node)
+{
+    return node->owner_journal != NULL &&
+           node->owner_journal->failing_since_us == 0;
+}
+
 /* Closes a silent connection to an agent, retries a closed one, and removes
    an agent that has been unreachable for so long that its worker can't hold
    runs any more. */
@@ -281,7 +291,7 @@
     if (!agent->open && now_ms >= agent->retry_ms) {
         open_agent(agent, now_ms);
     }
-    if (agent->unreachable_since_ms != 0 && node->owner_journal != NULL &&
+    if (agent->unreachable_since_ms != 0 && may_remove_agents(node) &&
         mb_fleet_may_remove_worker(&node->fleet, agent->worker,
                                    agent->unreachable_since_ms *
                                        (uint64_t)MB_US_PER_MS)) {
@@ -303,7 +313,7 @@
         if (!agent->removed) {
             agent_tick(node, agent, now_ms);
         }
-        else if (node->owner_journal != NULL &&
+        else if (may_remove_agents(node) &&
                  mb_agent_removal_due(&agent->presence)) {
             append_agent_removal(agent, "departed");
         }
--- a/tests/unit/test_scheduler_records.cc
+++ b/tests/unit/test_scheduler_records.cc
@@ -310,3 +310,26 @@
     records.node.flush.run(records.node.flush.context);
     EXPECT_EQ(worker->order_sequence, sent);
 }
+
+/* Guards against an agent that can't be used for the rest of an outage of the
+   log, because it was silent for a moment: its removal, once begun, has to
+   reach the log before the agent is used again. */
+TEST(SchedulerRecords, RemovesNoAgentWhileTheLogFails)
+{
+    SchedulerRecords records;
+    records.announce("127.0.0.1:1", 1);
+    mb_scheduler_claim_fleet(&records.node);
+    records.own_fleet(1);
+    const mb_scheduler_agent_t *agent = static_cast<mb_scheduler_agent_t *>(
+        g_ptr_array_index(records.node.agents, 0));
+    records.report(1, 1);
+    for (int i = 0; i < 40; i++) {
+        records.now_us += 100000;
+        mb_scheduler_note_jobs_read(&records.node, records.now_us);
+        mb_scheduler_agents_tick(&records.node);
+    }
+    EXPECT_FALSE(agent->removed);
+    records.node.owner_journal->failing_since_us = 0;
+    mb_scheduler_agents_tick(&records.node);
+    EXPECT_TRUE(agent->removed);
+}
