Release the context of a claim whose append never completes

What operators saw: 16 bytes lost for each claim that the log did not answer; LeakSanitizer reports it in SchedulerRecords.RemovesNoAgentWhileTheLogFails.

Fix: the node owns the contexts of the owner's appends and releases those without a result when it finishes.

--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -239,7 +239,7 @@
         g_hash_table_new_full(mb_dag_id_hash, mb_dag_id_equal, g_free, NULL);
     node->retired_journals = g_ptr_array_new();
     node->agents = g_ptr_array_new_with_free_func(g_free);
-    node->absence_appends = g_ptr_array_new_with_free_func(g_free);
+    node->owner_appends = g_ptr_array_new_with_free_func(g_free);
     node->pending_appends = g_ptr_array_new();
     node->pending_cancels = g_ptr_array_new();
     mb_buf_printf(&node->producer, "%.*s-%016" G_GINT64_MODIFIER "x",
@@ -426,7 +426,7 @@
     mb_order_decoder_finish(&node->report_decoder);
     g_hash_table_destroy(node->early_cancels);
     g_ptr_array_unref(node->agents);
-    g_ptr_array_unref(node->absence_appends);
+    g_ptr_array_unref(node->owner_appends);
     g_ptr_array_unref(node->pending_appends);
     g_ptr_array_unref(node->pending_cancels);
     mb_buf_finish(&node->producer);
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -119,8 +119,9 @@
                                     for their last call to the log */
     mb_dag_record_decoder_t decoder;
     mb_order_decoder_t report_decoder; /* decodes reports of agents */
-    GPtrArray *absence_appends; /* records of absent workers without a result
-                                 */
+    /* Contexts of the owner's appends without a result. A journal that is
+       closed never completes the records of an append that fails. */
+    GPtrArray *owner_appends;
     GPtrArray *agents;          /* mb_scheduler_agent_t by worker number */
     GPtrArray *pending_appends; /* requests whose append has no result yet */
     GPtrArray *pending_cancels; /* cancellations of unknown jobs, which wait
--- a/lib/transport/mb_scheduler_owner.c
+++ b/lib/transport/mb_scheduler_owner.c
@@ -64,13 +64,15 @@
 /* Handles the result of the append of a claim. After a success this process
    becomes the owner when the claim is read back. After a failure it is a
    follower again, which may claim later. The result of an earlier claim is
-   ignored. Owns `context`. */
+   ignored. Releases `context`. */
 static void
 claim_done(void *context, mb_keyed_result_t result)
 {
-    g_autofree claim_t *claim = context;
+    claim_t *claim = context;
     mb_scheduler_node_t *node = claim->node;
-    if (result == MB_KEYED_OK || claim->journal != node->owner_journal) {
+    bool is_latest = claim->journal == node->owner_journal;
+    (void)g_ptr_array_remove_fast(node->owner_appends, claim);
+    if (result == MB_KEYED_OK || !is_latest) {
         return;
     }
     mb_log_info(&node->log,
@@ -109,6 +111,7 @@
                     &node->clock, &node->log);
     claim_t *claim = g_new0(claim_t, 1);
     *claim = (claim_t){node, node->owner_journal};
+    g_ptr_array_add(node->owner_appends, claim);
     (void)mb_scheduler_append_owner_record(node, token, false, claim_done,
                                            claim);
     mb_scheduler_defer_flush(node);
@@ -208,7 +211,7 @@
         mb_fleet_absence_stored(&node->fleet, append->worker, in_log);
         mb_scheduler_defer_flush(node);
     }
-    (void)g_ptr_array_remove_fast(node->absence_appends, append);
+    (void)g_ptr_array_remove_fast(node->owner_appends, append);
 }
 
 /* Queues a record of an absent worker, or its removal; implements
@@ -243,7 +246,7 @@
         g_free(append);
         return false;
     }
-    g_ptr_array_add(node->absence_appends, append);
+    g_ptr_array_add(node->owner_appends, append);
     mb_scheduler_defer_flush(node);
     return true;
 }
