Remove an announcement before the departure that ends it

Cause: the owner removed the departure of an agent first. If only that reached the log, the announcement counted again, and the agent, which has left, was waited for at the next change of owner.

--- a/lib/coordination/mb_agent_presence.c
+++ b/lib/coordination/mb_agent_presence.c
@@ -12,7 +12,7 @@
    its way to the log, it does not: what would be started there meanwhile would
    be unknown to a later owner, which reads only the removal. */
 bool
-mb_agent_is_present(const mb_agent_presence_t *presence)
+mb_agent_presence_in_fleet(const mb_agent_presence_t *presence)
 {
     return presence->announced && !has_departed(presence) &&
            !presence->removal_pending;
@@ -20,8 +20,8 @@
 
 /* Applies an announcement, read in or after the load with a number. */
 void
-mb_agent_announced(mb_agent_presence_t *presence, uint64_t incarnation,
-                   uint32_t load)
+mb_agent_presence_announced(mb_agent_presence_t *presence,
+                            uint64_t incarnation, uint32_t load)
 {
     presence->announced = true;
     presence->incarnation = incarnation;
@@ -33,7 +33,7 @@
    owner's and the agent has announced itself in between: the owner must then
    announce it again, because the removal is the newest record. */
 bool
-mb_agent_announcement_removed(mb_agent_presence_t *presence)
+mb_agent_presence_announcement_removed(mb_agent_presence_t *presence)
 {
     bool again = presence->removal_pending && presence->announced_meanwhile;
     presence->announced = false;
@@ -44,8 +44,8 @@
 
 /* Applies a departure, read in or after the load with a number. */
 void
-mb_agent_departed(mb_agent_presence_t *presence, uint64_t incarnation,
-                  uint32_t load)
+mb_agent_presence_departed(mb_agent_presence_t *presence, uint64_t incarnation,
+                           uint32_t load)
 {
     presence->departed = true;
     presence->departed_incarnation = incarnation;
@@ -54,7 +54,7 @@
 
 /* Applies the removal of a departure. */
 void
-mb_agent_departure_removed(mb_agent_presence_t *presence)
+mb_agent_presence_departure_removed(mb_agent_presence_t *presence)
 {
     presence->departed = false;
 }
@@ -62,7 +62,7 @@
 /* Tells whether the owner is to remove the records of an agent because it has
    departed. */
 bool
-mb_agent_removal_due(const mb_agent_presence_t *presence)
+mb_agent_presence_removal_due(const mb_agent_presence_t *presence)
 {
     return presence->announced && has_departed(presence) &&
            !presence->removal_pending;
@@ -70,7 +70,7 @@
 
 /* Notes that the owner has queued the removal of the records. */
 void
-mb_agent_removal_sent(mb_agent_presence_t *presence)
+mb_agent_presence_removal_sent(mb_agent_presence_t *presence)
 {
     presence->removal_pending = true;
     presence->announced_meanwhile = false;
@@ -79,7 +79,7 @@
 /* Notes that this process is no longer the owner, so that a removal which was
    not read back may never reach the log. */
 void
-mb_agent_removal_given_up(mb_agent_presence_t *presence)
+mb_agent_presence_removal_given_up(mb_agent_presence_t *presence)
 {
     presence->removal_pending = false;
     presence->announced_meanwhile = false;
@@ -88,7 +88,7 @@
 /* Drops what the load with a number has not confirmed: its records were
    removed from the log while this process did not read it in order. */
 void
-mb_agent_forget_unread(mb_agent_presence_t *presence, uint32_t load)
+mb_agent_presence_forget_unread(mb_agent_presence_t *presence, uint32_t load)
 {
     presence->announced =
         presence->announced && presence->announced_load == load;
--- a/lib/coordination/mb_agent_presence.h
+++ b/lib/coordination/mb_agent_presence.h
@@ -25,16 +25,17 @@
     uint32_t departed_load;
 } mb_agent_presence_t;
 
-bool mb_agent_is_present(const mb_agent_presence_t *presence);
-void mb_agent_announced(mb_agent_presence_t *presence, uint64_t incarnation,
-                        uint32_t load);
-bool mb_agent_announcement_removed(mb_agent_presence_t *presence);
-void mb_agent_departed(mb_agent_presence_t *presence, uint64_t incarnation,
-                       uint32_t load);
-void mb_agent_departure_removed(mb_agent_presence_t *presence);
-bool mb_agent_removal_due(const mb_agent_presence_t *presence);
-void mb_agent_removal_sent(mb_agent_presence_t *presence);
-void mb_agent_removal_given_up(mb_agent_presence_t *presence);
-void mb_agent_forget_unread(mb_agent_presence_t *presence, uint32_t load);
+bool mb_agent_presence_in_fleet(const mb_agent_presence_t *presence);
+void mb_agent_presence_announced(mb_agent_presence_t *presence,
+                                 uint64_t incarnation, uint32_t load);
+bool mb_agent_presence_announcement_removed(mb_agent_presence_t *presence);
+void mb_agent_presence_departed(mb_agent_presence_t *presence,
+                                uint64_t incarnation, uint32_t load);
+void mb_agent_presence_departure_removed(mb_agent_presence_t *presence);
+bool mb_agent_presence_removal_due(const mb_agent_presence_t *presence);
+void mb_agent_presence_removal_sent(mb_agent_presence_t *presence);
+void mb_agent_presence_removal_given_up(mb_agent_presence_t *presence);
+void mb_agent_presence_forget_unread(mb_agent_presence_t *presence,
+                                     uint32_t load);
 
 #endif
--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -120,7 +120,7 @@
 update_agent(mb_scheduler_agent_t *agent)
 {
     mb_scheduler_node_t *node = agent->node;
-    bool present = mb_agent_is_present(&agent->presence);
+    bool present = mb_agent_presence_in_fleet(&agent->presence);
     if (present && agent->removed) {
         (void)mb_fleet_add_worker(&node->fleet, agent_address(agent));
         agent->retry_ms = 0;
@@ -143,7 +143,8 @@
     if (agent == NULL) {
         return;
     }
-    mb_agent_announced(&agent->presence, incarnation, node->jobs.loads);
+    mb_agent_presence_announced(&agent->presence, incarnation,
+                                node->jobs.loads);
     agent->retry_ms = 0;
     agent->unreachable_since_ms = 0;
     update_agent(agent);
@@ -171,7 +172,7 @@
         return;
     }
     mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, worker);
-    if (mb_agent_announcement_removed(&agent->presence) &&
+    if (mb_agent_presence_announcement_removed(&agent->presence) &&
         node->owner_journal != NULL) {
         mb_buf_clear(&node->value);
         mb_dag_record_encode_agent(&node->value, agent->presence.incarnation);
@@ -190,8 +191,9 @@
     if (agent == NULL) {
         return;
     }
-    mb_agent_departed(&agent->presence, incarnation, node->jobs.loads);
-    if (mb_agent_removal_due(&agent->presence) && !agent->removed) {
+    mb_agent_presence_departed(&agent->presence, incarnation,
+                               node->jobs.loads);
+    if (mb_agent_presence_removal_due(&agent->presence) && !agent->removed) {
         mb_log_notice(&node->log, "agent has departed address=%.*s",
                       MB_STR_ARG(address));
     }
@@ -205,7 +207,7 @@
     uint32_t worker = mb_fleet_find_worker(&node->fleet, address);
     if (worker != UINT32_MAX) {
         mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, worker);
-        mb_agent_departure_removed(&agent->presence);
+        mb_agent_presence_departure_removed(&agent->presence);
         update_agent(agent);
     }
 }
@@ -239,7 +241,8 @@
     for (guint i = 0; i < node->agents->len; i++) {
         mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, i);
         if (!mb_fleet_is_owner(&node->fleet)) {
-            mb_agent_forget_unread(&agent->presence, node->jobs.loads);
+            mb_agent_presence_forget_unread(&agent->presence,
+                                            node->jobs.loads);
             update_agent(agent);
             if (agent->absence_load != node->jobs.loads) {
                 mb_fleet_absence_read(&node->fleet, agent->worker, 0, NULL);
@@ -257,11 +260,12 @@
         "agent removed address=%.*s incarnation=%016" G_GINT64_MODIFIER
         "x reason=%s",
         MB_STR_ARG(agent_address(agent)), agent->presence.incarnation, reason);
+    append_agent_record(agent, MB_DAG_RECORD_AGENT, MB_STR_EMPTY);
+    /* The departure goes last: without it, the announcement would count. */
     if (agent->presence.departed) {
         append_agent_record(agent, MB_DAG_RECORD_DEPARTURE, MB_STR_EMPTY);
     }
-    append_agent_record(agent, MB_DAG_RECORD_AGENT, MB_STR_EMPTY);
-    mb_agent_removal_sent(&agent->presence);
+    mb_agent_presence_removal_sent(&agent->presence);
     update_agent(agent);
 }
 
@@ -314,7 +318,7 @@
             agent_tick(node, agent, now_ms);
         }
         else if (may_remove_agents(node) &&
-                 mb_agent_removal_due(&agent->presence)) {
+                 mb_agent_presence_removal_due(&agent->presence)) {
             append_agent_removal(agent, "departed");
         }
     }
@@ -330,7 +334,7 @@
         close_agent(agent, now_ms);
         agent->retry_ms = 0;
         agent->unreachable_since_ms = 0;
-        mb_agent_removal_given_up(&agent->presence);
+        mb_agent_presence_removal_given_up(&agent->presence);
         update_agent(agent);
     }
 }
--- a/tests/unit/test_scheduler_records.cc
+++ b/tests/unit/test_scheduler_records.cc
@@ -209,19 +209,19 @@
 TEST(AgentPresence, AnnouncementMeetsTheOwnersRemoval)
 {
     mb_agent_presence_t presence = {};
-    mb_agent_announced(&presence, 1, 0);
-    mb_agent_removal_sent(&presence);
-    EXPECT_FALSE(mb_agent_is_present(&presence));
-    mb_agent_announced(&presence, 2, 0);
-    EXPECT_FALSE(mb_agent_is_present(&presence));
-    EXPECT_TRUE(mb_agent_announcement_removed(&presence));
-    EXPECT_FALSE(mb_agent_is_present(&presence));
-    mb_agent_announced(&presence, 2, 0);
-    EXPECT_TRUE(mb_agent_is_present(&presence));
-    mb_agent_removal_sent(&presence);
-    EXPECT_FALSE(mb_agent_announcement_removed(&presence));
-    mb_agent_announced(&presence, 3, 0);
-    EXPECT_TRUE(mb_agent_is_present(&presence));
+    mb_agent_presence_announced(&presence, 1, 0);
+    mb_agent_presence_removal_sent(&presence);
+    EXPECT_FALSE(mb_agent_presence_in_fleet(&presence));
+    mb_agent_presence_announced(&presence, 2, 0);
+    EXPECT_FALSE(mb_agent_presence_in_fleet(&presence));
+    EXPECT_TRUE(mb_agent_presence_announcement_removed(&presence));
+    EXPECT_FALSE(mb_agent_presence_in_fleet(&presence));
+    mb_agent_presence_announced(&presence, 2, 0);
+    EXPECT_TRUE(mb_agent_presence_in_fleet(&presence));
+    mb_agent_presence_removal_sent(&presence);
+    EXPECT_FALSE(mb_agent_presence_announcement_removed(&presence));
+    mb_agent_presence_announced(&presence, 3, 0);
+    EXPECT_TRUE(mb_agent_presence_in_fleet(&presence));
 }
 
 /* Guards against tasks that wait, or that start twice, because a scheduler has
