Give an absent worker a record when all former leases have ended

Cause: a worker that falls silent together with its owner has no record. The next owner waited until all leases had ended, and then still could not tell what runs there, so that the owner after it had to wait again.

Fix: at the end of the former owner's leases nothing of it runs anywhere. A worker that has never reported to this owner gets one after 5 s only, because agents announce themselves before their worker registers.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -466,15 +466,16 @@
         mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, i);
         if (expired) {
             mb_fleet_release_absent_tasks(fleet, worker);
+            worker->may_have_former_runs = false;
         }
         known += worker->former_tasks_known;
         unknown += worker->may_have_former_runs && !worker->former_tasks_known;
     }
-    if (!fleet->former_runs_resolved && (expired || unknown == 0)) {
+    if (!fleet->former_runs_resolved && unknown == 0) {
         mb_log_notice(&fleet->log,
                       "fleet settled token=%" G_GUINT64_FORMAT
                       " all_listed=%d runs=%u absent=%u",
-                      fleet->token, unknown == 0, fleet->running, known);
+                      fleet->token, !expired, fleet->running, known);
         fleet->former_runs_resolved = true;
         fleet->schedule_due = true;
     }
--- a/lib/coordination/mb_fleet_absence.c
+++ b/lib/coordination/mb_fleet_absence.c
@@ -15,6 +15,11 @@
    records, and may start tasks on the worker. */
 #include "mb_fleet_internal.h"
 
+/* Time after which a worker that has never reported to this owner gets a
+   record, in milliseconds. Agents announce themselves before their worker
+   registers. */
+#define FIRST_REPORT_TIMEOUT_MS 5000u
+
 /* Tells whether a worker gets no starts because it has not reported for a
    while, or not on its present connection. */
 bool
@@ -155,8 +160,11 @@
               uint64_t now_us)
 {
     uint64_t since_us = MAX(worker->reported_us, fleet->owner_since_us);
-    bool overdue = now_us >= since_us + MB_FLEET_REPORT_TIMEOUT_MS *
-                                            (uint64_t)MB_US_PER_MS;
+    bool never_reported =
+        worker->incarnation == 0 && !worker->former_tasks_known;
+    uint64_t delay_ms =
+        never_reported ? FIRST_REPORT_TIMEOUT_MS : MB_FLEET_REPORT_TIMEOUT_MS;
+    bool overdue = now_us >= since_us + delay_ms * MB_US_PER_MS;
     return overdue && !worker->removed &&
            worker->absence_token != fleet->token &&
            (worker->former_tasks_known || !worker->may_have_former_runs);
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -271,6 +271,29 @@
     expect_no_violations(simulation);
 }
 
+/* Guards against a worker that holds everything at each change of ownership,
+   because it fell silent with its owner and never came back: when all leases
+   have ended, it is known that nothing runs there. */
+TEST(Fleet, AbsentWorkerGetsARecordWhenAllLeasesHaveEnded)
+{
+    FleetSimulation simulation(2);
+    mb_dag_step_t step;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.fail_over();
+    simulation.disconnect(*simulation.machines[1]);
+    simulation.advance(2000);
+    EXPECT_TRUE(simulation.absences.empty());
+    simulation.advance(MB_OWNERSHIP_LEASE_MS + mb_fleet_max_lease_us() / 1000);
+    EXPECT_EQ(simulation.absences.size(), 1u);
+    simulation.submit(one_step_job(&step, first_id, 1, 800));
+    simulation.fail_over();
+    simulation.disconnect(*simulation.machines[1]);
+    simulation.advance(1500);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
+
 /* Guards against two runs of a task after two changes of ownership. The worker
    came back under the second owner, whose removal of the record was not
    stored, so the third owner still reads the record: nothing may have been
