Give up an unconfirmed run when its start can't take effect any more

What callers would have seen: a task that is never started again.

Evidence: Fleet.UnconfirmedRunIsGivenUpWhenItsStartCannotTakeEffectAnyMore did not complete its job within 15 s before.

--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -465,15 +465,27 @@
     return false;
 }
 
+/* Tells whether the start of a run that the worker has not confirmed may still
+   take effect: the worker refuses it once the lease that it came with has
+   ended. */
+static bool
+may_still_start(const mb_fleet_run_t *run, uint64_t now_us)
+{
+    return !run->confirmed &&
+           now_us < run->started_us + mb_fleet_max_lease_us();
+}
+
 /* Gives up the runs that a complete report does not contain although the agent
    had read the order with their start before it made the report. A run that
    the worker has never confirmed is stopped first: its agent was restarted,
    and the start that the earlier one sent may still be on its way. The worker
-   refuses it after the stop, which the agent reports. */
+   refuses it after the stop, which the agent reports, or after the end of its
+   lease. */
 static void
 drop_unreported_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                      const mb_report_t *report)
 {
+    uint64_t now_us = mb_clock_us(&fleet->clock);
     for (guint i = 0; i < worker->runs->len;) {
         mb_fleet_run_t *run = &g_array_index(worker->runs, mb_fleet_run_t, i);
         if (run->start_sequence > report->order_sequence ||
@@ -482,7 +494,7 @@
             continue;
         }
 #ifndef MB_MUTANT_FLEET_DROPS_UNCONFIRMED
-        if (!run->confirmed) {
+        if (may_still_start(run, now_us)) {
             mb_fleet_stop_run(fleet, worker, run);
             i++;
             continue;
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -438,6 +438,58 @@
     expect_no_violations(simulation);
 }
 
+/* Has a worker send a heartbeat now. */
+static void
+send_heartbeat(Machine &machine)
+{
+    mb_worker_info_t info = {};
+    info.state = MB_WORKER_READY;
+    info.name = {machine.worker.name.data(), machine.worker.name.size()};
+    info.incarnation = machine.worker.started_ms;
+    info.start_time_ms = machine.worker.started_ms;
+    info.service = {machine.worker.service.data(),
+                    machine.worker.service.size()};
+    info.capacity = {machine.simulation->capacity_milli, 100000, 0};
+    mb_agent_heartbeat(machine.agent, &info, ++machine.heartbeats);
+}
+
+/* Guards against a task that is never started again: its start got no answer,
+   its agent was restarted and does not know of it, and the worker, which would
+   have to confirm the stop, is gone for good or answers nothing. */
+TEST(Fleet, UnconfirmedRunIsGivenUpWhenItsStartCannotTakeEffectAnyMore)
+{
+    for (bool has_registered : {false, true}) {
+        FleetSimulation simulation(2);
+        mb_dag_step_t step;
+        simulation.fail_over();
+        simulation.advance(2500);
+        for (auto &machine : simulation.machines) {
+            machine->worker.start_faults = {'d'};
+        }
+        simulation.submit(one_step_job(&step, first_id, 1, 800));
+        simulation.advance(100);
+        uint32_t number =
+            simulation.machines[0]->worker.start_faults.empty() ? 0 : 1;
+        Machine &machine = *simulation.machines[number];
+        simulation.machines[1 - number]->worker.start_faults.clear();
+        if (!has_registered) {
+            machine.worker.is_up = false;
+        }
+        simulation.restart_agent(machine);
+        if (has_registered) {
+            send_heartbeat(machine);
+            while (machine.agent->last_list_us == 0) {
+                simulation.tick();
+            }
+            machine.worker.is_up = false;
+        }
+        simulation.advance(15000);
+        EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED)
+            << has_registered;
+        expect_no_violations(simulation);
+    }
+}
+
 /* Guards against more work on a worker than its capacity: a run that a new
    owner does not adopt, and has stopped, still uses its room. */
 TEST(Fleet, RunThatIsNotAdoptedKeepsItsRoomUntilItHasEnded)
