--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -141,6 +141,7 @@
     void connect(Machine &machine);
     void disconnect(Machine &machine);
     void restart_agent(Machine &machine);
+    void heartbeat(Machine &machine);
     void cancel(const char *id);
     void tick();
     void advance(uint64_t ms);
@@ -771,6 +772,21 @@
     connect(machine);
 }
 
+/* Has the worker of a machine send a heartbeat to its agent. */
+inline void
+FleetSimulation::heartbeat(Machine &machine)
+{
+    const FakeWorker &worker = machine.worker;
+    mb_worker_info_t info = {};
+    info.state = MB_WORKER_READY;
+    info.name = {worker.name.data(), worker.name.size()};
+    info.incarnation = worker.started_ms;
+    info.start_time_ms = worker.started_ms;
+    info.service = {worker.service.data(), worker.service.size()};
+    info.capacity = {capacity_milli, 100000, 0};
+    mb_agent_heartbeat(machine.agent, &info, ++machine.heartbeats);
+}
+
 /* Cancels a job, as the owner reads it from the log. */
 inline void
 FleetSimulation::cancel(const char *id)
@@ -823,14 +839,7 @@
             worker.advance();
         }
         if (worker.is_up && now_us % 1000000 == 0) {
-            mb_worker_info_t info = {};
-            info.state = MB_WORKER_READY;
-            info.name = {worker.name.data(), worker.name.size()};
-            info.incarnation = worker.started_ms;
-            info.start_time_ms = worker.started_ms;
-            info.service = {worker.service.data(), worker.service.size()};
-            info.capacity = {capacity_milli, 100000, 0};
-            mb_agent_heartbeat(machine->agent, &info, ++machine->heartbeats);
+            heartbeat(*machine);
         }
         mb_agent_run(machine->agent);
     }
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -438,21 +438,6 @@
     expect_no_violations(simulation);
 }
 
-/* Has a worker send a heartbeat now. */
-static void
-send_heartbeat(Machine &machine)
-{
-    mb_worker_info_t info = {};
-    info.state = MB_WORKER_READY;
-    info.name = {machine.worker.name.data(), machine.worker.name.size()};
-    info.incarnation = machine.worker.started_ms;
-    info.start_time_ms = machine.worker.started_ms;
-    info.service = {machine.worker.service.data(),
-                    machine.worker.service.size()};
-    info.capacity = {machine.simulation->capacity_milli, 100000, 0};
-    mb_agent_heartbeat(machine.agent, &info, ++machine.heartbeats);
-}
-
 /* Guards against a task that is never started again: its start got no answer,
    its agent was restarted and does not know of it, and the worker, which would
    have to confirm the stop, is gone for good or answers nothing. */
@@ -477,7 +462,7 @@
         }
         simulation.restart_agent(machine);
         if (has_registered) {
-            send_heartbeat(machine);
+            simulation.heartbeat(machine);
             while (machine.agent->last_list_us == 0) {
                 simulation.tick();
             }
