Believe that runs have ended only after a read of the log

Cause: an owner that could not read the log gave up the runs of agents that had been silent for the length of the lease, although a successor had claimed the fleet and renewed it, and started the tasks beside an agent that had not seen the successor. An agent that was restarted forgets the newer token, and was believed as well. The class: silence or absence, believed by an owner whose knowledge is as old as its latest read of the log.

A lease counts as ended only when a read that began after its end shows no newer claim; an agent's process that is new to the owner is believed, and gets starts, only after a read that began after its first report. It needs no message from the successor or the agents. Starts at known agents go on while the whole log is down.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -9,11 +9,13 @@
 
 /* Initializes an agent that knows neither its worker nor an owner. */
 void
-mb_agent_init(mb_agent_t *agent, const mb_agent_callbacks_t *callbacks,
+mb_agent_init(mb_agent_t *agent, uint64_t incarnation,
+              const mb_agent_callbacks_t *callbacks,
               const mb_executor_t *executor, const mb_clock_t *clock,
               const mb_log_t *log)
 {
     memset(agent, 0, sizeof(*agent));
+    agent->incarnation = incarnation;
     agent->callbacks = *callbacks;
     agent->executor = *executor;
     agent->clock = *clock;
@@ -350,6 +352,7 @@
 {
     mb_report_t *report = &agent->report;
     report->token = agent->token;
+    report->agent_incarnation = agent->incarnation;
     report->sequence = ++agent->report_sequence;
     report->order_sequence = agent->order_sequence;
     report->draining = agent->draining;
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -59,6 +59,7 @@
     mb_executor_t executor;
     mb_clock_t clock;
     mb_log_t log;
+    uint64_t incarnation; /* of the agent's process */
     /* State of the worker. */
     mb_worker_info_t info; /* views of `text` */
     mb_buf_t text[4 + MB_WORKER_LABELS_MAX];
@@ -107,7 +108,9 @@
     uint64_t open_calls; /* calls to the worker without an answer yet */
 } mb_agent_t;
 
-void mb_agent_init(mb_agent_t *agent, const mb_agent_callbacks_t *callbacks,
+/* `incarnation` differs after each restart of the agent's process. */
+void mb_agent_init(mb_agent_t *agent, uint64_t incarnation,
+                   const mb_agent_callbacks_t *callbacks,
                    const mb_executor_t *executor, const mb_clock_t *clock,
                    const mb_log_t *log);
 void mb_agent_finish(mb_agent_t *agent);
--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -165,6 +165,8 @@
         worker->may_have_former_runs =
             may_have_former_runs && !worker->removed;
         worker->incarnation = 0;
+        worker->agent_incarnation = 0;
+        worker->agent_known_since_us = 0;
         worker->state = MB_WORKER_ABSENT;
         worker->ends_applied = 0;
         worker->ends_being_stored = 0;
@@ -202,6 +204,7 @@
 {
     fleet->is_owner = true;
     fleet->token = token;
+    fleet->confirmed_us = 0;
     fleet->former_leases_end_us = former_leases_end_us;
     fleet->former_runs_resolved = false;
     fleet->wait_logged = false;
@@ -248,6 +251,15 @@
     fleet->active = active && fleet->is_owner && !fleet->store_failed;
 }
 
+/* Notes up to when the ownership is certain; see the header. */
+void
+mb_fleet_confirm_ownership(mb_fleet_t *fleet, uint64_t confirmed_us)
+{
+    if (fleet->is_owner && confirmed_us > fleet->confirmed_us) {
+        fleet->confirmed_us = confirmed_us;
+    }
+}
+
 /* Adds a job of the table to the open ones unless it has an outcome already;
    does nothing on a process that isn't the owner. */
 void
@@ -401,13 +413,28 @@
     fleet->callbacks.store_group_end(fleet->callbacks.context);
 }
 
+/* Tells whether the lease of a worker has certainly expired: its time is up,
+   and no other process had claimed the fleet by then, which could have renewed
+   it. */
+static bool
+has_lease_expired(const mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
+                  uint64_t now_us)
+{
+#ifdef MB_MUTANT_FLEET_SILENCE_BELIEVED
+    return now_us >= worker->lease_end_us;
+#endif
+    return now_us >= worker->lease_end_us &&
+           fleet->confirmed_us >= worker->lease_end_us;
+}
+
 /* Gives up the runs of workers whose lease has certainly expired. */
 static void
 check_leases(mb_fleet_t *fleet, uint64_t now_us)
 {
     for (guint i = 0; i < fleet->workers->len; i++) {
         mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, i);
-        if (worker->runs->len > 0 && now_us >= worker->lease_end_us) {
+        if (worker->runs->len > 0 &&
+            has_lease_expired(fleet, worker, now_us)) {
             mb_fleet_abandon_runs(fleet, worker, "lease_expired");
             /* What runs there is unknown until the next complete report, from
                which runs that still exist are adopted. */
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -148,6 +148,10 @@
     bool agent_draining; /* the agent drains and will exit */
     mb_worker_state_t state;
     uint64_t incarnation;
+    /* Of the agent's process in the latest report, and when this owner first
+       got a report of that process; 0: it has got none. */
+    uint64_t agent_incarnation;
+    uint64_t agent_known_since_us;
     mb_buf_t name;
     mb_buf_t service; /* name of the pool of workers that it belongs to */
     mb_buf_t rack;
@@ -196,6 +200,8 @@
     bool is_owner;
     bool active;    /* ownership is certain: orders may be sent */
     uint64_t token; /* fencing token of this ownership */
+    /* No other process had claimed the fleet by this time. */
+    uint64_t confirmed_us;
     /* Time by which all leases granted by the former owner have expired. */
     uint64_t former_leases_end_us;
     /* Every run of the former owner has been reported, its lease has expired,
@@ -236,6 +242,12 @@
                            uint64_t former_leases_end_us);
 void mb_fleet_lose_ownership(mb_fleet_t *fleet);
 void mb_fleet_set_active(mb_fleet_t *fleet, bool active);
+/* Tells the owner that no other process had claimed the fleet by a time.
+   Until that time is past the end of a worker's lease, its silence does not
+   show that its runs have ended: another owner may have renewed it. Until it
+   is past the first report of an agent's process, the agent may have obeyed
+   another owner before it was restarted. */
+void mb_fleet_confirm_ownership(mb_fleet_t *fleet, uint64_t confirmed_us);
 bool mb_fleet_is_owner(const mb_fleet_t *fleet);
 
 /* Changes of the job table, and the results of storing progress. */
--- a/lib/coordination/mb_fleet_absence.c
+++ b/lib/coordination/mb_fleet_absence.c
@@ -30,6 +30,20 @@
                          MB_FLEET_REPORT_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
 }
 
+/* Tells whether the agent of a worker has not obeyed a later owner: no other
+   process had claimed the fleet when this owner first heard of the agent's
+   process, and since then the agent would have remembered the higher token. */
+bool
+mb_fleet_agent_confirmed(const mb_fleet_t *fleet,
+                         const mb_fleet_worker_t *worker)
+{
+#ifdef MB_MUTANT_FLEET_RESTARTED_AGENT_BELIEVED
+    return true;
+#endif
+    return worker->agent_known_since_us != 0 &&
+           fleet->confirmed_us >= worker->agent_known_since_us;
+}
+
 /* Returns a task by its id, or NULL if it is not in the table. */
 static mb_dag_task_t *
 find_task(const mb_fleet_t *fleet, const mb_dag_task_id_t *id)
--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -112,8 +112,9 @@
 }
 
 /* Tells whether a worker may get starts now: it is ready, its runs are known,
-   it has reported lately and all of them can be accounted for, the log does
-   not have it as absent, and its health allows it. */
+   it has reported lately and all of them can be accounted for, its agent has
+   certainly not obeyed a later owner, the log does not have it as absent, and
+   its health allows it. */
 static bool
 accepts_starts(const mb_fleet_cost_inputs_t *inputs,
                const mb_fleet_worker_t *worker)
@@ -125,6 +126,7 @@
     return worker->state == MB_WORKER_READY && !worker->agent_draining &&
            !recorded_absent && !worker->has_unknown_orphan &&
            !mb_fleet_worker_silent(worker, inputs->now_us) &&
+           mb_fleet_agent_confirmed(inputs->fleet, worker) &&
            !mb_health_suspended(&worker->health, inputs->now_us);
 }
 
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -46,6 +46,8 @@
                                    mb_fleet_worker_t *worker);
 void mb_fleet_reset_absence(mb_fleet_worker_t *worker);
 bool mb_fleet_worker_silent(const mb_fleet_worker_t *worker, uint64_t now_us);
+bool mb_fleet_agent_confirmed(const mb_fleet_t *fleet,
+                              const mb_fleet_worker_t *worker);
 void mb_fleet_update_absences(mb_fleet_t *fleet, uint64_t now_us);
 
 /* mb_fleet_report.c */
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -569,6 +569,35 @@
     }
 }
 
+/* Notes which process of the agent has made a report. */
+static void
+note_agent(const mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+           const mb_report_t *report)
+{
+    if (worker->agent_known_since_us != 0 &&
+        report->agent_incarnation == worker->agent_incarnation) {
+        return;
+    }
+    worker->agent_incarnation = report->agent_incarnation;
+    worker->agent_known_since_us = mb_clock_us(&fleet->clock);
+}
+
+/* Concludes from a complete report that what it does not contain does not run
+   there. Not before the agent's process is confirmed: an agent that was
+   restarted may have obeyed a later owner, under which runs that are missing
+   here have ended, and tasks that seem to wait are done. */
+static void
+settle_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+            const mb_report_t *report)
+{
+    if (!mb_fleet_agent_confirmed(fleet, worker)) {
+        return;
+    }
+    drop_unreported_runs(fleet, worker, report);
+    worker->may_have_former_runs = false;
+    mb_fleet_release_absent_tasks(fleet, worker);
+}
+
 /* Applies a report of the agent of a worker. The report is borrowed. Reports
    under another fencing token than this owner's are ignored, as the agent does
    not follow its orders yet. */
@@ -588,6 +617,7 @@
     if (!runs_known && !report->complete) {
         return;
     }
+    note_agent(fleet, worker, report);
     worker->reported_us = now_us;
     worker->report_sequence = report->sequence;
     worker->reported_order_sequence = report->order_sequence;
@@ -602,7 +632,7 @@
     apply_runs(fleet, worker, report);
     if (report->complete) {
         mb_fleet_learn_headroom(fleet, worker, report);
-        drop_unreported_runs(fleet, worker, report);
+        settle_runs(fleet, worker, report);
         mb_fleet_set_throttles(fleet, worker);
         if (!worker->runs_known) {
             mb_log_info(
@@ -614,8 +644,6 @@
                 (int)worker->state);
         }
         worker->runs_known = true;
-        worker->may_have_former_runs = false;
-        mb_fleet_release_absent_tasks(fleet, worker);
         fleet->schedule_due = true;
     }
 }
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -135,8 +135,11 @@
 } mb_worker_info_t;
 
 typedef struct mb_report {
-    uint64_t token;    /* highest fencing token that the agent has seen */
-    uint64_t sequence; /* rises with each report of a connection */
+    uint64_t token; /* highest fencing token that the agent has seen */
+    /* Of the process of the agent, which remembers that token until it
+       ends. */
+    uint64_t agent_incarnation;
+    uint64_t sequence;       /* rises with each report of a connection */
     uint64_t order_sequence; /* sequence of the latest order processed */
     bool complete;           /* `runs` lists all runs */
     bool draining;           /* the agent is stopping */
--- a/lib/coordination/mb_ownership.c
+++ b/lib/coordination/mb_ownership.c
@@ -38,8 +38,11 @@
     if (record->token < ownership->latest.token) {
         return false;
     }
+    /* A token that was unknown also has its process wait for a heartbeat: the
+       owner relies on it, see MB_OWNERSHIP_CLAIM_CERTAIN_MS. */
+    bool is_new_token = record->token > ownership->latest.token;
     ownership->latest = *record;
-    if (in_order) {
+    if (in_order || is_new_token) {
         ownership->last_record_us = mb_clock_us(&ownership->clock);
     }
     bool owns =
@@ -136,6 +139,7 @@
     if (ownership->state == MB_OWNERSHIP_FOLLOWER && may_claim(ownership)) {
         ownership->state = MB_OWNERSHIP_CANDIDATE;
         ownership->last_write_us = now_us;
+        ownership->claimed_us = now_us;
         return MB_OWNERSHIP_CLAIM;
     }
     return MB_OWNERSHIP_NOTHING;
@@ -170,6 +174,17 @@
                    MB_OWNERSHIP_LEASE_MS * MB_US_PER_MS;
 }
 
+/* Returns up to when this process is certainly the latest owner; see the
+   header. */
+uint64_t
+mb_ownership_confirmed_us(const mb_ownership_t *ownership)
+{
+    uint64_t claim_certain_us =
+        ownership->claimed_us +
+        MB_OWNERSHIP_CLAIM_CERTAIN_MS * (uint64_t)MB_US_PER_MS;
+    return MAX(ownership->last_read_start_us, claim_certain_us);
+}
+
 /* Returns the end of the former owner's lease; see the header. A former owner
    that has resigned, or whose process has ended, does not act any more. */
 uint64_t
--- a/lib/coordination/mb_ownership.h
+++ b/lib/coordination/mb_ownership.h
@@ -23,6 +23,11 @@
 /* Maximum random delay of a claim, in milliseconds. It makes simultaneous
    claims of several followers rare. */
 #define MB_OWNERSHIP_JITTER_MS 300u
+/* Time after its claim for which the owner is certain that no other process
+   has claimed the fleet, in milliseconds: the next claim names the token of
+   this one, so its process has read it, and then waits for the heartbeat
+   time-out. Shorter than that by the drift of the clocks. */
+#define MB_OWNERSHIP_CLAIM_CERTAIN_MS 1000u
 /* Length of the owner's lease, in milliseconds, counted from the start of its
    latest read that showed no newer claim: longer than usual outages of the
    log, so that the owner goes on scheduling during them. */
@@ -70,6 +75,7 @@
     uint64_t log_reachable_since_us; /* 0: it is not reachable */
     uint64_t claim_jitter_us;
     uint64_t last_write_us; /* time of the latest claim or heartbeat */
+    uint64_t claimed_us;    /* when the latest claim was due */
     bool withdrawn;         /* the process stops and makes no more claims */
 } mb_ownership_t;
 
@@ -85,6 +91,9 @@
 void mb_ownership_claim_failed(mb_ownership_t *ownership);
 void mb_ownership_withdraw(mb_ownership_t *ownership);
 bool mb_ownership_may_act(const mb_ownership_t *ownership);
+/* Returns the latest time up to which it is certain that no other process has
+   claimed the fleet since this one; meaningful for the owner only. */
+uint64_t mb_ownership_confirmed_us(const mb_ownership_t *ownership);
 /* Returns when the lease of the former owner ends, given its latest record:
    the time until which it may still act. Returns the present time if it can't
    act any more. */
--- a/lib/protocol/mb_order_codec.c
+++ b/lib/protocol/mb_order_codec.c
@@ -336,16 +336,17 @@
     reader->failed = reader->failed || rows.failed;
 }
 
-/* Appends a report as [highest fencing token, sequence, sequence of the latest
-   order processed, whether it lists all runs, whether the agent drains,
-   worker, runs, ends, refusals]. */
+/* Appends a report as [highest fencing token, incarnation of the agent,
+   sequence, sequence of the latest order processed, whether it lists all runs,
+   whether the agent drains, worker, runs, ends, refusals]. */
 void
 mb_report_encode(mb_buf_t *out, const mb_report_t *report)
 {
     msgpack_packer packer;
     mb_pack_init(&packer, out);
-    (void)msgpack_pack_array(&packer, 9);
+    (void)msgpack_pack_array(&packer, 10);
     (void)msgpack_pack_uint64(&packer, report->token);
+    (void)msgpack_pack_uint64(&packer, report->agent_incarnation);
     (void)msgpack_pack_uint64(&packer, report->sequence);
     (void)msgpack_pack_uint64(&packer, report->order_sequence);
     mb_pack_bool(&packer, report->complete);
@@ -410,6 +411,7 @@
         return false;
     }
     report->token = mb_unpack_u64(&reader, UINT64_MAX);
+    report->agent_incarnation = mb_unpack_u64(&reader, UINT64_MAX);
     report->sequence = mb_unpack_u64(&reader, UINT64_MAX);
     report->order_sequence = mb_unpack_u64(&reader, UINT64_MAX);
     report->complete = mb_unpack_bool(&reader);
--- a/lib/transport/mb_agent_node.c
+++ b/lib/transport/mb_agent_node.c
@@ -414,8 +414,8 @@
                                    .batch_records_max = 1,
                                    .batch_bytes_max = 4096};
     node->codec = *codec;
-    mb_agent_init(&node->agent, &callbacks, executor, &node->clock,
-                  &node->log);
+    mb_agent_init(&node->agent, config->incarnation, &callbacks, executor,
+                  &node->clock, &node->log);
     mb_journal_init(&node->journal, &journal, keyed_log, &node->clock,
                     &node->log);
     mb_loop_set_tick(&node->loop, TICK_MS, tick, node);
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -54,6 +54,16 @@
     mb_loop_defer(&node->loop, &node->flush);
 }
 
+/* Tells the fleet whether this process may act as its owner, and up to when
+   the log has confirmed that. */
+static void
+update_ownership(mb_scheduler_node_t *node)
+{
+    mb_fleet_confirm_ownership(&node->fleet,
+                               mb_ownership_confirmed_us(&node->ownership));
+    mb_fleet_set_active(&node->fleet, mb_ownership_may_act(&node->ownership));
+}
+
 /* Runs the fleet's scheduling and sends the queued records to the log. The
    process may have been paused since the latest tick, so that its ownership
    may have become uncertain. */
@@ -62,7 +72,7 @@
 {
     mb_scheduler_node_t *node = context;
 #ifndef MB_MUTANT_PERMISSION_CHECKED_BY_TICK
-    mb_fleet_set_active(&node->fleet, mb_ownership_may_act(&node->ownership));
+    update_ownership(node);
 #endif
     mb_fleet_flush(&node->fleet);
     mb_journal_run(&node->journal);
@@ -137,7 +147,7 @@
     case MB_OWNERSHIP_NOTHING:
         break;
     }
-    mb_fleet_set_active(&node->fleet, mb_ownership_may_act(&node->ownership));
+    update_ownership(node);
 }
 
 /* Returns whether a configuration of that age counts as stale. Called on any
--- a/tests/bench/bench_fleet.c
+++ b/tests/bench/bench_fleet.c
@@ -142,6 +142,7 @@
     mb_fleet_init(&bench.fleet, &bench.table, &callbacks, &clock, &log);
     mb_fleet_become_owner(&bench.fleet, 1, 0);
     mb_fleet_set_active(&bench.fleet, true);
+    mb_fleet_confirm_ownership(&bench.fleet, UINT64_MAX);
     for (uint32_t i = 0; i < workers; i++) {
         add_worker(&bench, i);
     }
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -108,6 +108,9 @@
     mb_order_decoder_t report_decoder;
     mb_dag_record_decoder_t record_decoder;
     uint64_t token = 0;
+    uint64_t agent_processes = 0; /* started so far */
+    /* The owner reads the log, and finds no newer owner there. */
+    bool log_read = true;
     /* The log: encoded jobs, the latest stored progress of each, and the group
        of progress records that the owner is adding to. */
     std::map<std::string, std::string> jobs;
@@ -653,7 +656,8 @@
                               &machine};
     machine.agents.push_back(std::make_unique<mb_agent_t>());
     machine.agent = machine.agents.back().get();
-    mb_agent_init(machine.agent, &callbacks, &executor, &clock, &log);
+    mb_agent_init(machine.agent, ++agent_processes, &callbacks, &executor,
+                  &clock, &log);
 }
 
 inline void
@@ -733,6 +737,7 @@
     }
     mb_fleet_become_owner(&fleet, token, former_leases_end_us);
     mb_fleet_set_active(&fleet, true);
+    mb_fleet_confirm_ownership(&fleet, now_us);
     for (auto &machine : machines) {
         connect(*machine);
     }
@@ -844,6 +849,9 @@
         mb_agent_run(machine->agent);
     }
     if (now_us % 20000 == 0) {
+        if (log_read) {
+            mb_fleet_confirm_ownership(&fleet, now_us);
+        }
         mb_fleet_tick(&fleet);
     }
 }
--- a/tests/unit/test_fleet_takeover.cc
+++ b/tests/unit/test_fleet_takeover.cc
@@ -9,6 +9,7 @@
 
 extern "C" {
 #include "mb_fleet.h"
+#include "mb_ownership.h"
 }
 
 /* Time from the claim by which tasks that no absent worker may run start
@@ -187,6 +188,8 @@
         uint64_t end_us = now_us + ms * 1000;
         mb_fleet_become_owner(&fleet, 2, now_us + 15000000);
         mb_fleet_set_active(&fleet, true);
+        mb_fleet_confirm_ownership(
+            &fleet, now_us + MB_OWNERSHIP_CLAIM_CERTAIN_MS * 1000ull);
         for (uint32_t i = 0; i < names.size(); i++) {
             next_report_us[i] = absent.count(i) > 0
                                     ? UINT64_MAX
--- a/tests/unit/test_journal.cc
+++ b/tests/unit/test_journal.cc
@@ -418,3 +418,36 @@
     mb_ownership_withdraw(&simulation.ownership);
     EXPECT_FALSE(simulation.advance(5000, true));
 }
+
+/* Guards against an owner that takes its ownership for certain although the
+   log has not answered since, and against a new owner that has to read the log
+   twice before it starts anything. */
+TEST(Ownership, IsCertainUpToTheClaimOrTheLatestRead)
+{
+    OwnershipSimulation simulation(1);
+    EXPECT_TRUE(simulation.advance(500, true));
+    uint64_t claimed_us = simulation.ownership.claimed_us;
+    uint64_t certain_us =
+        claimed_us + MB_OWNERSHIP_CLAIM_CERTAIN_MS * UINT64_C(1000);
+    EXPECT_TRUE(simulation.apply(1, 1));
+    EXPECT_EQ(mb_ownership_confirmed_us(&simulation.ownership), certain_us);
+    simulation.advance(3000, false);
+    EXPECT_EQ(mb_ownership_confirmed_us(&simulation.ownership), certain_us);
+    simulation.advance(100, true);
+    EXPECT_EQ(mb_ownership_confirmed_us(&simulation.ownership),
+              simulation.now_us - 50000);
+}
+
+/* Guards against a claim soon after another one that was read among the newest
+   records: the owner relies on MB_OWNERSHIP_CLAIM_CERTAIN_MS. */
+TEST(Ownership, WaitsForAnOwnerThatItReadsAmongTheNewestRecords)
+{
+    OwnershipSimulation simulation(1);
+    simulation.advance(100, true);
+    simulation.apply(1, 9);
+    simulation.advance(1000, true);
+    mb_ownership_record_t record = {2, 8, OwnershipSimulation::OTHER_MEMBER,
+                                    false};
+    EXPECT_FALSE(mb_ownership_apply(&simulation.ownership, &record, false));
+    EXPECT_FALSE(simulation.advance(MB_OWNERSHIP_CLAIM_CERTAIN_MS, true));
+}
--- a/tests/unit/test_scheduler_records.cc
+++ b/tests/unit/test_scheduler_records.cc
@@ -100,6 +100,7 @@
         mb_scheduler_note_jobs_read(&node, now_us);
         node.flush.run(node.flush.context);
         mb_fleet_set_active(&node.fleet, true);
+        mb_fleet_confirm_ownership(&node.fleet, UINT64_MAX);
     }
 
     /* Has the owner receive a complete report of the only worker. */
