Tell a former owner of the newer fencing token

An agent closed the connection of an owner with an older token without a reason. The owner took that for a lost connection, connected again every 0.2 s and acted for up to 10 s beside its successor.

The agent answers the order with a report that has the newer token, and leaves the connection open. The owner does not act until a read of the log that began after the answer; if the log has no such claim, that token does not stop it again, so a peer can't stop the fleet for good. Nothing depends on the answer.

Ownership.DoesNotActAfterItHearsOfANewerToken fails without it (mutant OWNERSHIP_NEWER_TOKEN_IGNORED).

--- a/lib/coordination/mb_ownership.c
+++ b/lib/coordination/mb_ownership.c
@@ -163,12 +163,40 @@
     ownership->withdrawn = true;
 }
 
-/* Returns whether this process owns the fleet and its lease has not
-   expired. */
+/* Notes a token that a peer has seen; see the header. The owner of a token has
+   read its claim back, so a read that begins now shows the claim. If it does
+   not, the peer is wrong, and the token does not stop this owner again. */
+bool
+mb_ownership_note_token_seen(mb_ownership_t *ownership, uint64_t token)
+{
+    if (ownership->state != MB_OWNERSHIP_OWNER ||
+        token <= ownership->latest.token || token <= ownership->token_seen) {
+        return false;
+    }
+    ownership->token_seen = token;
+    ownership->token_seen_us = mb_clock_us(&ownership->clock);
+    return true;
+}
+
+/* Returns whether a peer has told of a newer owner and the log has not been
+   read since. */
+static bool
+may_be_superseded(const mb_ownership_t *ownership)
+{
+#ifdef MB_MUTANT_OWNERSHIP_NEWER_TOKEN_IGNORED
+    return false;
+#endif
+    return ownership->token_seen > ownership->latest.token &&
+           ownership->last_read_start_us <= ownership->token_seen_us;
+}
+
+/* Returns whether this process owns the fleet, its lease has not expired, and
+   no newer owner is heard of. */
 bool
 mb_ownership_may_act(const mb_ownership_t *ownership)
 {
     return ownership->state == MB_OWNERSHIP_OWNER &&
+           !may_be_superseded(ownership) &&
            mb_clock_us(&ownership->clock) <
                ownership->last_read_start_us +
                    MB_OWNERSHIP_LEASE_MS * MB_US_PER_MS;
--- a/lib/coordination/mb_ownership.h
+++ b/lib/coordination/mb_ownership.h
@@ -76,7 +76,10 @@
     uint64_t claim_jitter_us;
     uint64_t last_write_us; /* time of the latest claim or heartbeat */
     uint64_t claimed_us;    /* when the latest claim was due */
-    bool withdrawn;         /* the process stops and makes no more claims */
+    /* Newest token that a peer has told the owner of, and when. */
+    uint64_t token_seen;
+    uint64_t token_seen_us;
+    bool withdrawn; /* the process stops and makes no more claims */
 } mb_ownership_t;
 
 void mb_ownership_init(mb_ownership_t *ownership, const mb_clock_t *clock,
@@ -90,6 +93,10 @@
 mb_ownership_action_t mb_ownership_tick(mb_ownership_t *ownership);
 void mb_ownership_claim_failed(mb_ownership_t *ownership);
 void mb_ownership_withdraw(mb_ownership_t *ownership);
+/* Notes a fencing token that a peer says to have seen. If it is newer than the
+   token of this owner, the owner does not act until it has read the log again.
+   Returns true if it has to stop for that reason. */
+bool mb_ownership_note_token_seen(mb_ownership_t *ownership, uint64_t token);
 bool mb_ownership_may_act(const mb_ownership_t *ownership);
 /* Returns the latest time up to which it is certain that no other process has
    claimed the fleet since this one; meaningful for the owner only. */
--- a/lib/transport/mb_agent_node.c
+++ b/lib/transport/mb_agent_node.c
@@ -107,8 +107,40 @@
     return true;
 }
 
+/* Tells a former owner, which may not be able to read the log, of the newer
+   token that this agent has seen. Its connection stays open, so that it does
+   not connect again and again; it closes when nothing is received any more. */
+static void
+send_token(mb_agent_owner_link_t *owner)
+{
+    MB_AUTO_BUF mb_buf_t bytes = {0};
+    mb_report_t report;
+    mb_report_init(&report);
+    report.token = owner->node->agent.token;
+    report.agent_incarnation = owner->node->agent.incarnation;
+    mb_report_encode(&bytes, &report);
+    mb_report_finish(&report);
+    mb_message_t message = {.type = MB_MESSAGE_REPORT,
+                            .body.packed = mb_buf_view(&bytes)};
+    if (!mb_link_send(&owner->link, &message)) {
+        mb_link_fail(&owner->link);
+    }
+}
+
+/* Rejects an order that is not authorized. */
+static void
+reject_order(mb_agent_owner_link_t *owner, uint64_t token)
+{
+    if (!owner->active && token < owner->node->agent.token) {
+        send_token(owner);
+    }
+    else {
+        mb_link_fail(&owner->link);
+    }
+}
+
 /* Handles a message of an owner: executes an order of the active one. The
-   connection is closed if the order can't be decoded or is not authorized. */
+   connection is closed if the order can't be decoded. */
 static void
 owner_message(void *context, mb_link_t *link, const mb_message_t *message)
 {
@@ -127,7 +159,7 @@
         return;
     }
     if (!authorize_order(owner, node->decoder.order.token)) {
-        mb_link_fail(link);
+        reject_order(owner, node->decoder.order.token);
         return;
     }
     node->last_order_ms = mb_clock_ms(&node->clock);
--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -8,6 +8,14 @@
 /* Delay before a connection is retried, in milliseconds. */
 #define RETRY_DELAY_MS 200u
 
+/* Returns the address of an agent. */
+static mb_str_t
+agent_address(const mb_scheduler_agent_t *agent)
+{
+    return mb_buf_view(
+        &mb_fleet_get_worker(&agent->node->fleet, agent->worker)->address);
+}
+
 /* Closes the connection to an agent, if it is open, and tells the fleet. */
 static void
 close_agent(mb_scheduler_agent_t *agent, uint64_t now_ms)
@@ -21,6 +29,23 @@
     mb_fleet_agent_disconnected(&agent->node->fleet, agent->worker);
 }
 
+/* Stops the owner until it has read the log, if the agent of a worker obeys a
+   newer one. */
+static void
+check_token(mb_scheduler_agent_t *agent, uint64_t token)
+{
+    mb_scheduler_node_t *node = agent->node;
+    if (mb_ownership_note_token_seen(&node->ownership, token)) {
+        mb_log_warning(
+            &node->log,
+            "an agent obeys a newer owner, not acting until the log "
+            "has been read token=%" G_GUINT64_FORMAT
+            " newer=%" G_GUINT64_FORMAT " address=%.*s",
+            node->ownership.latest.token, token,
+            MB_STR_ARG(agent_address(agent)));
+    }
+}
+
 /* Handles a message of an agent: applies a report to the fleet, and closes the
    connection if the report can't be decoded. */
 static void
@@ -42,6 +67,7 @@
         return;
     }
     agent->unreachable_since_ms = 0;
+    check_token(agent, node->report_decoder.report.token);
     mb_fleet_handle_report(&node->fleet, agent->worker,
                            &node->report_decoder.report);
     mb_scheduler_defer_flush(node);
@@ -106,14 +132,6 @@
     return agent;
 }
 
-/* Returns the address of an agent. */
-static mb_str_t
-agent_address(const mb_scheduler_agent_t *agent)
-{
-    return mb_buf_view(
-        &mb_fleet_get_worker(&agent->node->fleet, agent->worker)->address);
-}
-
 /* Adds the worker of an agent to the fleet, or takes it out, after a change of
    the agent's presence. The worker keeps its number. */
 static void
--- a/tests/unit/test_journal.cc
+++ b/tests/unit/test_journal.cc
@@ -451,3 +451,22 @@
     EXPECT_FALSE(mb_ownership_apply(&simulation.ownership, &record, false));
     EXPECT_FALSE(simulation.advance(MB_OWNERSHIP_CLAIM_CERTAIN_MS, true));
 }
+
+/* Guards against an owner that goes on although agents tell it of a newer one,
+   because it can't read the log; and against an owner that a peer stops for
+   good with a token that nobody has claimed. */
+TEST(Ownership, DoesNotActAfterItHearsOfANewerToken)
+{
+    OwnershipSimulation simulation(1);
+    simulation.advance(500, true);
+    simulation.apply(1, 1);
+    EXPECT_FALSE(mb_ownership_note_token_seen(&simulation.ownership, 1));
+    EXPECT_TRUE(mb_ownership_may_act(&simulation.ownership));
+    EXPECT_TRUE(mb_ownership_note_token_seen(&simulation.ownership, 2));
+    simulation.advance(1000, false);
+    EXPECT_FALSE(mb_ownership_may_act(&simulation.ownership));
+    simulation.advance(200, true);
+    EXPECT_TRUE(mb_ownership_may_act(&simulation.ownership));
+    EXPECT_FALSE(mb_ownership_note_token_seen(&simulation.ownership, 2));
+    EXPECT_TRUE(mb_ownership_may_act(&simulation.ownership));
+}
