Stop acting as the owner when the process resigns

A successor claims at once after a resignation, and does not wait for the lease of the process that resigned: only for the leases of the workers. The owner went on sending orders until it had read its resignation back; if it could not read the log, until it ended, up to 4.5 s later. A task that it starts then beside an agent that its successor has not reached may run twice. Found by reading; not shown with processes.

The owner does not act any more once it resigns. Progress is still stored. Ownership.AnOwnerThatHasResignedDoesNotAct fails without it (mutant OWNERSHIP_ACTS_AFTER_RESIGNATION).

--- a/lib/coordination/mb_ownership.c
+++ b/lib/coordination/mb_ownership.c
@@ -156,7 +156,8 @@
     }
 }
 
-/* Stops claims and heartbeats, because the process stops. */
+/* Ends all activity as an owner, because the process stops: claims, heartbeats
+   and orders. */
 void
 mb_ownership_withdraw(mb_ownership_t *ownership)
 {
@@ -191,11 +192,16 @@
 }
 
 /* Returns whether this process owns the fleet, its lease has not expired, and
-   no newer owner is heard of. */
+   no newer owner is heard of. It does not act any more once it resigns: its
+   successor, which may read the resignation earlier than this process or when
+   this one can't read at all, does not wait for its lease. */
 bool
 mb_ownership_may_act(const mb_ownership_t *ownership)
 {
     return ownership->state == MB_OWNERSHIP_OWNER &&
+#ifndef MB_MUTANT_OWNERSHIP_ACTS_AFTER_RESIGNATION
+           !ownership->withdrawn &&
+#endif
            !may_be_superseded(ownership) &&
            mb_clock_us(&ownership->clock) <
                ownership->last_read_start_us +
--- a/tests/unit/test_journal.cc
+++ b/tests/unit/test_journal.cc
@@ -470,3 +470,15 @@
     EXPECT_FALSE(mb_ownership_note_token_seen(&simulation.ownership, 2));
     EXPECT_TRUE(mb_ownership_may_act(&simulation.ownership));
 }
+
+/* Guards against a start beside the successor by an owner that has resigned
+   and can't read its resignation back: the successor does not wait for it. */
+TEST(Ownership, AnOwnerThatHasResignedDoesNotAct)
+{
+    OwnershipSimulation simulation(1);
+    simulation.advance(500, true);
+    simulation.apply(1, 1);
+    EXPECT_TRUE(mb_ownership_may_act(&simulation.ownership));
+    mb_ownership_withdraw(&simulation.ownership);
+    EXPECT_FALSE(mb_ownership_may_act(&simulation.ownership));
+}
