--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -60,7 +60,7 @@
   exit 1
 }
 while read -r name tests; do
-  grep -rqE "MB_MUTANT_$name\b" lib programs || { echo "FAIL $name: no such mutant in the code"; failed=$((failed + 1)); continue; }
+  grep -rqE "MB_MUTANT_$name\b" lib platform programs || { echo "FAIL $name: no such mutant in the code"; failed=$((failed + 1)); continue; }
   # shellcheck disable=SC2086
   if ! build "$name" $tests; then
     echo "FAIL $name: does not build"
