Bound orders and reports by what fits in a frame

Cause: one scheduling pass put all starts for a worker into one order, with the whole payload each. Longer than MB_FRAME_MAX, which only the receiver checked, it ended the connection; the runs were stopped as unconfirmed, the worker was suspended, and the next pass sent the same order. Class: a bound of a message that is not part of what is decided. Lists of reports, calls of the agent to its executor and full send buffers had it too.

Rows are added to a message only while they fit; a full order is sent at once (mb_fleet_orders.c). No starts for a worker while 256 KB wait for its agent, or with more runs than a report can list. A start whose call can't be sent is refused for want of room, not as a failure of the worker. A link refuses to send what is longer than a frame, and an invalid frame that is received is logged: the logs did not tell why connections ended.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -177,7 +177,7 @@
     agent->order_sequence = 0;
     agent->reported_end = agent->acknowledged;
     agent->complete_due = true;
-    (void)g_array_set_size(agent->report.refusals, 0);
+    mb_report_clear(&agent->report);
     memset(agent->report_sent_us, 0, sizeof(agent->report_sent_us));
     return true;
 }
@@ -303,8 +303,9 @@
            (agent->ends->len == 0 || agent->draining);
 }
 
-/* Adds all runs to a complete report. */
-static void
+/* Adds all runs to a complete report. Returns false if there are more than
+   fit, so that the report is not complete. */
+static bool
 add_runs(mb_agent_t *agent)
 {
     for (guint i = 0; i < agent->runs->len; i++) {
@@ -317,21 +318,31 @@
                                .progress = run->progress,
                                .value = run->value,
                                .checkpoint = mb_buf_view(&run->checkpoint)};
-        g_array_append_val(agent->report.runs, row);
+        if (!mb_report_add_run(&agent->report, &row)) {
+            mb_log_error(&agent->log, "report left out runs: too many runs=%u",
+                         agent->runs->len);
+            return false;
+        }
     }
+    return true;
 }
 
-/* Adds the ends that were not reported on this connection yet. */
+/* Adds the ends that were not reported on this connection yet, as many as
+   fit. The others follow in the next report. */
 static void
 add_ends(mb_agent_t *agent)
 {
     for (guint i = 0; i < agent->ends->len; i++) {
         const mb_report_end_t *end =
             &g_array_index(agent->ends, mb_report_end_t, i);
-        if (end->number > agent->reported_end) {
-            g_array_append_val(agent->report.ends, *end);
-            agent->reported_end = end->number;
+        if (end->number <= agent->reported_end) {
+            continue;
+        }
+        if (!mb_report_add_end(&agent->report, end)) {
+            agent->report_due = true;
+            return;
         }
+        agent->reported_end = end->number;
     }
 }
 
@@ -361,17 +372,16 @@
         !mb_agent_worker_reachable(agent, now_us)) {
         report->worker.state = MB_WORKER_ABSENT;
     }
-    report->complete = agent->complete_due;
+    report->complete = agent->complete_due && add_runs(agent);
     if (agent->complete_due) {
-        add_runs(agent);
         agent->last_complete_us = now_us;
     }
+    agent->report_due = false;
+    agent->complete_due = false;
     add_ends(agent);
     agent->report_sent_us[report->sequence % MB_AGENT_REPORT_TIMES_MAX] =
         now_us;
     agent->last_report_us = now_us;
-    agent->report_due = false;
-    agent->complete_due = false;
     agent->callbacks.report(agent->callbacks.context, report);
     mb_report_clear(report);
 }
--- a/lib/coordination/mb_agent_runs.c
+++ b/lib/coordination/mb_agent_runs.c
@@ -63,7 +63,14 @@
                 mb_refusal_t reason)
 {
     mb_report_refusal_t refusal = {*task, run, reason};
-    g_array_append_val(agent->report.refusals, refusal);
+    if (!mb_report_add_refusal(&agent->report, &refusal)) {
+        /* The owner misses the run in the next complete report. */
+        mb_log_warning(&agent->log,
+                       "refused start not reported: the report is full "
+                       "job=%.*s run=%" G_GUINT64_FORMAT " reason=%s",
+                       MB_STR_ARG(mb_dag_id_view(&task->job)), run,
+                       mb_refusal_name(reason));
+    }
     agent->report_due = true;
 }
 
@@ -178,7 +185,8 @@
                                mb_agent_lease_end_ms(agent))) {
         agent->open_calls--;
         g_free(context);
-        mb_agent_refuse(agent, &start->task, start->run, MB_REFUSAL_UNHEALTHY);
+        /* Too many calls are in progress, which says nothing of the worker. */
+        mb_agent_refuse(agent, &start->task, start->run, MB_REFUSAL_NO_ROOM);
         mb_agent_remove_run(agent, run);
     }
 }
--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -552,24 +552,6 @@
     mb_fleet_flush(fleet);
 }
 
-/* Completes and sends the pending order of a worker. It renews the lease and
-   acknowledges stored ends. */
-static void
-send_order(mb_fleet_t *fleet, mb_fleet_worker_t *worker)
-{
-    mb_order_t *order = &worker->pending_order;
-    order->token = fleet->token;
-    order->sequence = ++worker->order_sequence;
-    order->report_sequence = worker->report_sequence;
-    order->lease_ms = MB_FLEET_LEASE_MS;
-    order->incarnation = worker->incarnation;
-    order->acknowledged = worker->ends_stored;
-    worker->order_due = false;
-    worker->ordered_us = mb_clock_us(&fleet->clock);
-    fleet->callbacks.send(fleet->callbacks.context, worker->number, order);
-    mb_order_clear(order);
-}
-
 /* Acts on the events so far; see the header. */
 void
 mb_fleet_flush(mb_fleet_t *fleet)
@@ -586,7 +568,7 @@
     for (guint i = 0; i < fleet->workers->len; i++) {
         mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, i);
         if (fleet->active && worker->connected && worker->order_due) {
-            send_order(fleet, worker);
+            mb_fleet_send_order(fleet, worker);
         }
     }
 }
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -53,6 +53,9 @@
        call. If it can't be sent, it is dropped and the connection has to be
        opened anew. */
     void (*send)(void *context, uint32_t worker, const mb_order_t *order);
+    /* Tells whether many bytes wait to be sent to the agent of a worker.
+       Starts then wait. */
+    bool (*is_congested)(void *context, uint32_t worker);
     /* Adds the progress of a job to the current group of records to be stored.
        The progress is valid during the call. */
     void (*store)(void *context, const mb_dag_progress_t *progress);
--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -113,8 +113,8 @@
 
 /* Tells whether a worker may get starts now: it is ready, its runs are known,
    it has reported lately and all of them can be accounted for, its agent has
-   certainly not obeyed a later owner, the log does not have it as absent, and
-   its health allows it. */
+   certainly not obeyed a later owner and can be sent more, the log does not
+   have it as absent, and its health allows it. */
 static bool
 accepts_starts(const mb_fleet_cost_inputs_t *inputs,
                const mb_fleet_worker_t *worker)
@@ -127,6 +127,7 @@
            !recorded_absent && !worker->has_unknown_orphan &&
            !mb_fleet_worker_silent(worker, inputs->now_us) &&
            mb_fleet_agent_confirmed(inputs->fleet, worker) &&
+           !mb_fleet_orders_congested(inputs->fleet, worker) &&
            !mb_health_suspended(&worker->health, inputs->now_us);
 }
 
--- a/lib/coordination/mb_fleet_headroom.c
+++ b/lib/coordination/mb_fleet_headroom.c
@@ -327,7 +327,6 @@
         mb_order_throttle_t throttle = {mb_fleet_run_task_id(run), run->number,
                                         run->target_throttle_percent};
         run->ordered_throttle_percent = run->target_throttle_percent;
-        g_array_append_val(worker->pending_order.throttles, throttle);
-        worker->order_due = true;
+        mb_fleet_order_throttle(fleet, worker, &throttle);
     }
 }
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -8,7 +8,8 @@
      wait for them after a change of ownership
    - these use mb_fleet_headroom.c (effect of best-effort work on service
      tasks), mb_fleet_estimate.c (expected run times) and mb_fleet_state.c
-     (runs and jobs) */
+     (runs and jobs)
+   - all of them add to the orders of mb_fleet_orders.c */
 #ifndef MB_FLEET_INTERNAL_H
 #define MB_FLEET_INTERNAL_H
 
@@ -50,6 +51,17 @@
                               const mb_fleet_worker_t *worker);
 void mb_fleet_update_absences(mb_fleet_t *fleet, uint64_t now_us);
 
+/* mb_fleet_orders.c */
+bool mb_fleet_orders_congested(const mb_fleet_t *fleet,
+                               const mb_fleet_worker_t *worker);
+void mb_fleet_send_order(mb_fleet_t *fleet, mb_fleet_worker_t *worker);
+uint64_t mb_fleet_order_start(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                              const mb_order_start_t *start);
+uint64_t mb_fleet_order_stop(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                             const mb_order_stop_t *stop);
+void mb_fleet_order_throttle(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                             const mb_order_throttle_t *throttle);
+
 /* mb_fleet_report.c */
 void mb_fleet_abandon_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                            const char *reason);
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -291,8 +291,8 @@
 /* Orders the stop of an orphaned run, one that no task needs. It uses its room
    until it has ended; `step` is NULL if that is not known. */
 static void
-stop_orphan(mb_fleet_worker_t *worker, const mb_report_run_t *entry,
-            const mb_dag_step_t *step)
+stop_orphan(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+            const mb_report_run_t *entry, const mb_dag_step_t *step)
 {
     mb_order_stop_t stop = {entry->task, entry->run};
     if (step == NULL) {
@@ -304,8 +304,7 @@
         worker->orphaned.memory_mb += step->size.memory_mb;
         worker->orphaned.accelerators += step->size.accelerators;
     }
-    g_array_append_val(worker->pending_order.stops, stop);
-    worker->order_due = true;
+    (void)mb_fleet_order_stop(fleet, worker, &stop);
 }
 
 /* Adopts a reported run that this owner doesn't have on record, such as one
@@ -326,7 +325,7 @@
                     " worker=%.*s",
                     MB_STR_ARG(mb_dag_id_view(&entry->task.job)), entry->run,
                     MB_STR_ARG(mb_buf_view(&worker->name)));
-        stop_orphan(worker, entry,
+        stop_orphan(fleet, worker, entry,
                     task == NULL ? NULL : &job->steps[entry->task.step]);
         return;
     }
@@ -346,7 +345,8 @@
    and to watch the latency of service tasks: the start of the run again, which
    has no other effect as the run exists already. */
 static void
-repeat_start(mb_fleet_worker_t *worker, const mb_fleet_run_t *run)
+repeat_start(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+             const mb_fleet_run_t *run)
 {
     const mb_dag_step_t *step = &run->job->steps[run->step];
     mb_order_start_t start = {.task = mb_fleet_run_task_id(run),
@@ -356,8 +356,7 @@
                               .latency_target_ms = step->latency_target_ms,
                               .best_effort = step->best_effort};
     if (step->best_effort || step->latency_target_ms > 0) {
-        g_array_append_val(worker->pending_order.starts, start);
-        worker->order_due = true;
+        (void)mb_fleet_order_start(fleet, worker, &start);
     }
 }
 
@@ -438,7 +437,7 @@
 #endif
         }
         else if (!entry->attributes_known && entry->confirmed) {
-            repeat_start(worker, run);
+            repeat_start(fleet, worker, run);
         }
         run->confirmed = run->confirmed || entry->confirmed;
         update_throttle_state(fleet, run, entry->throttle_percent);
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -176,7 +176,6 @@
     mb_dag_job_t *job = run->job;
     const mb_dag_step_t *step = &job->steps[run->step];
     mb_dag_task_t *task = mb_fleet_run_task(run);
-    run->start_sequence = worker->order_sequence + 1;
     run->started_us = pass->inputs.now_us;
     run->resumed = task->checkpoint_len > 0;
     mb_order_start_t start = {
@@ -188,10 +187,10 @@
         .image = step->image,
         .latency_target_ms = step->latency_target_ms,
         .best_effort = step->best_effort};
+    run->start_sequence =
+        mb_fleet_order_start(pass->inputs.fleet, worker, &start);
     (void)mb_fleet_add_run(pass->inputs.fleet, worker, run);
     mb_health_started(&worker->health, pass->inputs.now_us);
-    g_array_append_val(worker->pending_order.starts, start);
-    worker->order_due = true;
     pass->inputs.fleet->counts.starts++;
     mb_log_info(&pass->inputs.fleet->log,
                 "start job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -144,14 +144,11 @@
                   mb_fleet_run_t *run)
 {
     mb_order_stop_t stop = {mb_fleet_run_task_id(run), run->number};
-    (void)fleet;
     run->stopping = true;
     if (run->stop_sequence > worker->reported_order_sequence) {
         return;
     }
-    run->stop_sequence = worker->order_sequence + 1;
-    worker->order_due = true;
-    g_array_append_val(worker->pending_order.stops, stop);
+    run->stop_sequence = mb_fleet_order_stop(fleet, worker, &stop);
 }
 
 /* Stops all runs of a job. */
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -11,6 +11,15 @@
 
 /* Maximum number of rows in each list of an order or a report. */
 #define MB_ORDER_ROWS_MAX 8192u
+/* Maximum size of the rows of an order, in bytes. What doesn't fit goes into
+   the next order. Small enough that an order on a narrow link does not delay
+   the renewal of the lease for long. */
+#define MB_ORDER_BYTES_MAX (256u * 1024u)
+/* Maximum size of the rows of a report, in bytes. It lists all runs of a
+   worker. */
+#define MB_REPORT_BYTES_MAX (960u * 1024u)
+/* Upper bound of the encoded size of a row without its texts, in bytes. */
+#define MB_ORDER_ROW_BYTES 96u
 /* Maximum length of the name of a worker, a service, a label or an image, in
    bytes. */
 #define MB_ORDER_TEXT_MAX 255u
@@ -87,6 +96,7 @@
     GArray *starts;        /* mb_order_start_t */
     GArray *stops;         /* mb_order_stop_t */
     GArray *throttles;     /* mb_order_throttle_t */
+    size_t bytes;          /* upper bound of the encoded size of the rows */
 } mb_order_t;
 
 /* A run that is, or may still be started, on a worker. */
@@ -147,11 +157,25 @@
     GArray *runs;     /* mb_report_run_t */
     GArray *ends;     /* mb_report_end_t */
     GArray *refusals; /* mb_report_refusal_t */
+    size_t bytes;     /* upper bound of the encoded size of the rows */
 } mb_report_t;
 
 const char *mb_run_end_name(mb_run_end_t how);
 const char *mb_refusal_name(mb_refusal_t reason);
 
+/* Adds a row to an order. Returns false, and adds nothing, if the order is
+   full. */
+bool mb_order_add_start(mb_order_t *order, const mb_order_start_t *start);
+bool mb_order_add_stop(mb_order_t *order, const mb_order_stop_t *stop);
+bool mb_order_add_throttle(mb_order_t *order,
+                           const mb_order_throttle_t *throttle);
+/* Adds a row to a report, likewise. A run for which there is room only without
+   its checkpoint is added without it. */
+bool mb_report_add_run(mb_report_t *report, const mb_report_run_t *run);
+bool mb_report_add_end(mb_report_t *report, const mb_report_end_t *end);
+bool mb_report_add_refusal(mb_report_t *report,
+                           const mb_report_refusal_t *refusal);
+
 void mb_order_init(mb_order_t *order);
 void mb_order_clear(mb_order_t *order);
 void mb_order_finish(mb_order_t *order);
--- a/lib/protocol/mb_frame.c
+++ b/lib/protocol/mb_frame.c
@@ -4,8 +4,6 @@
 
 #include "mb_pack.h"
 
-/* Size of the length field in front of a frame, in bytes. */
-#define LENGTH_BYTES 4
 /* Size in which the decoder's zone allocates memory, in bytes. */
 #define ZONE_BYTES 8192
 /* Maximum number of msgpack objects in a frame. An outcome query has the most:
@@ -361,7 +359,7 @@
 mb_frame_decode(mb_frame_decoder_t *decoder, mb_str_t bytes, size_t *consumed,
                 mb_message_t *message, GError **error)
 {
-    if (bytes.len < LENGTH_BYTES) {
+    if (bytes.len < MB_FRAME_LENGTH_BYTES) {
         return MB_FRAME_INCOMPLETE;
     }
     uint32_t length = read_length(bytes.data);
@@ -373,25 +371,27 @@
         return MB_FRAME_INVALID;
     }
 #endif
-    if (bytes.len < LENGTH_BYTES + (size_t)length) {
+    if (bytes.len < MB_FRAME_LENGTH_BYTES + (size_t)length) {
         return MB_FRAME_INCOMPLETE;
     }
     msgpack_object object;
     size_t offset = 0;
-    if (!mb_pack_validate((mb_str_t){bytes.data + LENGTH_BYTES, length},
-                          OBJECTS_MAX)) {
+    if (!mb_pack_validate(
+            (mb_str_t){bytes.data + MB_FRAME_LENGTH_BYTES, length},
+            OBJECTS_MAX)) {
         mb_error_set(error, MB_KIND_PROTOCOL, "frame is not valid msgpack");
         return MB_FRAME_INVALID;
     }
     msgpack_zone_clear(&decoder->zone);
-    msgpack_unpack_return result = msgpack_unpack(
-        bytes.data + LENGTH_BYTES, length, &offset, &decoder->zone, &object);
+    msgpack_unpack_return result =
+        msgpack_unpack(bytes.data + MB_FRAME_LENGTH_BYTES, length, &offset,
+                       &decoder->zone, &object);
     if (result != MSGPACK_UNPACK_SUCCESS || offset != length ||
         !decode_object(&object, message)) {
         mb_error_set(error, MB_KIND_PROTOCOL, "frame is not a valid message");
         return MB_FRAME_INVALID;
     }
-    *consumed = LENGTH_BYTES + (size_t)length;
+    *consumed = MB_FRAME_LENGTH_BYTES + (size_t)length;
     return MB_FRAME_OK;
 }
 
@@ -402,14 +402,14 @@
 {
     msgpack_packer packer;
     size_t start = out->len;
-    mb_buf_append(out, (mb_str_t){"\0\0\0\0", LENGTH_BYTES});
+    mb_buf_append(out, (mb_str_t){"\0\0\0\0", MB_FRAME_LENGTH_BYTES});
     mb_pack_init(&packer, out);
     (void)msgpack_pack_array(&packer, 1 + codecs[message->type].elements);
     (void)msgpack_pack_uint32(&packer, (uint32_t)message->type);
     codecs[message->type].pack(&packer, message);
-    uint32_t length = (uint32_t)(out->len - start - LENGTH_BYTES);
-    for (int i = 0; i < LENGTH_BYTES; i++) {
+    uint32_t length = (uint32_t)(out->len - start - MB_FRAME_LENGTH_BYTES);
+    for (int i = 0; i < MB_FRAME_LENGTH_BYTES; i++) {
         out->data[start + (size_t)i] =
-            (char)(length >> (8 * (LENGTH_BYTES - 1 - i)));
+            (char)(length >> (8 * (MB_FRAME_LENGTH_BYTES - 1 - i)));
     }
 }
--- a/lib/protocol/mb_frame.h
+++ b/lib/protocol/mb_frame.h
@@ -11,6 +11,8 @@
 
 /* Maximum size of a frame, in bytes, not counting its length field. */
 #define MB_FRAME_MAX (MB_BODY_MAX + 64u * 1024u)
+/* Size of the length field, in bytes. */
+#define MB_FRAME_LENGTH_BYTES 4
 
 typedef enum mb_frame_result {
     MB_FRAME_OK,
--- a/lib/protocol/mb_order_codec.c
+++ b/lib/protocol/mb_order_codec.c
@@ -1,5 +1,6 @@
 #include "mb_order_codec.h"
 
+#include "mb_frame.h"
 #include "mb_pack.h"
 
 /* Size in which the decoder's zone allocates memory, in bytes. */
@@ -11,6 +12,13 @@
 /* Maximum of a throttle, in percent of full speed. */
 #define THROTTLE_PERCENT_MAX 100u
 
+/* Upper bound of the size of a message without its rows, in bytes: the
+   worker's texts and labels, and the numbers. */
+#define HEAD_BYTES_MAX                                                        \
+    ((MB_WORKER_LABELS_MAX + 4u) * (MB_ORDER_TEXT_MAX + 8u) + 1024u)
+G_STATIC_ASSERT(MB_ORDER_BYTES_MAX + HEAD_BYTES_MAX <= MB_FRAME_MAX);
+G_STATIC_ASSERT(MB_REPORT_BYTES_MAX + HEAD_BYTES_MAX <= MB_FRAME_MAX);
+
 /* Initializes a decoder; returns false when out of memory. */
 bool
 mb_order_decoder_init(mb_order_decoder_t *decoder)
--- a/lib/transport/mb_agent_node.c
+++ b/lib/transport/mb_agent_node.c
@@ -81,8 +81,12 @@
 static void
 owner_closed(void *context, mb_link_t *link)
 {
-    (void)link;
-    close_owner(context);
+    mb_agent_owner_link_t *owner = context;
+    if (link->invalid_frame) {
+        mb_log_warning(&owner->node->log,
+                       "connection to an owner closed: invalid frame");
+    }
+    close_owner(owner);
 }
 
 /* Returns whether an order with a fencing token may be executed. The first
--- a/lib/transport/mb_link.c
+++ b/lib/transport/mb_link.c
@@ -136,6 +136,7 @@
         mb_frame_result_t result =
             mb_frame_decode(&link->decoder, rest, &consumed, &message, NULL);
         if (result == MB_FRAME_INVALID) {
+            link->invalid_frame = true;
             return false;
         }
         if (result == MB_FRAME_INCOMPLETE) {
@@ -334,14 +335,21 @@
 }
 
 /* Queues a message for the next flush. Returns false, and queues nothing, when
-   too many bytes wait already or the link has failed. */
+   too many bytes wait already, the link has failed or the message is too
+   long. */
 bool
 mb_link_send(mb_link_t *link, const mb_message_t *message)
 {
     if (link->failed || link->send_buffer.len > MB_LINK_SEND_BUFFER_MAX) {
         return false;
     }
+    size_t before = link->send_buffer.len;
     mb_frame_encode(&link->send_buffer, message);
+    if (link->send_buffer.len - before >
+        MB_FRAME_LENGTH_BYTES + MB_FRAME_MAX) {
+        link->send_buffer.len = before;
+        return false;
+    }
     mb_loop_defer(link->loop, &link->flush);
     return true;
 }
--- a/lib/transport/mb_link.h
+++ b/lib/transport/mb_link.h
@@ -35,6 +35,7 @@
     bool connecting;         /* the connect is in progress */
     bool watching_writable;  /* the loop watches for EPOLLOUT */
     bool failed;             /* set to end the link; see mb_link_fail */
+    bool invalid_frame;      /* it has failed because of what was received */
     bool paused; /* delivers no frame until mb_link_resume on another loop */
     uint64_t last_received_ms;
     uint64_t last_ping_ms;
@@ -74,7 +75,8 @@
                     const mb_link_callbacks_t *callbacks);
 /* Queues a message, which is written after the current batch of events.
    Returns false, and queues nothing, when more than MB_LINK_SEND_BUFFER_MAX
-   bytes wait already or the link has failed. */
+   bytes wait already, the link has failed, or the message is longer than
+   MB_FRAME_MAX, which the peer would not accept. */
 bool mb_link_send(mb_link_t *link, const mb_message_t *message);
 
 /* Opens a non-blocking listening socket on an IPv4 address in host byte order.
--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -7,6 +7,9 @@
 
 /* Delay before a connection is retried, in milliseconds. */
 #define RETRY_DELAY_MS 200u
+/* Bytes that may wait to be sent to an agent before its worker gets no more
+   starts: about a second's worth of the narrowest link. */
+#define CONGESTED_BYTES (256u * 1024u)
 
 /* Returns the address of an agent. */
 static mb_str_t
@@ -78,7 +81,12 @@
 agent_closed(void *context, mb_link_t *link)
 {
     mb_scheduler_agent_t *agent = context;
-    (void)link;
+    if (link->invalid_frame) {
+        mb_log_warning(&agent->node->log,
+                       "connection to an agent closed: invalid frame "
+                       "address=%.*s",
+                       MB_STR_ARG(agent_address(agent)));
+    }
     close_agent(agent, mb_clock_ms(&agent->node->clock));
 }
 
@@ -386,3 +394,14 @@
         mb_link_fail(&agent->link);
     }
 }
+
+/* Tells whether many bytes wait to be sent to the agent of a worker;
+   implements mb_fleet_callbacks_t.is_congested. */
+bool
+mb_scheduler_is_congested(void *context, uint32_t worker)
+{
+    const mb_scheduler_node_t *node = context;
+    const mb_scheduler_agent_t *agent =
+        g_ptr_array_index(node->agents, worker);
+    return agent->open && agent->link.send_buffer.len >= CONGESTED_BYTES;
+}
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -80,5 +80,6 @@
 void mb_scheduler_close_agents(mb_scheduler_node_t *node);
 void mb_scheduler_send_order(void *context, uint32_t worker,
                              const mb_order_t *order);
+bool mb_scheduler_is_congested(void *context, uint32_t worker);
 
 #endif
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -266,6 +266,7 @@
 {
     mb_rng_t rng = mb_rng_system();
     mb_fleet_callbacks_t fleet = {.send = mb_scheduler_send_order,
+                                  .is_congested = mb_scheduler_is_congested,
                                   .store = mb_scheduler_store_progress,
                                   .store_group_end =
                                       mb_scheduler_store_group_end,
--- a/tests/bench/bench_fleet.c
+++ b/tests/bench/bench_fleet.c
@@ -34,6 +34,14 @@
     (void)order;
 }
 
+static bool
+is_congested(void *context, uint32_t worker)
+{
+    (void)context;
+    (void)worker;
+    return false;
+}
+
 static void
 store_progress(void *context, const mb_dag_progress_t *progress)
 {
@@ -129,6 +137,7 @@
     mb_clock_t clock = {read_clock, &bench};
     mb_log_t log = mb_log_null();
     mb_fleet_callbacks_t callbacks = {.send = send_order,
+                                      .is_congested = is_congested,
                                       .store = store_progress,
                                       .store_group_end = end_group,
                                       .store_absence = store_absence,
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -17,6 +17,7 @@
 #include "mb_agent.h"
 #include "mb_dag_record.h"
 #include "mb_fleet.h"
+#include "mb_frame.h"
 #include "mb_order_codec.h"
 #include "mb_ownership.h"
 }
@@ -473,6 +474,24 @@
     return true;
 }
 
+/* Tells whether a message fits in a frame of a link. A longer one is a
+   violation: the receiver would close the connection. */
+static bool
+fits_in_frame(FleetSimulation *simulation, const std::string &bytes)
+{
+    mb_buf_t frame = {};
+    mb_message_t message = {};
+    message.type = MB_MESSAGE_ORDER;
+    message.body.packed = {bytes.data(), bytes.size()};
+    mb_frame_encode(&frame, &message);
+    bool fits = frame.len <= MB_FRAME_LENGTH_BYTES + MB_FRAME_MAX;
+    mb_buf_finish(&frame);
+    if (!fits) {
+        simulation->add_violation("message longer than a frame");
+    }
+    return fits;
+}
+
 /* Delivers a report of an agent to the owner after 4 ms. Reports of a lost
    connection are dropped. */
 static void
@@ -484,6 +503,9 @@
     mb_report_encode(&bytes, report);
     std::string copy(bytes.data, bytes.len);
     mb_buf_finish(&bytes);
+    if (!fits_in_frame(simulation, copy)) {
+        return;
+    }
     uint64_t token = simulation->token;
     uint32_t number = machine->number;
     simulation->events.push_back(
@@ -513,6 +535,9 @@
     mb_order_encode(&bytes, order);
     std::string copy(bytes.data, bytes.len);
     mb_buf_finish(&bytes);
+    if (!fits_in_frame(simulation, copy)) {
+        return;
+    }
     uint64_t token = simulation->token;
     simulation->events.push_back(
         {simulation->now_us + 4000, [=] {
@@ -529,6 +554,15 @@
          }});
 }
 
+/* Connections of the simulation take any number of orders. */
+static bool
+is_congested(void *context, uint32_t worker)
+{
+    (void)context;
+    (void)worker;
+    return false;
+}
+
 /* Adds the progress of a job to the current group. */
 static void
 store_progress(void *context, const mb_dag_progress_t *progress)
@@ -612,9 +646,13 @@
 {
     mb_clock_t clock = {read_clock, this};
     mb_log_t log = make_log();
-    mb_fleet_callbacks_t callbacks = {send_order,      store_progress,
-                                      end_store_group, store_absence,
-                                      read_unix_ms,    this};
+    mb_fleet_callbacks_t callbacks = {send_order,
+                                      is_congested,
+                                      store_progress,
+                                      end_store_group,
+                                      store_absence,
+                                      read_unix_ms,
+                                      this};
     mb_dag_table_init(&table);
     (void)mb_dag_record_decoder_init(&record_decoder);
     (void)mb_order_decoder_init(&report_decoder);
--- a/tests/unit/test_decoders.cc
+++ b/tests/unit/test_decoders.cc
@@ -11,6 +11,7 @@
 
 extern "C" {
 #include "mb_dag_record.h"
+#include "mb_frame.h"
 #include "mb_order_codec.h"
 #include "mbp_jobs.h"
 #include "mbp_registration.h"
@@ -19,6 +20,22 @@
 static const mb_dag_id_t job_id = {{'0', '1', '2', '3', '4', '5', '6', '7',
                                     '8', '9', 'a', 'b', 'c', 'd', 'e', 'f'}};
 
+static const mb_dag_task_id_t job_task = {job_id, UINT32_MAX, UINT32_MAX,
+                                          UINT32_MAX};
+
+/* Checks that an encoded order or report fits in a frame. */
+static void
+expect_frame(const mb_buf_t &bytes)
+{
+    mb_buf_t frame = {};
+    mb_message_t message = {};
+    message.type = MB_MESSAGE_ORDER;
+    message.body.packed = mb_buf_view(&bytes);
+    mb_frame_encode(&frame, &message);
+    EXPECT_LE(frame.len, MB_FRAME_LENGTH_BYTES + MB_FRAME_MAX);
+    mb_buf_finish(&frame);
+}
+
 /* Damages a text: changes, removes, repeats or inserts bytes, or cuts it. */
 static void
 damage(std::string &text, std::mt19937_64 &random)
@@ -222,3 +239,56 @@
         });
     EXPECT_GT(taken, 0u);
 }
+
+/* Guards against a message that its receiver rejects because it is longer than
+   a frame or has too many rows: rows are added while the message says that
+   they fit. */
+TEST(Decoders, FullOrdersAndReportsAreAccepted)
+{
+    const std::string text(MB_DAG_PAYLOAD_MAX, 'x');
+    mb_order_decoder_t decoder;
+    ASSERT_TRUE(mb_order_decoder_init(&decoder));
+    for (size_t length : {0, 1, 40, 1000}) {
+        mb_order_t order;
+        mb_report_t report;
+        mb_buf_t bytes = {};
+        mb_order_start_t start = {};
+        mb_order_stop_t stop = {job_task, UINT64_MAX};
+        mb_report_run_t run = {};
+        mb_report_end_t end = {};
+        mb_report_refusal_t refusal = {job_task, UINT64_MAX,
+                                       MB_REFUSAL_EXPIRED};
+        mb_order_init(&order);
+        start.task = job_task;
+        start.run = UINT64_MAX;
+        start.payload = {text.data(), 4 * length};
+        start.checkpoint = {text.data(), length};
+        while (order.starts->len < 3000 &&
+               mb_order_add_start(&order, &start)) {
+        }
+        while (mb_order_add_stop(&order, &stop)) {
+        }
+        mb_order_encode(&bytes, &order);
+        expect_frame(bytes);
+        EXPECT_TRUE(mb_order_decode(&decoder, mb_buf_view(&bytes), nullptr));
+        mb_buf_clear(&bytes);
+        mb_report_init(&report);
+        run.task = end.task = job_task;
+        run.run = end.run = end.number = UINT64_MAX;
+        run.checkpoint = end.checkpoint = {text.data(), length};
+        while (report.runs->len < 4096 && mb_report_add_run(&report, &run)) {
+        }
+        EXPECT_EQ(report.runs->len, 4096u);
+        while (report.ends->len < 500 && mb_report_add_end(&report, &end)) {
+        }
+        while (mb_report_add_refusal(&report, &refusal)) {
+        }
+        mb_report_encode(&bytes, &report);
+        expect_frame(bytes);
+        EXPECT_TRUE(mb_report_decode(&decoder, mb_buf_view(&bytes), nullptr));
+        mb_order_finish(&order);
+        mb_report_finish(&report);
+        mb_buf_finish(&bytes);
+    }
+    mb_order_decoder_finish(&decoder);
+}
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -71,6 +71,29 @@
     expect_no_violations(simulation);
 }
 
+/* Guards against a new owner that starts next to nothing: it starts all that
+   has waited in one pass, and an order with all these starts, each with a
+   payload, is longer than a frame, is dropped and is sent again. */
+TEST(Fleet, StartsAllThatWaitsAfterAChangeOfOwner)
+{
+    FleetSimulation simulation(2);
+    std::vector<mb_dag_step_t> steps(8);
+    const std::string payload(MB_DAG_PAYLOAD_MAX, 'x');
+    simulation.capacity_milli = 40000;
+    simulation.fail_over();
+    for (size_t i = 0; i < steps.size(); i++) {
+        char id[MB_DAG_ID_LEN + 1];
+        (void)snprintf(id, sizeof(id), "%016zx", i + 1);
+        mb_dag_spec_t spec = one_step_job(&steps[i], id, 100, 100);
+        spec.payload = {payload.data(), payload.size()};
+        simulation.submit(spec);
+    }
+    simulation.fail_over();
+    simulation.advance(4000);
+    EXPECT_EQ(simulation.starts.size(), 800u);
+    expect_no_violations(simulation);
+}
+
 /* Guards against tasks that wait forever for a worker that never comes back,
    and against a second run of a task before the worker's lease has expired. */
 TEST(Fleet, RestartsTasksOfALostWorkerAfterItsLease)
--- a/tests/unit/test_fleet_takeover.cc
+++ b/tests/unit/test_fleet_takeover.cc
@@ -52,6 +52,13 @@
         }
     }
 
+    static bool is_congested(void *context, uint32_t worker)
+    {
+        (void)context;
+        (void)worker;
+        return false;
+    }
+
     static void store(void *context, const mb_dag_progress_t *progress)
     {
         (void)context;
@@ -88,6 +95,7 @@
         mb_clock_t clock = {read_clock, this};
         mb_log_t log = mb_log_null();
         mb_fleet_callbacks_t callbacks = {.send = send,
+                                          .is_congested = is_congested,
                                           .store = store,
                                           .store_group_end = end_group,
                                           .store_absence = store_absence,
