--- a/tests/standins/executor.c
+++ b/tests/standins/executor.c
@@ -183,6 +183,14 @@
     respond(exchange, 200, json_object());
 }
 
+/* Returns the progress of a run in percent. */
+static int
+get_progress(const run_t *run)
+{
+    uint64_t left_ms = run->end_ms - MIN(run->end_ms, now_ms());
+    return 100 - (int)(100 * left_ms / MAX(run_duration_ms, 1u));
+}
+
 /* Handles hold: extends the lease to `expires_ms`, forgets the ends up to the
    number `ack_cursor`, which are acknowledged, and reports the runs in
    progress and the other ends. `born` in the response is the start time. */
@@ -209,7 +217,7 @@
         const run_t *run = g_ptr_array_index(runs, i);
         (void)json_array_append_new(active, json_pack("[s,I,s,i,i]", run->task,
                                                       (json_int_t)run->run, "",
-                                                      50, 100));
+                                                      get_progress(run), 100));
     }
     for (guint i = 0; i < ends->len; i++) {
         const end_t *end = g_ptr_array_index(ends, i);
