Don't take runs for vanished whose ends are not listed yet

Cause: without progress stored, nothing is acknowledged, and an executor lists only the oldest 500 ends. The agent took runs that were in neither list for vanished ones. Class: an absence that is believed, and a bound of a message that is not part of what is decided.

The answer tells whether the list of ends may be cut, and the agent then drops no run. The test Fleet.RunsWhoseEndsAreNotListedYetHaveNotVanished fails without the change (mutant AGENT_CUT_LIST_BELIEVED).

--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -165,9 +165,9 @@
     }
 }
 
-/* Returns whether a run that the latest list does not name is not on the
-   worker: its start was answered, or its stop confirmed, before the list call
-   was sent. */
+/* Returns whether a run that the latest list does not name, and whose end is
+   not among those that the worker has yet to list, is not on the worker: its
+   start was answered, or its stop confirmed, before the list call was sent. */
 static bool
 is_absent(const mb_agent_t *agent, const mb_agent_run_t *run)
 {
@@ -268,7 +268,12 @@
     }
     handle_ends(agent, answer->ends);
     update_runs(agent, answer->runs);
-    remove_absent_runs(agent);
+#ifndef MB_MUTANT_AGENT_CUT_LIST_BELIEVED
+    if (!answer->ends_cut)
+#endif
+    {
+        remove_absent_runs(agent);
+    }
     mb_agent_check_latency(agent, now_us);
 }
 
--- a/lib/coordination/mb_executor.h
+++ b/lib/coordination/mb_executor.h
@@ -24,6 +24,9 @@
     uint64_t start_time_ms; /* answers to `list` only; 0: not reported */
     GArray *runs;           /* answers to `list` only: mb_report_run_t */
     GArray *ends;           /* answers to `list` only: mb_report_end_t */
+    /* Answers to `list` only: there may be more ends than `ends` contains.
+       They follow when those are acknowledged. */
+    bool ends_cut;
 } mb_executor_answer_t;
 
 /* Parameters common to all calls. */
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -68,6 +68,7 @@
     uint64_t token = 0; /* highest fencing token seen */
     std::vector<Run> runs;
     std::vector<End> ends;
+    size_t listed_ends_max = 500; /* ends that it lists at a time */
     /* Highest number of an ended run, by task. Starts up to it are refused. */
     std::map<std::string, uint64_t> ended_runs;
     /* Faults of the next starts, in order. 'o': none; 'l': carried out, but
@@ -447,8 +448,12 @@
             row.task = end.task;
             row.run = end.run;
             row.how = end.how;
+            if (answer->ends->len == worker->listed_ends_max) {
+                break;
+            }
             g_array_append_val(answer->ends, row);
         }
+        answer->ends_cut = answer->ends->len == worker->listed_ends_max;
     };
     complete_call(machine->simulation, call, perform, true, 20000);
     return true;
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -94,6 +94,26 @@
     expect_no_violations(simulation);
 }
 
+/* Guards against tasks that are started again after their success, because its
+   end was not among the ends that the worker lists at a time: the agent took
+   the run for one that had vanished. */
+TEST(Fleet, RunsWhoseEndsAreNotListedYetHaveNotVanished)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    simulation.capacity_milli = 40000;
+    simulation.machines[0]->worker.listed_ends_max = 3;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&step, first_id, 40, 1000));
+    simulation.advance(5000);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    for (const auto &item : simulation.starts) {
+        EXPECT_EQ(item.second, 1u) << item.first;
+    }
+    expect_no_violations(simulation);
+}
+
 /* Guards against tasks that wait forever for a worker that never comes back,
    and against a second run of a task before the worker's lease has expired. */
 TEST(Fleet, RestartsTasksOfALostWorkerAfterItsLease)
