Acknowledge and grant nothing to a worker that may have started again

Cause: the agent believed that the executor which it calls is the incarnation that it knows, although a call had failed since.

Between a call without an answer and the next answered list call, the agent takes no starts, and sends neither acknowledgements nor leases. libcurl does not repeat list calls. An agent without a lease of its own gives up the runs of an unreachable worker after the longest lease of an earlier agent; before, a test showed, it would have kept them for good.

The test Fleet.RestartedWorkerGetsNoAcknowledgementsOfItsEarlierIncarnation fails without the change (mutant AGENT_INCARNATION_ASSUMED).

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -213,7 +213,7 @@
 {
     uint64_t now_us = mb_clock_us(&agent->clock);
     if (agent->info.name.len == 0 || agent->departed ||
-        agent->departure_recorded ||
+        agent->departure_recorded || !mb_agent_incarnation_confirmed(agent) ||
         order->incarnation != agent->info.incarnation) {
         return MB_REFUSAL_ABSENT;
     }
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -75,7 +75,12 @@
     /* Clock of the worker, read at `worker_clock_read_us` of this process. */
     uint64_t worker_clock_ms;
     uint64_t worker_clock_read_us;
-    uint64_t last_list_us;  /* latest answer to a list call; 0: none */
+    uint64_t last_list_us; /* latest answer to a list call; 0: none */
+    /* When a call failed last. Until a later list call is answered, another
+       incarnation may be there under the same name: it gets no
+       acknowledgements, leases and starts, which are meant for the known
+       one. */
+    uint64_t call_failed_us;
     uint64_t lease_end_us;  /* latest lease end sent to the worker */
     GPtrArray *runs;        /* mb_agent_run_t */
     GArray *ends;           /* mb_report_end_t with owned checkpoints */
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -18,6 +18,28 @@
                MB_AGENT_WORKER_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
 }
 
+/* Notes whether a call was answered by the known incarnation of the worker. */
+void
+mb_agent_note_result(mb_agent_t *agent, mb_executor_result_t result)
+{
+    if (result == MB_EXECUTOR_UNANSWERED || result == MB_EXECUTOR_OTHER) {
+        agent->call_failed_us = mb_clock_us(&agent->clock);
+    }
+}
+
+/* Returns whether the known incarnation of the worker is certainly the one
+   that is called: a list call has shown it since a call failed last. A new
+   incarnation has the same name, and its address refuses calls while it
+   starts. */
+bool
+mb_agent_incarnation_confirmed(const mb_agent_t *agent)
+{
+#ifdef MB_MUTANT_AGENT_INCARNATION_ASSUMED
+    return true;
+#endif
+    return agent->call_failed_us == 0;
+}
+
 /* Returns the lease end to send now, in the worker's clock, or 0 if no lease
    may be granted, and records it as the latest one sent. The worker read its
    clock before its answer arrived here, so the lease ends no later than the
@@ -71,6 +93,7 @@
     agent->acknowledged = 0;
     agent->reported_end = 0;
     agent->has_clock = false;
+    agent->call_failed_us = 0;
     agent->last_list_us = 0;
     agent->unlisted_us = mb_clock_us(&agent->clock);
     agent->lease_end_us = 0;
@@ -244,6 +267,7 @@
     uint64_t now_us = mb_clock_us(&agent->clock);
     agent->list_pending = false;
     agent->open_calls--;
+    mb_agent_note_result(agent, answer->result);
     if (answer->result == MB_EXECUTOR_OTHER &&
         agent->list_start_us >= agent->known_since_us) {
         agent->worker_replaced = true;
@@ -256,6 +280,9 @@
         handle_restart(agent, answer);
         return;
     }
+    if (agent->list_start_us > agent->call_failed_us) {
+        agent->call_failed_us = 0;
+    }
     bool new_ends = has_new_ends(agent, answer);
     agent->list_due_us = now_us + MB_AGENT_LIST_GAP_MS *
                                       (uint64_t)MB_US_PER_MS *
@@ -278,20 +305,23 @@
 }
 
 /* Sends a list call, which also extends the lease, and which the worker
-   answers when a run ends or after a while. An unreachable worker is to answer
-   at once, and its lease is not extended. */
+   answers when a run ends or after a while. A worker that is unreachable, or
+   may be another incarnation, is to answer at once; its lease is not extended,
+   and no ends are acknowledged to it. */
 static void
 send_list(mb_agent_t *agent, uint64_t now_us)
 {
     mb_executor_call_t call = mb_agent_call(agent, list_done, agent);
-    bool reachable = mb_agent_worker_reachable(agent, now_us);
+    bool confirmed = mb_agent_incarnation_confirmed(agent);
+    bool reachable = mb_agent_worker_reachable(agent, now_us) && confirmed;
     uint64_t lease_end_ms = reachable ? mb_agent_lease_end_ms(agent) : 0;
     call.timeout_ms += MB_AGENT_LIST_WAIT_MS;
     agent->list_start_us = now_us;
     agent->list_pending = true;
     agent->open_calls++;
     if (!agent->executor.list(agent->executor.context, &call,
-                              agent->acknowledged, lease_end_ms,
+                              confirmed ? agent->acknowledged : 0,
+                              lease_end_ms,
                               reachable ? MB_AGENT_LIST_WAIT_MS : 0)) {
         agent->list_pending = false;
         agent->open_calls--;
@@ -311,13 +341,23 @@
     return end_us == 0 || now_us >= end_us + margin_us;
 }
 
+/* Returns whether all leases of the worker have expired: the latest one of
+   this agent or, if it has granted none, those of an earlier one. */
+static bool
+have_leases_ended(const mb_agent_t *agent, uint64_t now_us)
+{
+    return agent->lease_end_us != 0
+               ? mb_agent_lease_has_ended(agent, now_us)
+               : now_us - agent->unlisted_us >=
+                     MB_AGENT_UNLISTED_MAX_MS * (uint64_t)MB_US_PER_MS;
+}
+
 /* Gives up the runs of an unreachable worker when its lease has expired. */
 static void
 check_lease(mb_agent_t *agent, uint64_t now_us)
 {
-    if (agent->lease_end_us == 0 || agent->runs->len == 0 ||
-        mb_agent_worker_reachable(agent, now_us) ||
-        !mb_agent_lease_has_ended(agent, now_us)) {
+    if (agent->runs->len == 0 || mb_agent_worker_reachable(agent, now_us) ||
+        !have_leases_ended(agent, now_us)) {
         return;
     }
     mb_log_notice(
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -401,6 +401,7 @@
     Machine *machine = static_cast<Machine *>(context);
     FakeWorker *worker = &machine->worker;
     (void)wait_ms;
+    uint64_t started_ms = worker->started_ms;
     auto runs = std::make_shared<std::vector<mb_report_run_t>>();
     std::string expected_name = to_std_string(call->worker);
     auto perform = [=](mb_executor_answer_t *answer) {
@@ -414,6 +415,10 @@
         if (!worker->is_up) {
             return;
         }
+        if (worker->started_ms != started_ms) {
+            /* The connection ended with the process. */
+            return;
+        }
         answer->result = MB_EXECUTOR_OK;
         answer->has_clock = true;
         answer->clock_ms = worker->simulation->now_us / 1000;
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -114,6 +114,40 @@
     expect_no_violations(simulation);
 }
 
+/* Guards against tasks that are started again after their success: a worker
+   that starts again under its name numbers its ends anew, and the
+   acknowledgement of its earlier incarnation made it forget ends that nobody
+   had read. */
+TEST(Fleet, RestartedWorkerGetsNoAcknowledgementsOfItsEarlierIncarnation)
+{
+    /* Whether starts reach the worker before the next list call depends on how
+       long it is down. */
+    for (uint64_t down_ms = 300; down_ms < 500; down_ms += 10) {
+        FleetSimulation simulation(1);
+        mb_dag_step_t first_step;
+        mb_dag_step_t second_step;
+        FakeWorker &worker = simulation.machines[0]->worker;
+        simulation.task_ms = 10;
+        simulation.fail_over();
+        simulation.advance(2500);
+        simulation.submit(one_step_job(&first_step, first_id, 200, 100));
+        simulation.advance(2000);
+        EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+        worker.is_up = false;
+        worker.crash();
+        simulation.advance(down_ms);
+        worker.is_up = true;
+        simulation.submit(one_step_job(&second_step, second_id, 100, 100));
+        simulation.advance(3000);
+        EXPECT_EQ(simulation.outcome(second_id), MB_DAG_COMPLETED);
+        for (const auto &item : simulation.starts) {
+            EXPECT_EQ(item.second, 1u)
+                << item.first << " after " << down_ms << " ms";
+        }
+        expect_no_violations(simulation);
+    }
+}
+
 /* Guards against tasks that wait forever for a worker that never comes back,
    and against a second run of a task before the worker's lease has expired. */
 TEST(Fleet, RestartsTasksOfALostWorkerAfterItsLease)
