Reject a job whose texts are too long for its record

Cause: the client's body and the record were checked by two bounds that disagree. Class: a bound of a message that is not part of what is decided.

mb_dag_spec_valid, which checks both, bounds all texts; the client gets 400 with the reason. Dag.RecordsOfValidSpecificationsCanBeRead fails without the change (mutant DAG_TEXT_NOT_BOUNDED); system_test_jobs asks for the 400.

--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -8,9 +8,6 @@
 #define ZONE_BYTES 4096
 /* Maximum number of msgpack objects in one record. */
 #define OBJECTS_MAX (1u << 19)
-/* Maximum length of the name of a queue, a service, a label, a rack or an
-   image, in bytes. */
-#define TEXT_MAX 255u
 /* Number of elements of a headroom estimate: key, slope, weight. */
 #define PAIR_ELEMENTS 3u
 /* Number of elements of the id of a task: job, occurrence, step, index. */
@@ -98,9 +95,9 @@
     step->per_worker_max = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
     step->latency_target_ms = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
     step->unavailable_max = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
-    step->label = mb_unpack_bytes(&reader, TEXT_MAX);
-    step->rack = mb_unpack_bytes(&reader, TEXT_MAX);
-    step->image = mb_unpack_bytes(&reader, TEXT_MAX);
+    step->label = mb_unpack_bytes(&reader, MB_DAG_TEXT_MAX);
+    step->rack = mb_unpack_bytes(&reader, MB_DAG_TEXT_MAX);
+    step->image = mb_unpack_bytes(&reader, MB_DAG_TEXT_MAX);
     outer->failed = outer->failed || !mb_unpack_done(&reader);
 }
 
@@ -123,8 +120,8 @@
 unpack_policy(mb_unpack_t *outer, mb_dag_policy_t *policy)
 {
     mb_unpack_t reader = mb_unpack_next_array(outer);
-    policy->queue = mb_unpack_bytes(&reader, TEXT_MAX);
-    policy->service = mb_unpack_bytes(&reader, TEXT_MAX);
+    policy->queue = mb_unpack_bytes(&reader, MB_DAG_TEXT_MAX);
+    policy->service = mb_unpack_bytes(&reader, MB_DAG_TEXT_MAX);
     policy->priority = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
     policy->max_attempts = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
     policy->latency_objective_ms =
--- a/lib/state/mb_dag.c
+++ b/lib/state/mb_dag.c
@@ -130,9 +130,9 @@
     return (mb_str_t){id->text, MB_DAG_ID_LEN};
 }
 
-/* Returns whether a step has a valid number of tasks and depends only on
-   earlier steps, so that the dependencies form no cycle. If not, sets
-   *reason. */
+/* Returns whether a step has a valid number of tasks, texts that fit in a
+   record, and depends only on earlier steps, so that the dependencies form no
+   cycle. If not, sets *reason. */
 static bool
 step_valid(const mb_dag_step_t *step, uint32_t number, const char **reason)
 {
@@ -141,6 +141,14 @@
         *reason = "a step needs 1 to 65536 tasks";
         return false;
     }
+#ifndef MB_MUTANT_DAG_TEXT_NOT_BOUNDED
+    if (step->image.len > MB_DAG_TEXT_MAX ||
+        step->label.len > MB_DAG_TEXT_MAX ||
+        step->rack.len > MB_DAG_TEXT_MAX) {
+        *reason = "image, label and rack of a step have at most 255 bytes";
+        return false;
+    }
+#endif
     if ((step->depends_on & ~earlier) != 0) {
         *reason = "a step may only depend on earlier steps";
         return false;
@@ -162,6 +170,11 @@
         *reason = "the payload of a job has at most 4096 bytes";
         return false;
     }
+    if (spec->policy.queue.len > MB_DAG_TEXT_MAX ||
+        spec->policy.service.len > MB_DAG_TEXT_MAX) {
+        *reason = "the names of queue and service have at most 255 bytes";
+        return false;
+    }
     if (spec->occurrences > MB_DAG_OCCURRENCES_MAX) {
         *reason = "a job has at most 65536 occurrences";
         return false;
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -20,6 +20,9 @@
 #define MB_DAG_OCCURRENCES_MAX 65536u
 /* Maximum length of the payload of a job, in bytes. */
 #define MB_DAG_PAYLOAD_MAX 4096u
+/* Maximum length of the other texts of a specification, in bytes: image, label
+   and rack of a step, names of the queue and of the service. */
+#define MB_DAG_TEXT_MAX 255u
 /* Maximum length of a checkpoint, in bytes. */
 #define MB_DAG_CHECKPOINT_MAX 1024u
 /* Maximum number of tasks in the record of an absent worker. */
--- a/tests/system/test_jobs.sh
+++ b/tests/system/test_jobs.sh
@@ -123,6 +123,10 @@
   fail "an unknown queue is not answered with 404"
 [ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' -X POST -d '{' "http://$(address 511)/q/00000000000000fe")" = 400 ] ||
   fail "a bad job is not answered with 400"
+long=$(printf 'x%.0s' $(seq 256))
+[ "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' -X POST "http://$(address 511)/q/00000000000000fd" \
+  -d '{"spec":"x","steps":[{"count":1,"cpu":200,"memory_limit_mb":100,"image":"'"$long"'"}]}')" = 400 ] ||
+  fail "a job with an image of 256 bytes is not answered with 400"
 pass "requests for unknown jobs and queues and invalid jobs are rejected"
 
 for i in 1 2 3; do
--- a/tests/unit/test_dag.cc
+++ b/tests/unit/test_dag.cc
@@ -108,6 +108,35 @@
     EXPECT_FALSE(mb_dag_spec_valid(&spec, &reason));
 }
 
+/* Guards against a job that is accepted and then lost, because its record
+   can't be read: what is valid can be encoded and decoded, whatever the length
+   of its texts. */
+TEST_F(Dag, RecordsOfValidSpecificationsCanBeRead)
+{
+    const std::string text(4 * MB_DAG_TEXT_MAX, 'x');
+    mb_str_t *const texts[] = {&steps[1].image, &steps[1].label,
+                               &steps[1].rack, &spec.policy.queue,
+                               &spec.policy.service};
+    for (mb_str_t *field : texts) {
+        mb_str_t before = *field;
+        for (size_t length = 0; length <= text.size(); length++) {
+            const char *reason = nullptr;
+            mb_buf_t value = {};
+            mb_dag_record_t record;
+            *field = {text.data(), length};
+            EXPECT_EQ(mb_dag_spec_valid(&spec, &reason),
+                      length <= MB_DAG_TEXT_MAX);
+            mb_dag_record_encode_job(&value, &spec);
+            EXPECT_EQ(
+                mb_dag_record_decode(&decoder, MB_STR_LIT("j0123456789abcdef"),
+                                     mb_buf_view(&value), &record, nullptr),
+                length <= MB_DAG_TEXT_MAX);
+            mb_buf_finish(&value);
+        }
+        *field = before;
+    }
+}
+
 /* Guards against a failed run that is counted twice, because it was reported
    twice or after another one; the job would fail although it has attempts
    left. */
