--- a/lib/coordination/mb_fleet_orders.c
+++ b/lib/coordination/mb_fleet_orders.c
@@ -4,8 +4,9 @@
 
 /* Maximum number of runs on a worker. A complete report lists them all. */
 #define WORKER_RUNS_MAX 4096u
-/* Runs, with few of the ends and refusals of the same report. */
-G_STATIC_ASSERT(WORKER_RUNS_MAX *MB_ORDER_ROW_BYTES < MB_REPORT_BYTES_MAX / 2);
+/* Half of a report is left for its ends and refusals. */
+G_STATIC_ASSERT(MB_REPORT_BYTES_MAX / MB_ORDER_ROW_BYTES >
+                2 * WORKER_RUNS_MAX);
 G_STATIC_ASSERT(WORKER_RUNS_MAX <= MB_ORDER_ROWS_MAX);
 
 /* Tells whether further starts for a worker have to wait: too many bytes are
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -146,8 +146,8 @@
 
 typedef struct mb_report {
     uint64_t token; /* highest fencing token that the agent has seen */
-    /* Of the process of the agent, which remembers that token until it
-       ends. */
+    /* Of the process of the agent, which remembers that token until it ends;
+       0: unknown, from an agent of an earlier version. */
     uint64_t agent_incarnation;
     uint64_t sequence;       /* rises with each report of a connection */
     uint64_t order_sequence; /* sequence of the latest order processed */
--- a/lib/protocol/mb_order_codec.c
+++ b/lib/protocol/mb_order_codec.c
@@ -344,9 +344,9 @@
     reader->failed = reader->failed || rows.failed;
 }
 
-/* Appends a report as [highest fencing token, incarnation of the agent,
-   sequence, sequence of the latest order processed, whether it lists all runs,
-   whether the agent drains, worker, runs, ends, refusals]. */
+/* Appends a report as [highest fencing token, sequence, sequence of the latest
+   order processed, whether it lists all runs, whether the agent drains,
+   worker, runs, ends, refusals, incarnation of the agent]. */
 void
 mb_report_encode(mb_buf_t *out, const mb_report_t *report)
 {
@@ -354,7 +354,6 @@
     mb_pack_init(&packer, out);
     (void)msgpack_pack_array(&packer, 10);
     (void)msgpack_pack_uint64(&packer, report->token);
-    (void)msgpack_pack_uint64(&packer, report->agent_incarnation);
     (void)msgpack_pack_uint64(&packer, report->sequence);
     (void)msgpack_pack_uint64(&packer, report->order_sequence);
     mb_pack_bool(&packer, report->complete);
@@ -363,6 +362,7 @@
     pack_runs(&packer, report->runs);
     pack_ends(&packer, report->ends);
     pack_refusals(&packer, report->refusals);
+    (void)msgpack_pack_uint64(&packer, report->agent_incarnation);
 }
 
 /* Validates and unpacks a message, and starts to read its array. Returns false
@@ -419,7 +419,6 @@
         return false;
     }
     report->token = mb_unpack_u64(&reader, UINT64_MAX);
-    report->agent_incarnation = mb_unpack_u64(&reader, UINT64_MAX);
     report->sequence = mb_unpack_u64(&reader, UINT64_MAX);
     report->order_sequence = mb_unpack_u64(&reader, UINT64_MAX);
     report->complete = mb_unpack_bool(&reader);
@@ -428,6 +427,9 @@
     unpack_runs(&reader, report->runs);
     unpack_ends(&reader, report->ends);
     unpack_refusals(&reader, report->refusals);
+    /* Agents of earlier versions don't send it. */
+    report->agent_incarnation =
+        reader.left > 0 ? mb_unpack_u64(&reader, UINT64_MAX) : 0;
     if (!mb_unpack_done(&reader)) {
         mb_error_set(error, MB_KIND_PROTOCOL,
                      "report has missing, extra or invalid fields");
