Read all of a command's output in the system tests' conditions

Traced by 18 runs of the test, six at a time: it failed twice, with a scheduler that owned the fleet all the while.

Cause: "curl | grep -q" under pipefail. grep -q ends at the first match; if curl writes the rest later, it fails with a broken pipe, and so does the condition. With the rest 10 ms later, such a pipeline failed in 20 of 20 tries, and 0 of 20 with grep reading to the end. The conditions check the same as before; that of test_takeover, where the failure hid a match, checks more. 24 runs of system_test_jobs, six at a time, passed with the change.

--- a/tests/system/test_former_owner.sh
+++ b/tests/system/test_former_owner.sh
@@ -55,7 +55,7 @@
 
 # Tells whether a scheduler owns the fleet: owns_fleet NUMBER.
 owns_fleet() {
-  curl -s -m 1 "http://$(address $((530 + $1)))/metrics" | grep -q '^[a-z_]*fleet_owner 1'
+  curl -s -m 1 "http://$(address $((530 + $1)))/metrics" | grep '^[a-z_]*fleet_owner 1' > /dev/null
 }
 
 # Waits up to 10 s until a command succeeds: wait_until TEXT COMMAND...
@@ -123,7 +123,7 @@
 
 kill -CONT "$relay_process"
 wait_until "the first scheduler still takes itself for the owner" sh -c \
-  "! curl -s -m 1 http://$(address 531)/metrics | grep -q '^[a-z_]*fleet_owner 1'"
+  "! curl -s -m 1 http://$(address 531)/metrics | grep '^[a-z_]*fleet_owner 1' > /dev/null"
 lost=$(grep -c '^\(lapsed\|stopped\)' "$dir/runs-1" "$dir/runs-2" | grep -v ':0$' || true)
 [ -z "$lost" ] || fail "runs of the first owner were lost: $lost"
 pass "the runs go on under the successor"
--- a/tests/system/test_job.sh
+++ b/tests/system/test_job.sh
@@ -23,7 +23,7 @@
 cli "$owner" apply -f "$dir/build.json" > "$dir/out" || fail "apply rejects a resource that has a status"
 [ "$(metric "$owner" mb_task_finishes_total)" = 30 ] || fail "finishes: $(metric "$owner" mb_task_finishes_total)"
 [ "$(metric "$owner" mb_shard_takeovers_total)" = 1 ] || fail "takeovers: $(metric "$owner" mb_shard_takeovers_total)"
-cli "$owner" dump | grep -q '"shard-0":{"phase":"owner"' || fail "dump: $(cli "$owner" dump)"
+cli "$owner" dump | grep '"shard-0":{"phase":"owner"' > /dev/null || fail "dump: $(cli "$owner" dump)"
 pass "get, explain, metrics and dump report the finished job"
 
 apply_job 1 huge 1 9000 "sleep 100"
@@ -31,7 +31,7 @@
 wait_for_job_field 5 "$owner" small finished 3
 [ "$(job_field "$owner" huge wait)" = size ] || fail "wait of huge: $(job_field "$owner" huge wait)"
 [ "$(job_field "$owner" huge unschedulable)" = true ] || fail "huge is not unschedulable"
-cli "$owner" explain huge | grep -q 'larger than every worker' || fail "no reason for huge"
+cli "$owner" explain huge | grep 'larger than every worker' > /dev/null || fail "no reason for huge"
 pass "a job larger than every worker reports the reason and blocks no other job"
 
 apply_job 1 long 20 1000 "sleep 60000"
--- a/tests/system/test_jobs.sh
+++ b/tests/system/test_jobs.sh
@@ -73,7 +73,7 @@
 # Prints the number of the scheduler that owns the fleet, nothing without one.
 fleet_owner() {
   for i in 1 2; do
-    if curl -s -m 1 "http://$(address $((530 + i)))/metrics" | grep -q '^[a-z_]*fleet_owner 1'; then
+    if curl -s -m 1 "http://$(address $((530 + i)))/metrics" | grep '^[a-z_]*fleet_owner 1' > /dev/null; then
       echo "$i"
     fi
   done
--- a/tests/system/test_takeover.sh
+++ b/tests/system/test_takeover.sh
@@ -40,7 +40,7 @@
 wait "${pid[entry-$stopped_owner]}" || fail "the planned stop ended with $?"
 wait_for_job_field 15 "$owner" planned finished 30
 check_journals finished=90
-cat "${journals[@]}" | grep -q 'reason=lapse' && fail "a worker's lease lapsed"
+cat "${journals[@]}" | grep 'reason=lapse' > /dev/null && fail "a worker's lease lapsed"
 pass "after a planned stop the other entry takes over within 1.2 s"
 
 start_entry "$stopped_owner"
