Confirm the ownership by appends too, and use a report as soon as it counts

An append under the owner's token that succeeds shows as well that the log had seen no newer epoch when its first attempt was sent. A complete report that came before the confirmation counts as soon as the agent's process is confirmed, if it has all runs on record: nothing was started there meanwhile.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -133,6 +133,7 @@
 {
     worker->connected = false;
     worker->runs_known = false;
+    worker->report_unsettled = false;
     worker->report_sequence = 0;
     worker->reported_order_sequence = 0;
     worker->order_due = false;
@@ -535,6 +536,7 @@
         return;
     }
     check_leases(fleet, now_us);
+    mb_fleet_settle_confirmed(fleet);
     check_former_runs(fleet, now_us);
     if (fleet->active) {
         mb_fleet_update_absences(fleet, now_us);
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -155,6 +155,9 @@
        got a report of that process; 0: it has got none. */
     uint64_t agent_incarnation;
     uint64_t agent_known_since_us;
+    /* The latest complete report has all runs on record here, but its agent's
+       process was not confirmed yet. */
+    bool report_unsettled;
     mb_buf_t name;
     mb_buf_t service; /* name of the pool of workers that it belongs to */
     mb_buf_t rack;
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -63,6 +63,7 @@
                              const mb_order_throttle_t *throttle);
 
 /* mb_fleet_report.c */
+void mb_fleet_settle_confirmed(mb_fleet_t *fleet);
 void mb_fleet_abandon_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                            const char *reason);
 
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -581,6 +581,28 @@
     worker->agent_known_since_us = mb_clock_us(&fleet->clock);
 }
 
+/* Tells whether a complete report contains all runs that are on record. */
+static bool
+has_all_runs(const mb_report_t *report, const mb_fleet_worker_t *worker)
+{
+    for (guint i = 0; i < worker->runs->len; i++) {
+        if (!is_reported(report,
+                         &g_array_index(worker->runs, mb_fleet_run_t, i))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Ends the wait for a worker: every run that is there is on record. */
+static void
+end_wait(mb_fleet_t *fleet, mb_fleet_worker_t *worker)
+{
+    worker->report_unsettled = false;
+    worker->may_have_former_runs = false;
+    mb_fleet_release_absent_tasks(fleet, worker);
+}
+
 /* Concludes from a complete report that what it does not contain does not run
    there. Not before the agent's process is confirmed: an agent that was
    restarted may have obeyed a later owner, under which runs that are missing
@@ -590,11 +612,27 @@
             const mb_report_t *report)
 {
     if (!mb_fleet_agent_confirmed(fleet, worker)) {
+        worker->report_unsettled = has_all_runs(report, worker);
         return;
     }
     drop_unreported_runs(fleet, worker, report);
-    worker->may_have_former_runs = false;
-    mb_fleet_release_absent_tasks(fleet, worker);
+    end_wait(fleet, worker);
+}
+
+/* Ends the wait for workers whose latest report could not be believed when it
+   arrived, and whose agent's process has been confirmed since. Nothing was
+   started there meanwhile, so the report is still right. */
+void
+mb_fleet_settle_confirmed(mb_fleet_t *fleet)
+{
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, i);
+        if (worker->report_unsettled &&
+            mb_fleet_agent_confirmed(fleet, worker)) {
+            end_wait(fleet, worker);
+            fleet->schedule_due = true;
+        }
+    }
 }
 
 /* Applies a report of the agent of a worker. The report is borrowed. Reports
--- a/lib/coordination/mb_journal.c
+++ b/lib/coordination/mb_journal.c
@@ -87,6 +87,7 @@
 {
     g_autoptr(GPtrArray) completed = journal->batch;
     journal->batch = g_ptr_array_new();
+    journal->batch_sent_us = 0;
     journal->uncertain = false;
     for (guint i = 0; i < completed->len; i++) {
         complete_entry(g_ptr_array_index(completed, i), result);
@@ -138,6 +139,7 @@
     switch (result) {
     case MB_KEYED_OK:
         handle_success(journal);
+        journal->confirmed_us = journal->batch_sent_us;
         journal->sequence++;
         complete_batch(journal, MB_KEYED_OK);
         break;
@@ -253,6 +255,9 @@
                                 .timeout_ms = MB_JOURNAL_TIMEOUT_MS,
                                 .done = append_done,
                                 .context = journal};
+    if (journal->batch_sent_us == 0) {
+        journal->batch_sent_us = mb_clock_us(&journal->clock);
+    }
     journal->append_pending = true;
     journal->appends++;
     if (!journal->log.append(journal->log.context, &append)) {
--- a/lib/coordination/mb_journal.h
+++ b/lib/coordination/mb_journal.h
@@ -53,7 +53,11 @@
     bool fenced; /* nothing more is sent: a newer epoch, or closed */
     uint64_t failing_since_us; /* 0: the latest append succeeded */
     uint64_t retry_us;         /* earliest time of the next attempt */
-    uint64_t appends;          /* attempts, for metrics */
+    uint64_t batch_sent_us; /* first attempt of the current append; 0: none */
+    /* When the latest append that succeeded was first sent: the log had not
+       seen a newer epoch by then. */
+    uint64_t confirmed_us;
+    uint64_t appends; /* attempts, for metrics */
 } mb_journal_t;
 
 void mb_journal_init(mb_journal_t *journal, const mb_journal_config_t *config,
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -55,12 +55,15 @@
 }
 
 /* Tells the fleet whether this process may act as its owner, and up to when
-   the log has confirmed that. */
+   the log has confirmed that: by a read, or by an append under its token. */
 static void
 update_ownership(mb_scheduler_node_t *node)
 {
-    mb_fleet_confirm_ownership(&node->fleet,
-                               mb_ownership_confirmed_us(&node->ownership));
+    uint64_t confirmed_us = mb_ownership_confirmed_us(&node->ownership);
+    if (node->owner_journal != NULL) {
+        confirmed_us = MAX(confirmed_us, node->owner_journal->confirmed_us);
+    }
+    mb_fleet_confirm_ownership(&node->fleet, confirmed_us);
     mb_fleet_set_active(&node->fleet, mb_ownership_may_act(&node->ownership));
 }
 
--- a/tests/unit/test_journal.cc
+++ b/tests/unit/test_journal.cc
@@ -106,6 +106,21 @@
     EXPECT_EQ(simulation.log.records.size(), 1u);
 }
 
+/* Guards against an owner that takes a late success for a recent one: the log
+   may have accepted the first attempt of an append, long before its answer to
+   a repetition. */
+TEST(Journal, ConfirmsTheEpochOnlyUpToTheFirstAttempt)
+{
+    JournalSimulation simulation;
+    uint64_t first_sent_us = simulation.now_us;
+    simulation.log.plan = {'l', 'n', 'n'};
+    simulation.add("key");
+    simulation.advance(3000);
+    ASSERT_EQ(simulation.results.size(), 1u);
+    EXPECT_EQ(simulation.results[0], MB_KEYED_OK);
+    EXPECT_EQ(simulation.journal.confirmed_us, first_sent_us);
+}
+
 /* Guards against a client that waits past its deadline for a log that refuses
    all appends. */
 TEST(Journal, GivesUpARecordThatWasRefused)
