--- a/tests/system/test_jobs.sh
+++ b/tests/system/test_jobs.sh
@@ -4,47 +4,7 @@
 # log is unavailable. Runs two schedulers, two agents, and the stand-ins of the
 # store, which holds the log, and of the executors.
 . "$(dirname "$0")/common.sh"
-
-store=$(address 500)
-export MB_SETTINGS
-
-# Writes the settings of a scheduler and starts it: start_scheduler NUMBER.
-start_scheduler() {
-  cat > "$dir/scheduler-$1.ini" << INI
-[daemon]
-role = scheduler
-name = scheduler-$1
-failure_domain = domain-$1
-[scheduler]
-client_address = $(address $((510 + $1)))
-ready_address = $(address $((520 + $1)))
-metrics_address = $(address $((530 + $1)))
-[job_log]
-address = $store
-INI
-  MB_SETTINGS="$dir/scheduler-$1.ini"
-  start "scheduler-$1" magnoliabarrowd --config-env MB_SETTINGS
-  scheduler[$1]=$started
-}
-
-# Writes the settings of an agent and starts it: start_agent NUMBER.
-start_agent() {
-  cat > "$dir/agent-$1.ini" << INI
-[daemon]
-role = agent
-name = agent-$1
-failure_domain = domain-$1
-[agent]
-registration_address = $(address $((540 + $1)))
-link_address = $(address $((550 + $1)))
-worker_address = $(address $((560 + $1)))
-service = echo
-[job_log]
-address = $store
-INI
-  start "agent-$1" magnoliabarrowd -c "$dir/agent-$1.ini"
-  agent[$1]=$started
-}
+. "$(dirname "$0")/jobs.sh"
 
 # Prints the state of a job as a scheduler reports it: job_state NUMBER ID.
 job_state() {
@@ -73,7 +33,7 @@
 # Prints the number of the scheduler that owns the fleet, nothing without one.
 fleet_owner() {
   for i in 1 2; do
-    if curl -s -m 1 "http://$(address $((530 + i)))/metrics" | grep '^[a-z_]*fleet_owner 1' > /dev/null; then
+    if owns_fleet "$i"; then
       echo "$i"
     fi
   done
@@ -88,24 +48,12 @@
   fail "no scheduler owns the fleet"
 }
 
-start store standin-store -l "$store"
-for _ in $(seq 100); do
-  curl -s -o /dev/null "http://$store/switch?down=0" && break
-  sleep 0.05
-done
-# Appends the operators' configuration to the log, as one record: the length of
-# the rest in four bytes, the length of the key in one, key and value.
-config='{"version":3,"routes":[{"name":"q","host":"jobs.example","path_prefix":"/q/","service":"echo","priority":0,"max_attempts":3,"stretch_factor":2.0,"target_latency_ms":500}],"services":[{"name":"echo","admission_check":true,"standby":false}],"limits":{"max_body_bytes":65536}}'
-length=$((1 + 6 + ${#config}))
-printf "\\x00\\x00\\x$(printf %02x $((length / 256)))\\x$(printf %02x $((length % 256)))\\x06config%s" "$config" |
-  curl -s -o /dev/null --data-binary @- "http://$store/api/log-append?topic=keyed.op&part=0"
+start_store
 start_scheduler 1
 start_scheduler 2
 for i in 1 2; do
   start_agent $i
-  "$bin/standin-executor" -l "$(address $((560 + i)))" -c "$(address $((540 + i)))" -n "i-$i" -t 400 \
-    > "$dir/runs-$i" 2>> "$dir/executor-$i.log" &
-  pids+=($!)
+  start_executor $i 400
 done
 wait_for_url "http://$(address 521)/"
 wait_for_url "http://$(address 522)/"
