Notice an executor's restart that no call failed in, and enforce the owner's grant

An executor that ends and starts again between two list calls shows in no call that fails: the acknowledgements of its earlier life still reached it, and tasks that it had done were started again. The test with a worker that restarts at once, every 5 ms over 200 ms, failed on the code before.

Each life has a clock of its own: a start whose answer is more than 500 ms off the known clock now counts like a call without an answer. Such a start has given the new life a lease by the earlier clock, so the agent stops all runs when the time is over that the owner has granted.

Fleet.RestartThatNoCallNoticesIsSeenByTheClock and Fleet.AgentStopsRunsWhenTheGrantOfTheOwnerHasEnded fail without the change (mutants AGENT_CLOCK_NOT_COMPARED, AGENT_GRANT_NOT_ENFORCED). The tests' worker has a clock of its life, takes acknowledgements when a call arrives, and a lease of at most 10 s, as PROTOCOL.md has it.

--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -23,6 +23,9 @@
 /* Time-out of a call to the worker, which is on the same machine, in
    milliseconds. */
 #define MB_AGENT_CALL_TIMEOUT_MS 500u
+/* Difference from the expected time above which an answer is not by the clock
+   of the known incarnation of the worker, in milliseconds. */
+#define MB_AGENT_CLOCK_TOLERANCE_MS 500u
 /* Delay before an unanswered call is retried, in milliseconds. */
 #define MB_AGENT_RETRY_DELAY_MS 150u
 /* Maximum age of the report that an order answers, in milliseconds. The starts
@@ -76,10 +79,10 @@
     uint64_t worker_clock_ms;
     uint64_t worker_clock_read_us;
     uint64_t last_list_us; /* latest answer to a list call; 0: none */
-    /* When a call failed last. Until a later list call is answered, another
-       incarnation may be there under the same name: it gets no
-       acknowledgements, leases and starts, which are meant for the known
-       one. */
+    /* When a call failed last, or its answer was not by the worker's clock.
+       Until a later list call is answered, another incarnation may be there
+       under the same name: it gets no acknowledgements, leases and starts,
+       which are meant for the known one. */
     uint64_t call_failed_us;
     uint64_t lease_end_us;  /* latest lease end sent to the worker */
     GPtrArray *runs;        /* mb_agent_run_t */
--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -74,7 +74,8 @@
 bool mb_agent_lease_has_ended(const mb_agent_t *agent, uint64_t now_us);
 bool mb_agent_worker_reachable(const mb_agent_t *agent, uint64_t now_us);
 void mb_agent_reset_worker(mb_agent_t *agent);
-void mb_agent_note_result(mb_agent_t *agent, mb_executor_result_t result);
+void mb_agent_note_answer(mb_agent_t *agent,
+                          const mb_executor_answer_t *answer);
 bool mb_agent_incarnation_confirmed(const mb_agent_t *agent);
 
 #endif
--- a/lib/coordination/mb_agent_runs.c
+++ b/lib/coordination/mb_agent_runs.c
@@ -128,7 +128,7 @@
     mb_agent_t *agent = call->agent;
     mb_agent_run_t *run = find_called_run(call);
     agent->open_calls--;
-    mb_agent_note_result(agent, answer->result);
+    mb_agent_note_answer(agent, answer);
     if (run == NULL || run->state != MB_AGENT_RUN_STARTING) {
         return;
     }
@@ -201,7 +201,7 @@
     mb_agent_run_t *run = find_called_run(call);
     uint64_t now_us = mb_clock_us(&agent->clock);
     agent->open_calls--;
-    mb_agent_note_result(agent, answer->result);
+    mb_agent_note_answer(agent, answer);
     if (run == NULL) {
         return;
     }
@@ -294,7 +294,7 @@
     g_autofree run_call_t *call = context;
     mb_agent_run_t *run = find_called_run(call);
     call->agent->open_calls--;
-    mb_agent_note_result(call->agent, answer->result);
+    mb_agent_note_answer(call->agent, answer);
     if (run != NULL) {
         run->throttle_pending = false;
         run->throttle_unknown = answer->result == MB_EXECUTOR_UNANSWERED;
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -18,11 +18,39 @@
                MB_AGENT_WORKER_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
 }
 
-/* Notes whether a call was answered by the known incarnation of the worker. */
+/* Returns whether a call was answered by a worker of the known name. */
+static bool
+is_by_known_name(const mb_executor_answer_t *answer)
+{
+    return answer->result == MB_EXECUTOR_OK ||
+           answer->result == MB_EXECUTOR_REFUSED;
+}
+
+/* Returns whether an answer has the time that the clock of the known
+   incarnation shows now. The clock of another one began anew. */
+static bool
+is_by_known_clock(const mb_agent_t *agent, const mb_executor_answer_t *answer)
+{
+    uint64_t elapsed_us =
+        mb_clock_us(&agent->clock) - agent->worker_clock_read_us;
+    uint64_t expected_ms = agent->worker_clock_ms + elapsed_us / MB_US_PER_MS;
+    uint64_t difference_ms = MAX(expected_ms, answer->clock_ms) -
+                             MIN(expected_ms, answer->clock_ms);
+    return !agent->has_clock || !answer->has_clock ||
+           difference_ms <= MB_AGENT_CLOCK_TOLERANCE_MS;
+}
+
+/* Notes whether a call about a run was answered by the known incarnation of
+   the worker. One that took its place between two calls shows in no call that
+   fails, but by its clock. */
 void
-mb_agent_note_result(mb_agent_t *agent, mb_executor_result_t result)
+mb_agent_note_answer(mb_agent_t *agent, const mb_executor_answer_t *answer)
 {
-    if (result == MB_EXECUTOR_UNANSWERED || result == MB_EXECUTOR_OTHER) {
+    bool known_clock = is_by_known_clock(agent, answer);
+#ifdef MB_MUTANT_AGENT_CLOCK_NOT_COMPARED
+    known_clock = true;
+#endif
+    if (!is_by_known_name(answer) || !known_clock) {
         agent->call_failed_us = mb_clock_us(&agent->clock);
     }
 }
@@ -267,7 +295,9 @@
     uint64_t now_us = mb_clock_us(&agent->clock);
     agent->list_pending = false;
     agent->open_calls--;
-    mb_agent_note_result(agent, answer->result);
+    if (!is_by_known_name(answer)) {
+        agent->call_failed_us = now_us;
+    }
     if (answer->result == MB_EXECUTOR_OTHER &&
         agent->list_start_us >= agent->known_since_us) {
         agent->worker_replaced = true;
@@ -369,6 +399,24 @@
     agent->complete_due = true;
 }
 
+/* Stops the runs when the time has passed for which the owner has granted the
+   lease. The worker ends them by itself, unless it holds a longer lease: one
+   that was sent by the clock of its earlier incarnation. */
+static void
+enforce_grant(mb_agent_t *agent, uint64_t now_us)
+{
+    if (agent->grant_end_us == 0 || now_us < agent->grant_end_us) {
+        return;
+    }
+    for (guint i = 0; i < agent->runs->len; i++) {
+        mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        if (!run->stop_wanted) {
+            run->stop_wanted = true;
+            run->stop_due_us = 0;
+        }
+    }
+}
+
 /* Does what is due at this time. */
 void
 mb_agent_worker_tick(mb_agent_t *agent, uint64_t now_us)
@@ -385,6 +433,9 @@
         agent->complete_due = true;
     }
     check_lease(agent, now_us);
+#ifndef MB_MUTANT_AGENT_GRANT_NOT_ENFORCED
+    enforce_grant(agent, now_us);
+#endif
     mb_agent_runs_tick(agent, now_us);
     if (!agent->list_pending && now_us >= agent->list_due_us) {
         send_list(agent, now_us);
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -42,6 +42,7 @@
 /* A fake worker. Runs tasks until they end or its lease expires, and reports
    ends until they are acknowledged. */
 struct FakeWorker {
+    static const uint64_t LEASE_MAX_MS = 10000;
     struct Run {
         mb_dag_task_id_t task;
         uint64_t run; /* run number */
@@ -59,7 +60,8 @@
     FleetSimulation *simulation;
     std::string name;
     std::string service = "service";
-    uint64_t started_ms = 1; /* also its incarnation */
+    uint64_t started_ms = 1;     /* also its incarnation */
+    uint64_t clock_start_ms = 0; /* its clock counts from here */
     bool is_up = true;       /* if not, it does nothing and answers no calls */
     bool stalled = false;    /* its runs make no progress and never end */
     bool fails_runs = false; /* its runs fail 30 ms after their start */
@@ -75,11 +77,14 @@
        the answer is lost; 'd': no answer, and carried out 900 ms later. */
     std::deque<char> start_faults;
 
+    uint64_t clock_ms() const;
+    void extend_lease(uint64_t new_lease_end_ms);
     void finish(size_t index, mb_run_end_t how);
     void advance();
     mb_executor_answer_t start(const mb_order_start_t &start,
                                uint64_t run_token, uint64_t new_lease_end_ms);
     mb_executor_answer_t stop(const mb_executor_run_t &which);
+    void take_list_call(uint64_t acknowledged, uint64_t new_lease_end_ms);
     void crash();
 };
 
@@ -181,6 +186,21 @@
                : job->steps[task.step].size.cpu_milli;
 }
 
+/* Returns the time of the worker's clock, which starts anew with it. */
+inline uint64_t
+FakeWorker::clock_ms() const
+{
+    return simulation->now_us / 1000 - clock_start_ms;
+}
+
+/* Extends the lease, by at most LEASE_MAX_MS from now; never shortens it. */
+inline void
+FakeWorker::extend_lease(uint64_t new_lease_end_ms)
+{
+    lease_end_ms = std::max(
+        lease_end_ms, std::min(new_lease_end_ms, clock_ms() + LEASE_MAX_MS));
+}
+
 /* Ends the run at an index. */
 inline void
 FakeWorker::finish(size_t index, mb_run_end_t how)
@@ -196,7 +216,7 @@
 inline void
 FakeWorker::advance()
 {
-    uint64_t now_ms = simulation->now_us / 1000;
+    uint64_t now_ms = clock_ms();
     for (size_t i = 0; i < runs.size();) {
         if (now_ms >= runs[i].end_ms && !stalled) {
             finish(i, runs[i].fails ? MB_RUN_FAILED : MB_RUN_DONE);
@@ -224,6 +244,7 @@
     token = 0;
     lease_end_ms = 0;
     started_ms++;
+    clock_start_ms = simulation->now_us / 1000;
 }
 
 /* Starts a run as a real worker does, and checks the invariants: capacity, one
@@ -234,7 +255,7 @@
                   uint64_t new_lease_end_ms)
 {
     mb_executor_answer_t answer = {};
-    uint64_t now_ms = simulation->now_us / 1000;
+    uint64_t now_ms = clock_ms();
     std::string task = format_task(start.task);
     answer.has_clock = true;
     answer.clock_ms = now_ms;
@@ -281,7 +302,7 @@
         !mb_dag_step_ready(job, start.task.occurrence, start.task.step)) {
         simulation->add_violation("started before its dependencies: " + task);
     }
-    lease_end_ms = std::max(lease_end_ms, new_lease_end_ms);
+    extend_lease(new_lease_end_ms);
     bool run_fails =
         fails_runs || simulation->random() % 100 < simulation->fail_percent;
     uint64_t run_ms = fails_runs ? 30 : simulation->task_ms;
@@ -310,6 +331,22 @@
     return answer;
 }
 
+/* Takes the lease of a list call, and forgets the ends that it acknowledges.
+ */
+inline void
+FakeWorker::take_list_call(uint64_t acknowledged, uint64_t new_lease_end_ms)
+{
+    advance();
+    extend_lease(new_lease_end_ms);
+    while (!ends.empty() && ends.front().number <= acknowledged) {
+        const End &end = ends.front();
+        if (end.how == MB_RUN_DONE && !end.lease_expired) {
+            simulation->acknowledged.insert(format_task(end.task));
+        }
+        ends.erase(ends.begin());
+    }
+}
+
 /* Releases the arrays of an answer. */
 static inline void
 free_arrays(mb_executor_answer_t *answer)
@@ -421,19 +458,10 @@
         }
         answer->result = MB_EXECUTOR_OK;
         answer->has_clock = true;
-        answer->clock_ms = worker->simulation->now_us / 1000;
+        answer->clock_ms = worker->clock_ms();
         answer->start_time_ms = worker->started_ms;
         answer->incarnation = worker->started_ms;
         worker->advance();
-        worker->lease_end_ms = std::max(worker->lease_end_ms, lease_end_ms);
-        while (!worker->ends.empty() &&
-               worker->ends.front().number <= acknowledged) {
-            const FakeWorker::End &end = worker->ends.front();
-            if (end.how == MB_RUN_DONE && !end.lease_expired) {
-                worker->simulation->acknowledged.insert(format_task(end.task));
-            }
-            worker->ends.erase(worker->ends.begin());
-        }
         for (const auto &run : worker->runs) {
             mb_report_run_t row = {};
             row.task = run.task;
@@ -460,6 +488,13 @@
         }
         answer->ends_cut = answer->ends->len == worker->listed_ends_max;
     };
+    /* The call arrives after 1 ms and is answered after 20 ms. */
+    machine->simulation->events.push_back(
+        {machine->simulation->now_us + 1000, [=] {
+             if (worker->is_up && worker->name == expected_name) {
+                 worker->take_list_call(acknowledged, lease_end_ms);
+             }
+         }});
     complete_call(machine->simulation, call, perform, true, 20000);
     return true;
 }
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -148,6 +148,55 @@
     }
 }
 
+/* Guards against the same when the worker starts again so fast that no call
+   fails: it may end between two list calls. */
+TEST(Fleet, RestartThatNoCallNoticesIsSeenByTheClock)
+{
+    for (uint64_t offset_ms = 0; offset_ms < 200; offset_ms += 5) {
+        FleetSimulation simulation(1);
+        mb_dag_step_t first_step;
+        mb_dag_step_t second_step;
+        FakeWorker &worker = simulation.machines[0]->worker;
+        simulation.task_ms = 5;
+        simulation.fail_over();
+        simulation.advance(2500);
+        simulation.submit(one_step_job(&first_step, first_id, 200, 100));
+        simulation.advance(2000 + offset_ms);
+        EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+        worker.crash();
+        simulation.submit(one_step_job(&second_step, second_id, 100, 100));
+        simulation.advance(3000);
+        EXPECT_EQ(simulation.outcome(second_id), MB_DAG_COMPLETED);
+        for (const auto &item : simulation.starts) {
+            EXPECT_EQ(item.second, 1u)
+                << item.first << " at " << offset_ms << " ms";
+        }
+        expect_no_violations(simulation);
+    }
+}
+
+/* Guards against two runs of a task beside a worker that holds a longer lease
+   than the owner has granted, because a call by the clock of its earlier
+   incarnation reached it. */
+TEST(Fleet, AgentStopsRunsWhenTheGrantOfTheOwnerHasEnded)
+{
+    FleetSimulation simulation(2);
+    mb_dag_step_t step;
+    simulation.task_ms = 60000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&step, first_id, 1, 1000));
+    simulation.advance(500);
+    size_t number = simulation.machines[0]->worker.runs.empty() ? 1 : 0;
+    Machine &machine = *simulation.machines[number];
+    machine.worker.lease_end_ms += 10000;
+    simulation.disconnect(machine);
+    simulation.advance(6000);
+    EXPECT_EQ(simulation.starts.begin()->second, 2u);
+    EXPECT_TRUE(machine.worker.runs.empty());
+    expect_no_violations(simulation);
+}
+
 /* Guards against tasks that wait forever for a worker that never comes back,
    and against a second run of a task before the worker's lease has expired. */
 TEST(Fleet, RestartsTasksOfALostWorkerAfterItsLease)
