Let a new owner that most agents obey wait only for the leases of workers

Cause: the successor holds what it inherited until the former owner's own lease of 10 s has ended, in case that one still acts beside an absent worker.

A former owner that has not heard from the log for 1.5 s acts only while most agents obey it, by orders that they have carried out. A successor to which two thirds of the agents have reported waits 1.5 s and the leases from then on: 6.7 s. Starts in an outage of the whole log go on, because the agents still obey. Nothing depends on a message to the former owner. An agent's process that the former owner has not known since before the claim does not count for it.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -134,6 +134,7 @@
     worker->connected = false;
     worker->runs_known = false;
     worker->report_unsettled = false;
+    worker->probe_sequence = 0;
     worker->report_sequence = 0;
     worker->reported_order_sequence = 0;
     worker->order_due = false;
@@ -168,6 +169,7 @@
         worker->incarnation = 0;
         worker->agent_incarnation = 0;
         worker->agent_known_since_us = 0;
+        worker->obeyed_us = 0;
         worker->state = MB_WORKER_ABSENT;
         worker->ends_applied = 0;
         worker->ends_being_stored = 0;
@@ -206,6 +208,7 @@
     fleet->is_owner = true;
     fleet->token = token;
     fleet->confirmed_us = 0;
+    fleet->majority_end_us = 0;
     fleet->former_leases_end_us = former_leases_end_us;
     fleet->former_runs_resolved = false;
     fleet->wait_logged = false;
@@ -537,6 +540,9 @@
     }
     check_leases(fleet, now_us);
     mb_fleet_settle_confirmed(fleet);
+#ifndef MB_MUTANT_FLEET_WAITS_FOR_LEASE
+    mb_fleet_shorten_wait(fleet, now_us);
+#endif
     check_former_runs(fleet, now_us);
     if (fleet->active) {
         mb_fleet_update_absences(fleet, now_us);
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -38,6 +38,10 @@
 /* A worker gets no starts when its latest report is older than this, in
    milliseconds. */
 #define MB_FLEET_REPORT_TIMEOUT_MS 1000u
+/* Time for which an agent counts as obeying after the owner has sent an order
+   that it has carried out, in milliseconds: several intervals of orders and
+   reports. */
+#define MB_FLEET_OBEYED_MAX_MS 1500u
 /* Time for which an agent must be unreachable before its worker may be
    removed, in milliseconds: when no run is known there, and when the worker
    may still hold runs of the former owner. The latter is longer than the time
@@ -155,6 +159,11 @@
        got a report of that process; 0: it has got none. */
     uint64_t agent_incarnation;
     uint64_t agent_known_since_us;
+    /* The order that the agent is expected to report as carried out, when it
+       was sent, and when the latest one that it has reported was sent. */
+    uint64_t probe_sequence; /* 0: none */
+    uint64_t probe_us;
+    uint64_t obeyed_us; /* 0: it has reported none */
     /* The latest complete report has all runs on record here, but its agent's
        process was not confirmed yet. */
     bool report_unsettled;
@@ -208,6 +217,8 @@
     uint64_t token; /* fencing token of this ownership */
     /* No other process had claimed the fleet by this time. */
     uint64_t confirmed_us;
+    /* Until when most agents certainly obey this owner. */
+    uint64_t majority_end_us;
     /* Time by which all leases granted by the former owner have expired. */
     uint64_t former_leases_end_us;
     /* Every run of the former owner has been reported, its lease has expired,
@@ -254,6 +265,9 @@
    is past the first report of an agent's process, the agent may have obeyed
    another owner before it was restarted. */
 void mb_fleet_confirm_ownership(mb_fleet_t *fleet, uint64_t confirmed_us);
+/* Tells whether the log has confirmed the ownership lately, or most agents
+   obey this owner; it must not act otherwise (mb_fleet_majority.c). */
+bool mb_fleet_leads(mb_fleet_t *fleet);
 bool mb_fleet_is_owner(const mb_fleet_t *fleet);
 
 /* Changes of the job table, and the results of storing progress. */
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -4,6 +4,7 @@
    - mb_fleet_schedule.c chooses what to start, in the order of
      mb_fleet_order.c and at the costs of mb_fleet_cost.c, which
      mb_fleet_candidates.c keeps while the tasks of one step are placed
+   - mb_fleet_majority.c tells whether most agents obey the owner
    - mb_fleet_absence.c keeps the records of absent workers, and the tasks that
      wait for them after a change of ownership
    - these use mb_fleet_headroom.c (effect of best-effort work on service
@@ -51,6 +52,12 @@
                               const mb_fleet_worker_t *worker);
 void mb_fleet_update_absences(mb_fleet_t *fleet, uint64_t now_us);
 
+/* mb_fleet_majority.c */
+void mb_fleet_majority_sent(mb_fleet_worker_t *worker, uint64_t now_us);
+void mb_fleet_majority_reported(mb_fleet_worker_t *worker,
+                                uint64_t order_sequence);
+void mb_fleet_shorten_wait(mb_fleet_t *fleet, uint64_t now_us);
+
 /* mb_fleet_orders.c */
 bool mb_fleet_orders_congested(const mb_fleet_t *fleet,
                                const mb_fleet_worker_t *worker);
--- a/lib/coordination/mb_fleet_orders.c
+++ b/lib/coordination/mb_fleet_orders.c
@@ -35,6 +35,7 @@
     order->acknowledged = worker->ends_stored;
     worker->order_due = false;
     worker->ordered_us = mb_clock_us(&fleet->clock);
+    mb_fleet_majority_sent(worker, worker->ordered_us);
     fleet->callbacks.send(fleet->callbacks.context, worker->number, order);
     mb_order_clear(order);
 }
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -658,6 +658,7 @@
     worker->reported_us = now_us;
     worker->report_sequence = report->sequence;
     worker->reported_order_sequence = report->order_sequence;
+    mb_fleet_majority_reported(worker, report->order_sequence);
     worker->agent_draining = report->draining;
     /* Orders that answer this report extend the lease from the time when it
        was sent, which is before now. */
--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -379,7 +379,7 @@
     if (!agent->open) {
         return;
     }
-    if (!mb_ownership_may_act(&node->ownership)) {
+    if (!mb_scheduler_may_act(node)) {
         mb_log_warning(&node->log,
                        "order not sent: ownership became uncertain during the "
                        "pass token=%" G_GUINT64_FORMAT,
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -29,6 +29,7 @@
 void mb_scheduler_init_modules(mb_scheduler_node_t *node);
 bool mb_scheduler_is_stale(const mb_scheduler_node_t *node,
                            uint64_t config_age_us);
+bool mb_scheduler_may_act(mb_scheduler_node_t *node);
 void mb_scheduler_defer_flush(mb_scheduler_node_t *node);
 
 /* mb_scheduler_metrics.c */
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -54,6 +54,14 @@
     mb_loop_defer(&node->loop, &node->flush);
 }
 
+/* Tells whether this process owns the fleet and may send orders. */
+bool
+mb_scheduler_may_act(mb_scheduler_node_t *node)
+{
+    return mb_ownership_may_act(&node->ownership) &&
+           mb_fleet_leads(&node->fleet);
+}
+
 /* Tells the fleet whether this process may act as its owner, and up to when
    the log has confirmed that: by a read, or by an append under its token. */
 static void
@@ -64,7 +72,7 @@
         confirmed_us = MAX(confirmed_us, node->owner_journal->confirmed_us);
     }
     mb_fleet_confirm_ownership(&node->fleet, confirmed_us);
-    mb_fleet_set_active(&node->fleet, mb_ownership_may_act(&node->ownership));
+    mb_fleet_set_active(&node->fleet, mb_scheduler_may_act(node));
 }
 
 /* Runs the fleet's scheduling and sends the queued records to the log. The
--- a/tests/unit/test_fleet_former_owner.cc
+++ b/tests/unit/test_fleet_former_owner.cc
@@ -110,3 +110,34 @@
     EXPECT_EQ(owner.starts_of(second_id), 1u);
     expect_no_violations(owner.simulation);
 }
+
+/* Guards against two owners that act at a time once the later one waits only
+   for the leases of workers: the former owner has to stop when most agents
+   obey the later one, and not because it can't read the log. Agents that are
+   restarted forget the later owner, and don't count. */
+TEST(FleetFormerOwner, LeadsOnlyWhileMostAgentsObeyIt)
+{
+    FleetSimulation simulation(3);
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.log_read = false;
+    simulation.advance(5000);
+    EXPECT_TRUE(mb_fleet_leads(&simulation.fleet));
+    for (size_t i = 0; i < 2; i++) {
+        Machine &machine = *simulation.machines[i];
+        EXPECT_TRUE(mb_fleet_leads(&simulation.fleet));
+        simulation.disconnect(machine);
+        ASSERT_TRUE(mb_agent_connected(machine.agent, simulation.token + 1));
+        simulation.advance(3000);
+    }
+    EXPECT_FALSE(mb_fleet_leads(&simulation.fleet));
+    for (size_t i = 0; i < 2; i++) {
+        simulation.restart_agent(*simulation.machines[i]);
+    }
+    simulation.advance(3000);
+    EXPECT_TRUE(simulation.machines[0]->connected);
+    EXPECT_FALSE(mb_fleet_leads(&simulation.fleet));
+    simulation.log_read = true;
+    simulation.advance(20);
+    EXPECT_TRUE(mb_fleet_leads(&simulation.fleet));
+}
