--- /dev/null
+++ b/tests/unit/fleet_simulation_worker.h
@@ -0,0 +1,367 @@
+/* The fake worker of the simulated fleet, and the calls of its agent. Included
+   by fleet_simulation.h. */
+#ifndef FLEET_SIMULATION_WORKER_H
+#define FLEET_SIMULATION_WORKER_H
+
+#include "fleet_simulation.h"
+
+/* Returns a log to stderr if MB_LOG is set in the environment. */
+static mb_log_t
+make_log(void)
+{
+    return g_getenv("MB_LOG") == nullptr
+               ? mb_log_null()
+               : mb_log_stderr("world", MB_SEVERITY_DEBUG);
+}
+
+static uint64_t
+read_clock(void *context)
+{
+    return static_cast<FleetSimulation *>(context)->now_us;
+}
+
+/* Returns the declared processors of a task in thousandths; 0 for best-effort
+   tasks, which may exceed the capacity of a worker. */
+static inline uint32_t
+get_declared_cpu(FleetSimulation *simulation, const mb_dag_task_id_t &task)
+{
+    mb_dag_job_t *job = mb_dag_find(&simulation->table, task.job);
+    return job == nullptr || job->steps[task.step].best_effort
+               ? 0
+               : job->steps[task.step].size.cpu_milli;
+}
+
+/* Returns the time of the worker's clock, which starts anew with it. */
+inline uint64_t
+FakeWorker::clock_ms() const
+{
+    return simulation->now_us / 1000 - clock_start_ms;
+}
+
+/* Extends the lease, by at most LEASE_MAX_MS from now; never shortens it. */
+inline void
+FakeWorker::extend_lease(uint64_t new_lease_end_ms)
+{
+    lease_end_ms = std::max(
+        lease_end_ms, std::min(new_lease_end_ms, clock_ms() + LEASE_MAX_MS));
+}
+
+/* Ends the run at an index. */
+inline void
+FakeWorker::finish(size_t index, mb_run_end_t how)
+{
+    Run run = runs[index];
+    runs.erase(runs.begin() + (long)index);
+    ends.push_back({++last_end_number, run.task, run.run, how, false});
+    uint64_t &last_ended = ended_runs[format_task(run.task)];
+    last_ended = std::max(last_ended, run.run);
+}
+
+/* Ends the runs that are due or whose lease has expired. */
+inline void
+FakeWorker::advance()
+{
+    uint64_t now_ms = clock_ms();
+    for (size_t i = 0; i < runs.size();) {
+        if (now_ms >= runs[i].end_ms && !stalled) {
+            finish(i, runs[i].fails ? MB_RUN_FAILED : MB_RUN_DONE);
+        }
+        else if (now_ms >= lease_end_ms) {
+            finish(i, MB_RUN_LEASE_EXPIRED);
+        }
+        else {
+            i++;
+        }
+    }
+    for (End &end : ends) {
+        end.lease_expired = end.lease_expired || now_ms >= lease_end_ms;
+    }
+}
+
+/* Restarts the worker: runs, ends and tokens are lost. */
+inline void
+FakeWorker::crash()
+{
+    runs.clear();
+    ends.clear();
+    ended_runs.clear();
+    last_end_number = 0;
+    token = 0;
+    lease_end_ms = 0;
+    started_ms++;
+    clock_start_ms = simulation->now_us / 1000;
+}
+
+/* Starts a run as a real worker does, and checks the invariants: capacity, one
+   run per task, no start after an acknowledged success or before the
+   dependencies are done. */
+inline mb_executor_answer_t
+FakeWorker::start(const mb_order_start_t &start, uint64_t run_token,
+                  uint64_t new_lease_end_ms)
+{
+    mb_executor_answer_t answer = {};
+    uint64_t now_ms = clock_ms();
+    std::string task = format_task(start.task);
+    answer.has_clock = true;
+    answer.clock_ms = now_ms;
+    answer.result = MB_EXECUTOR_REFUSED;
+    if (run_token < token) {
+        answer.reason = MB_REFUSAL_FENCED;
+        return answer;
+    }
+    token = run_token;
+    for (const Run &run : runs) {
+        if (format_task(run.task) == task && run.run == start.run) {
+            answer.result = MB_EXECUTOR_OK;
+            return answer;
+        }
+    }
+    if (new_lease_end_ms <= now_ms) {
+        answer.reason = MB_REFUSAL_EXPIRED;
+        return answer;
+    }
+    if (ended_runs.count(task) > 0 && start.run <= ended_runs[task]) {
+        answer.reason = MB_REFUSAL_OLD_RUN;
+        return answer;
+    }
+    uint32_t used = get_declared_cpu(simulation, start.task);
+    for (const Run &run : runs) {
+        used += get_declared_cpu(simulation, run.task);
+    }
+    if (used > simulation->capacity_milli) {
+        simulation->add_violation("over capacity: " + task);
+    }
+    for (auto &machine : simulation->machines) {
+        for (const Run &run : machine->worker.runs) {
+            if (machine->worker.is_up && format_task(run.task) == task) {
+                simulation->add_violation("two runs at a time: " + task);
+            }
+        }
+    }
+    if (simulation->acknowledged.count(task) > 0) {
+        simulation->add_violation(
+            "started after its success was acknowledged: " + task);
+    }
+    mb_dag_job_t *job = mb_dag_find(&simulation->table, start.task.job);
+    if (job != nullptr &&
+        !mb_dag_step_ready(job, start.task.occurrence, start.task.step)) {
+        simulation->add_violation("started before its dependencies: " + task);
+    }
+    extend_lease(new_lease_end_ms);
+    bool run_fails =
+        fails_runs || simulation->random() % 100 < simulation->fail_percent;
+    uint64_t run_ms = fails_runs ? 30 : simulation->task_ms;
+    runs.push_back({start.task, start.run, now_ms + run_ms, run_fails, 100});
+    simulation->starts[task]++;
+    answer.result = MB_EXECUTOR_OK;
+    return answer;
+}
+
+/* Stops a run. If it is not there, a start of it that arrives later is
+   refused. */
+inline mb_executor_answer_t
+FakeWorker::stop(const mb_executor_run_t &which)
+{
+    mb_executor_answer_t answer = {};
+    std::string task = format_task(which.task);
+    answer.result = MB_EXECUTOR_OK;
+    for (size_t i = 0; i < runs.size(); i++) {
+        if (format_task(runs[i].task) == task && runs[i].run == which.run) {
+            finish(i, MB_RUN_STOPPED);
+            return answer;
+        }
+    }
+    uint64_t &last_ended = ended_runs[task];
+    last_ended = std::max(last_ended, which.run);
+    return answer;
+}
+
+/* Takes the lease of a list call, and forgets the ends that it acknowledges.
+ */
+inline void
+FakeWorker::take_list_call(uint64_t acknowledged, uint64_t new_lease_end_ms)
+{
+    advance();
+    extend_lease(new_lease_end_ms);
+    while (!ends.empty() && ends.front().number <= acknowledged) {
+        const End &end = ends.front();
+        if (end.how == MB_RUN_DONE && !end.lease_expired) {
+            simulation->acknowledged.insert(format_task(end.task));
+        }
+        ends.erase(ends.begin());
+    }
+}
+
+/* Releases the arrays of an answer. */
+static inline void
+free_arrays(mb_executor_answer_t *answer)
+{
+    if (answer->runs != nullptr) {
+        g_array_unref(answer->runs);
+        g_array_unref(answer->ends);
+    }
+    answer->runs = answer->ends = nullptr;
+}
+
+/* Carries out a call of an agent after `delay_us`. If `answered`, the answer
+   arrives then; otherwise it is lost, and the call times out. */
+static inline void
+complete_call(FleetSimulation *simulation, const mb_executor_call_t *call,
+              std::function<void(mb_executor_answer_t *)> perform,
+              bool answered, uint64_t delay_us)
+{
+    auto done = call->done;
+    void *context = call->context;
+    uint64_t timeout_us = call->timeout_ms * 1000ull;
+    auto result = std::make_shared<mb_executor_answer_t>();
+    simulation->events.push_back({simulation->now_us + delay_us, [=] {
+                                      perform(result.get());
+                                      if (answered) {
+                                          done(context, result.get());
+                                      }
+                                      free_arrays(result.get());
+                                  }});
+    if (!answered) {
+        simulation->events.push_back({simulation->now_us + timeout_us, [=] {
+                                          mb_executor_answer_t none = {};
+                                          none.result = MB_EXECUTOR_UNANSWERED;
+                                          done(context, &none);
+                                      }});
+    }
+}
+
+/* The callbacks of the executor, carried out by the fake worker. */
+static bool
+fake_start(void *context, const mb_executor_call_t *call,
+           const mb_order_start_t *start, uint64_t lease_end_ms)
+{
+    Machine *machine = static_cast<Machine *>(context);
+    FakeWorker *worker = &machine->worker;
+    char fault = 'o';
+    if (!worker->start_faults.empty()) {
+        fault = worker->start_faults.front();
+        worker->start_faults.pop_front();
+    }
+    mb_order_start_t copy = *start;
+    copy.payload = copy.checkpoint = copy.approval = copy.image = MB_STR_EMPTY;
+    uint64_t token = call->token;
+    uint64_t started_ms = worker->started_ms;
+    auto perform = [=](mb_executor_answer_t *answer) {
+        if (worker->is_up && worker->started_ms == started_ms) {
+            *answer = worker->start(copy, token, lease_end_ms);
+        }
+        else {
+            answer->result = MB_EXECUTOR_UNANSWERED;
+        }
+    };
+    complete_call(machine->simulation, call, perform, fault == 'o',
+                  fault == 'd' ? 900000 : 1000);
+    return true;
+}
+
+static bool
+fake_stop(void *context, const mb_executor_call_t *call,
+          const mb_executor_run_t *run)
+{
+    Machine *machine = static_cast<Machine *>(context);
+    FakeWorker *worker = &machine->worker;
+    mb_executor_run_t copy = *run;
+    auto perform = [=](mb_executor_answer_t *answer) {
+        answer->result = MB_EXECUTOR_UNANSWERED;
+        if (worker->is_up) {
+            *answer = worker->stop(copy);
+        }
+    };
+    complete_call(machine->simulation, call, perform, true, 1000);
+    return true;
+}
+
+static bool
+fake_list(void *context, const mb_executor_call_t *call, uint64_t acknowledged,
+          uint64_t lease_end_ms, uint32_t wait_ms)
+{
+    Machine *machine = static_cast<Machine *>(context);
+    FakeWorker *worker = &machine->worker;
+    (void)wait_ms;
+    uint64_t started_ms = worker->started_ms;
+    auto runs = std::make_shared<std::vector<mb_report_run_t>>();
+    std::string expected_name = to_std_string(call->worker);
+    auto perform = [=](mb_executor_answer_t *answer) {
+        answer->result = MB_EXECUTOR_UNANSWERED;
+        if (worker->is_up && worker->name != expected_name) {
+            answer->result = MB_EXECUTOR_OTHER;
+            return;
+        }
+        answer->runs = g_array_new(FALSE, FALSE, sizeof(mb_report_run_t));
+        answer->ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
+        if (!worker->is_up) {
+            return;
+        }
+        if (worker->started_ms != started_ms) {
+            /* The connection ended with the process. */
+            return;
+        }
+        answer->result = MB_EXECUTOR_OK;
+        answer->has_clock = true;
+        answer->clock_ms = worker->clock_ms();
+        answer->start_time_ms = worker->started_ms;
+        answer->incarnation = worker->started_ms;
+        worker->advance();
+        for (const auto &run : worker->runs) {
+            mb_report_run_t row = {};
+            row.task = run.task;
+            row.run = run.run;
+            row.confirmed = true;
+            row.value = worker->simulation->reported_value
+                            ? worker->simulation->reported_value(*worker, run)
+                            : 0;
+            row.progress = worker->stalled
+                               ? 10
+                               : worker->simulation->now_us / 20000 % 100;
+            g_array_append_val(answer->runs, row);
+        }
+        for (const auto &end : worker->ends) {
+            mb_report_end_t row = {};
+            row.number = end.number;
+            row.task = end.task;
+            row.run = end.run;
+            row.how = end.how;
+            if (answer->ends->len == worker->listed_ends_max) {
+                break;
+            }
+            g_array_append_val(answer->ends, row);
+        }
+        answer->ends_cut = answer->ends->len == worker->listed_ends_max;
+    };
+    /* The call arrives after 1 ms and is answered after 20 ms. */
+    machine->simulation->events.push_back(
+        {machine->simulation->now_us + 1000, [=] {
+             if (worker->is_up && worker->name == expected_name) {
+                 worker->take_list_call(acknowledged, lease_end_ms);
+             }
+         }});
+    complete_call(machine->simulation, call, perform, true, 20000);
+    return true;
+}
+
+static bool
+fake_throttle(void *context, const mb_executor_call_t *call,
+              const mb_executor_run_t *run, uint32_t percent)
+{
+    Machine *machine = static_cast<Machine *>(context);
+    FakeWorker *worker = &machine->worker;
+    mb_executor_run_t copy = *run;
+    auto perform = [=](mb_executor_answer_t *answer) {
+        answer->result = MB_EXECUTOR_OK;
+        for (auto &other : worker->runs) {
+            if (other.run == copy.run &&
+                mb_dag_task_id_equal(&other.task, &copy.task)) {
+                other.throttle_percent = percent;
+            }
+        }
+    };
+    complete_call(machine->simulation, call, perform, true, 1000);
+    return true;
+}
+
+#endif
