Report to a new owner only what the worker lists under its fencing token

Cause: a start without an answer may be carried out seconds later. When its agent has been restarted and the owner has changed, nobody knows of it. The agent reported to the new owner what its worker had listed under the former one; the worker learned the new token, and refused the former owner's start from then on, only with the next list call, up to 150 ms later.

Why the fix works: a process of the agent that is younger than the longest lease (6 s) reports to an owner once its worker has answered a list call with that owner's token. The list then contains the late start, or the worker refuses it. No message between owners or agents is needed.

The tests' worker took the fencing token from starts only; on the platform any call carries it. It now refuses list and stop calls with a lower token too.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -20,7 +20,8 @@
     agent->executor = *executor;
     agent->clock = *clock;
     agent->log = *log;
-    agent->unlisted_us = mb_clock_us(clock);
+    agent->started_us = mb_clock_us(clock);
+    agent->unlisted_us = agent->started_us;
     agent->runs = g_ptr_array_new_with_free_func(mb_agent_free_run);
     agent->ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
     mb_report_init(&agent->report);
@@ -346,12 +347,30 @@
     }
 }
 
+/* Returns whether the worker refuses the starts that an earlier process of the
+   agent sent under former owners: they carry a lower fencing token than a list
+   call that the worker has answered, or the lease that they came with has
+   ended. */
+static bool
+refuses_former_starts(const mb_agent_t *agent, uint64_t now_us)
+{
+#ifdef MB_MUTANT_AGENT_REPORTS_BEFORE_FENCING
+    return true;
+#endif
+    return agent->fenced_token >= agent->token ||
+           now_us - agent->started_us >=
+               MB_AGENT_UNLISTED_MAX_MS * (uint64_t)MB_US_PER_MS;
+}
+
 /* Returns whether it is known what the worker runs: it has answered a list
-   call, or everything that an earlier agent started has ended. */
+   call, and nothing that an earlier process of the agent sent can start there
+   any more; or everything that process started has ended. */
 static bool
 knows_runs(const mb_agent_t *agent, uint64_t now_us)
 {
-    return agent->last_list_us != 0 || agent->departed ||
+    bool listed =
+        agent->last_list_us != 0 && refuses_former_starts(agent, now_us);
+    return listed || agent->departed ||
            now_us - agent->unlisted_us >=
                MB_AGENT_UNLISTED_MAX_MS * (uint64_t)MB_US_PER_MS;
 }
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -63,6 +63,7 @@
     mb_clock_t clock;
     mb_log_t log;
     uint64_t incarnation; /* of the agent's process */
+    uint64_t started_us;  /* when the agent's process started */
     /* State of the worker. */
     mb_worker_info_t info; /* views of `text` */
     mb_buf_t text[4 + MB_WORKER_LABELS_MAX];
@@ -91,7 +92,11 @@
     uint64_t acknowledged;  /* the owner has stored ends up to this number */
     bool list_pending;      /* a list call is not answered yet */
     uint64_t list_start_us; /* when the latest list call was sent */
-    uint64_t list_due_us;   /* earliest time of the next list call */
+    uint64_t list_token;    /* fencing token of that call */
+    /* Highest fencing token of a list call that the worker has answered: it
+       refuses starts with a lower one. */
+    uint64_t fenced_token;
+    uint64_t list_due_us; /* earliest time of the next list call */
     /* Incremented when all runs are given up at once, so that later answers
        about them are ignored. */
     uint64_t generation;
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -123,6 +123,7 @@
     agent->has_clock = false;
     agent->call_failed_us = 0;
     agent->last_list_us = 0;
+    agent->fenced_token = 0;
     agent->unlisted_us = mb_clock_us(&agent->clock);
     agent->lease_end_us = 0;
     agent->list_due_us = 0;
@@ -318,6 +319,7 @@
                                       (uint64_t)MB_US_PER_MS *
                                       (new_ends ? 1 : 2);
     agent->last_list_us = now_us;
+    agent->fenced_token = MAX(agent->fenced_token, agent->list_token);
     if (answer->has_clock) {
         agent->has_clock = true;
         agent->worker_clock_ms = answer->clock_ms;
@@ -347,6 +349,7 @@
     uint64_t lease_end_ms = reachable ? mb_agent_lease_end_ms(agent) : 0;
     call.timeout_ms += MB_AGENT_LIST_WAIT_MS;
     agent->list_start_us = now_us;
+    agent->list_token = agent->token;
     agent->list_pending = true;
     agent->open_calls++;
     if (!agent->executor.list(agent->executor.context, &call,
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -81,6 +81,7 @@
     void extend_lease(uint64_t new_lease_end_ms);
     void finish(size_t index, mb_run_end_t how);
     void advance();
+    bool take_token(uint64_t call_token);
     mb_executor_answer_t start(const mb_order_start_t &start,
                                uint64_t run_token, uint64_t new_lease_end_ms);
     mb_executor_answer_t stop(const mb_executor_run_t &which);
--- a/tests/unit/fleet_simulation_worker.h
+++ b/tests/unit/fleet_simulation_worker.h
@@ -92,6 +92,16 @@
     clock_start_ms = simulation->now_us / 1000;
 }
 
+/* Takes the fencing token of a call. Returns false if a higher one was seen:
+   the call then does nothing. */
+inline bool
+FakeWorker::take_token(uint64_t call_token)
+{
+    bool valid = call_token >= token;
+    token = std::max(token, call_token);
+    return valid;
+}
+
 /* Starts a run as a real worker does, and checks the invariants: capacity, one
    run per task, no start after an acknowledged success or before the
    dependencies are done. */
@@ -105,11 +115,10 @@
     answer.has_clock = true;
     answer.clock_ms = now_ms;
     answer.result = MB_EXECUTOR_REFUSED;
-    if (run_token < token) {
+    if (!take_token(run_token)) {
         answer.reason = MB_REFUSAL_FENCED;
         return answer;
     }
-    token = run_token;
     for (const Run &run : runs) {
         if (format_task(run.task) == task && run.run == start.run) {
             answer.result = MB_EXECUTOR_OK;
@@ -266,9 +275,14 @@
     Machine *machine = static_cast<Machine *>(context);
     FakeWorker *worker = &machine->worker;
     mb_executor_run_t copy = *run;
+    uint64_t token = call->token;
     auto perform = [=](mb_executor_answer_t *answer) {
         answer->result = MB_EXECUTOR_UNANSWERED;
-        if (worker->is_up) {
+        if (worker->is_up && !worker->take_token(token)) {
+            answer->result = MB_EXECUTOR_REFUSED;
+            answer->reason = MB_REFUSAL_FENCED;
+        }
+        else if (worker->is_up) {
             *answer = worker->stop(copy);
         }
     };
@@ -286,6 +300,7 @@
     uint64_t started_ms = worker->started_ms;
     auto runs = std::make_shared<std::vector<mb_report_run_t>>();
     std::string expected_name = to_std_string(call->worker);
+    uint64_t token = call->token;
     auto perform = [=](mb_executor_answer_t *answer) {
         answer->result = MB_EXECUTOR_UNANSWERED;
         if (worker->is_up && worker->name != expected_name) {
@@ -301,6 +316,11 @@
             /* The connection ended with the process. */
             return;
         }
+        if (token < worker->token) {
+            answer->result = MB_EXECUTOR_REFUSED;
+            answer->reason = MB_REFUSAL_FENCED;
+            return;
+        }
         answer->result = MB_EXECUTOR_OK;
         answer->has_clock = true;
         answer->clock_ms = worker->clock_ms();
@@ -336,7 +356,8 @@
     /* The call arrives after 1 ms and is answered after 20 ms. */
     machine->simulation->events.push_back(
         {machine->simulation->now_us + 1000, [=] {
-             if (worker->is_up && worker->name == expected_name) {
+             if (worker->is_up && worker->name == expected_name &&
+                 worker->take_token(token)) {
                  worker->take_list_call(acknowledged, lease_end_ms);
              }
          }});
