Acknowledge nothing in a lease that outlives the owner's grant

Cause: a worker that starts again between two calls gets a lease by the clock of its earlier incarnation, up to 10 s instead of 4.8 s. When its agent is cut off, the owner starts its tasks elsewhere after 5.2 s. A run that ended within the longer lease was acknowledged when the agent was back; as the lease had not lapsed, that success counts, and the later start breaks the rule.

Why the fix works: a longer lease can't be prevented, but its effect can: when the owner's grant ends within the 10 s after a noticed restart, and there are runs or unacknowledged ends, the agent sends no acknowledgement, no lease and no start until that lease has ended. The worker counts as absent meanwhile.

The simulation now checks at each acknowledgement within a lease that the task was not started again.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -214,7 +214,8 @@
 {
     uint64_t now_us = mb_clock_us(&agent->clock);
     if (agent->info.name.len == 0 || agent->departed ||
-        agent->departure_recorded || !mb_agent_incarnation_confirmed(agent) ||
+        agent->departure_recorded || agent->lapse_awaited ||
+        !mb_agent_incarnation_confirmed(agent) ||
         order->incarnation != agent->info.incarnation) {
         return MB_REFUSAL_ABSENT;
     }
@@ -387,7 +388,7 @@
     report->order_sequence = agent->order_sequence;
     report->draining = agent->draining;
     report->worker = agent->info;
-    if (agent->departed || agent->info.name.len == 0 ||
+    if (agent->departed || agent->info.name.len == 0 || agent->lapse_awaited ||
         !mb_agent_worker_reachable(agent, now_us)) {
         report->worker.state = MB_WORKER_ABSENT;
     }
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -40,6 +40,9 @@
    answered a list call holds no unknown runs, in milliseconds: longer than any
    lease that an earlier agent may have granted. */
 #define MB_AGENT_UNLISTED_MAX_MS 6000u
+/* Longest lease that a worker takes, in milliseconds; it shortens longer
+   ones. */
+#define MB_AGENT_WORKER_LEASE_MAX_MS 10000u
 /* Time after the departure of a worker within which its runs end, in
    milliseconds. */
 #define MB_AGENT_DEPARTURE_GRACE_MS 300u
@@ -85,7 +88,14 @@
        under the same name: it gets no acknowledgements, leases and starts,
        which are meant for the known one. */
     uint64_t call_failed_us;
-    uint64_t lease_end_us;  /* latest lease end sent to the worker */
+    uint64_t lease_end_us; /* latest lease end sent to the worker */
+    /* Until when the worker may hold a lease that was sent by the clock of its
+       earlier incarnation; 0: it holds none. */
+    uint64_t foreign_lease_end_us;
+    /* The owner's grant has ended during such a lease. Ends that it did not
+       store in time must not be acknowledged before that lease has ended as
+       well, so the worker gets nothing until then. */
+    bool lapse_awaited;
     GPtrArray *runs;        /* mb_agent_run_t */
     GArray *ends;           /* mb_report_end_t with owned checkpoints */
     uint64_t last_end;      /* highest number of an end received */
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -9,6 +9,9 @@
    never started. */
 #define STOP_SETTLED_US UINT64_C(50000)
 
+/* A worker's clock may be slow by up to 1 / CLOCK_DRIFT_DIVISOR. */
+#define CLOCK_DRIFT_DIVISOR 50u
+
 /* Returns whether the worker has answered a list call recently. */
 bool
 mb_agent_worker_reachable(const mb_agent_t *agent, uint64_t now_us)
@@ -40,6 +43,17 @@
            difference_ms <= MB_AGENT_CLOCK_TOLERANCE_MS;
 }
 
+/* Notes that a call with a lease by the clock of an earlier incarnation may
+   have reached the worker, which then holds the lease for longer than the
+   owner has granted it. */
+static void
+note_foreign_lease(mb_agent_t *agent)
+{
+    uint64_t lease_us = MB_AGENT_WORKER_LEASE_MAX_MS * (uint64_t)MB_US_PER_MS;
+    agent->foreign_lease_end_us =
+        mb_clock_us(&agent->clock) + lease_us + lease_us / CLOCK_DRIFT_DIVISOR;
+}
+
 /* Notes whether a call about a run was answered by the known incarnation of
    the worker. One that took its place between two calls shows in no call that
    fails, but by its clock. */
@@ -53,6 +67,11 @@
     if (!is_by_known_name(answer) || !known_clock) {
         agent->call_failed_us = mb_clock_us(&agent->clock);
     }
+    /* A late answer is behind the expected time, too, but not behind the
+       latest time that the worker has shown. */
+    if (!known_clock && answer->clock_ms < agent->worker_clock_ms) {
+        note_foreign_lease(agent);
+    }
 }
 
 /* Returns whether the known incarnation of the worker is certainly the one
@@ -76,7 +95,8 @@
 mb_agent_lease_end_ms(mb_agent_t *agent)
 {
     uint64_t now_us = mb_clock_us(&agent->clock);
-    if (!agent->has_clock || agent->grant_end_us <= now_us) {
+    if (!agent->has_clock || agent->grant_end_us <= now_us ||
+        agent->lapse_awaited) {
         return 0;
     }
     agent->lease_end_us = MAX(agent->lease_end_us, agent->grant_end_us);
@@ -272,6 +292,7 @@
         "worker restarted name=%.*s born_ms=%" G_GUINT64_FORMAT " runs=%u",
         MB_STR_ARG(agent->info.name), answer->start_time_ms, agent->runs->len);
     mb_agent_reset_worker(agent);
+    note_foreign_lease(agent);
     agent->info.incarnation = answer->incarnation;
     agent->info.start_time_ms = answer->start_time_ms;
     agent->heartbeat_sequence = 0;
@@ -346,6 +367,7 @@
     mb_executor_call_t call = mb_agent_call(agent, list_done, agent);
     bool confirmed = mb_agent_incarnation_confirmed(agent);
     bool reachable = mb_agent_worker_reachable(agent, now_us) && confirmed;
+    bool may_acknowledge = confirmed && !agent->lapse_awaited;
     uint64_t lease_end_ms = reachable ? mb_agent_lease_end_ms(agent) : 0;
     call.timeout_ms += MB_AGENT_LIST_WAIT_MS;
     agent->list_start_us = now_us;
@@ -353,7 +375,7 @@
     agent->list_pending = true;
     agent->open_calls++;
     if (!agent->executor.list(agent->executor.context, &call,
-                              confirmed ? agent->acknowledged : 0,
+                              may_acknowledge ? agent->acknowledged : 0,
                               lease_end_ms,
                               reachable ? MB_AGENT_LIST_WAIT_MS : 0)) {
         agent->list_pending = false;
@@ -402,6 +424,24 @@
     agent->complete_due = true;
 }
 
+/* Notes that the worker's lease must end, because the owner's grant has ended
+   and its tasks may be started elsewhere: an end that is acknowledged within
+   a lease counts, whoever has run the task again meanwhile. */
+static void
+await_lapse(mb_agent_t *agent, uint64_t now_us)
+{
+    bool has_work = agent->runs->len + agent->ends->len > 0;
+    if (has_work && !agent->lapse_awaited &&
+        now_us < agent->foreign_lease_end_us) {
+        agent->lapse_awaited = true;
+        mb_log_notice(&agent->log,
+                      "grant ended within a lease of an earlier incarnation, "
+                      "waiting for its end name=%.*s ends=%u runs=%u",
+                      MB_STR_ARG(agent->info.name), agent->ends->len,
+                      agent->runs->len);
+    }
+}
+
 /* Stops the runs when the time has passed for which the owner has granted the
    lease. The worker ends them by itself, unless it holds a longer lease: one
    that was sent by the clock of its earlier incarnation. */
@@ -411,6 +451,9 @@
     if (agent->grant_end_us == 0 || now_us < agent->grant_end_us) {
         return;
     }
+#ifndef MB_MUTANT_AGENT_LAPSE_NOT_AWAITED
+    await_lapse(agent, now_us);
+#endif
     for (guint i = 0; i < agent->runs->len; i++) {
         mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
         if (!run->stop_wanted) {
@@ -436,6 +479,9 @@
         agent->complete_due = true;
     }
     check_lease(agent, now_us);
+    if (now_us >= agent->foreign_lease_end_us) {
+        agent->lapse_awaited = false;
+    }
 #ifndef MB_MUTANT_AGENT_GRANT_NOT_ENFORCED
     enforce_grant(agent, now_us);
 #endif
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -56,6 +56,7 @@
         uint64_t run;
         mb_run_end_t how;
         bool lease_expired; /* before the end was acknowledged */
+        uint64_t ended_us;  /* of the simulation's clock */
     };
     FleetSimulation *simulation;
     std::string name;
@@ -136,7 +137,8 @@
     std::set<std::string> acknowledged;
     std::vector<std::string> violations;    /* of invariants */
     std::map<std::string, uint32_t> starts; /* number of starts by task */
-    uint32_t capacity_milli = 4000;         /* processors of each worker */
+    std::map<std::string, uint64_t> latest_start_us; /* by task */
+    uint32_t capacity_milli = 4000; /* processors of each worker */
     uint32_t task_ms = 300;
     uint32_t fail_percent = 0; /* of runs */
     /* Returns what a worker reports of a run: the latency of a service task in
--- a/tests/unit/fleet_simulation_worker.h
+++ b/tests/unit/fleet_simulation_worker.h
@@ -52,7 +52,8 @@
 {
     Run run = runs[index];
     runs.erase(runs.begin() + (long)index);
-    ends.push_back({++last_end_number, run.task, run.run, how, false});
+    ends.push_back({++last_end_number, run.task, run.run, how, false,
+                    simulation->now_us});
     uint64_t &last_ended = ended_runs[format_task(run.task)];
     last_ended = std::max(last_ended, run.run);
 }
@@ -162,6 +163,7 @@
     uint64_t run_ms = fails_runs ? 30 : simulation->task_ms;
     runs.push_back({start.task, start.run, now_ms + run_ms, run_fails, 100});
     simulation->starts[task]++;
+    simulation->latest_start_us[task] = simulation->now_us;
     answer.result = MB_EXECUTOR_OK;
     return answer;
 }
@@ -186,7 +188,8 @@
 }
 
 /* Takes the lease of a list call, and forgets the ends that it acknowledges.
- */
+   Checks that a success that is acknowledged within its lease has not been
+   followed by another start. */
 inline void
 FakeWorker::take_list_call(uint64_t acknowledged, uint64_t new_lease_end_ms)
 {
@@ -195,7 +198,14 @@
     while (!ends.empty() && ends.front().number <= acknowledged) {
         const End &end = ends.front();
         if (end.how == MB_RUN_DONE && !end.lease_expired) {
-            simulation->acknowledged.insert(format_task(end.task));
+            std::string task = format_task(end.task);
+            simulation->acknowledged.insert(task);
+            if (simulation->latest_start_us[task] > end.ended_us) {
+                simulation->add_violation(
+                    "acknowledged a success after the task was started "
+                    "again: " +
+                    task);
+            }
         }
         ends.erase(ends.begin());
     }
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -197,6 +197,37 @@
     expect_no_violations(simulation);
 }
 
+/* Guards against the acknowledgement of a success whose task has been started
+   again: it was within the grant of an earlier incarnation's lease, but not
+   within that of the owner. */
+TEST(Fleet, SuccessAfterTheOwnersGrantIsNotAcknowledgedInAnEarlierLease)
+{
+    for (uint64_t offset_ms = 0; offset_ms < 100; offset_ms += 5) {
+        SCOPED_TRACE("crash after " + std::to_string(offset_ms) + " ms");
+        FleetSimulation simulation(2);
+        mb_dag_step_t first_step;
+        mb_dag_step_t second_step;
+        Machine &machine = *simulation.machines[0];
+        simulation.task_ms = 5;
+        simulation.fail_over();
+        simulation.advance(2500);
+        simulation.submit(one_step_job(&first_step, first_id, 200, 100));
+        simulation.advance(1000 + offset_ms);
+        machine.worker.crash();
+        simulation.advance(2000);
+        simulation.task_ms = 1500;
+        simulation.submit(one_step_job(&second_step, second_id, 2, 4000));
+        simulation.advance(200);
+        ASSERT_EQ(machine.worker.runs.size(), 1u);
+        simulation.disconnect(machine);
+        simulation.advance(5500);
+        simulation.task_ms = 60000;
+        simulation.connect(machine);
+        simulation.advance(10000);
+        expect_no_violations(simulation);
+    }
+}
+
 /* Guards against starts that are queued on a slow connection until it fails
    with all of them. */
 TEST(Fleet, StartsNothingOnACongestedConnection)
@@ -1432,6 +1463,14 @@
     run_histories(run_random_history);
 }
 
+/* These seeds once failed: an end was acknowledged in a lease by the clock of
+   the worker's earlier incarnation, after the task had been started again. */
+TEST(FleetHistory, SeedsOfEarlierLeasesThatFailedOnce)
+{
+    run_random_history(92032);
+    run_random_history(94403);
+}
+
 /* Answers to starts are lost; no start is carried out late. */
 TEST(FleetHistory, RunsOfCancelledJobsEndWhateverHappensMeanwhile)
 {
