--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -56,6 +56,7 @@
         uint64_t run;
         mb_run_end_t how;
         bool lease_expired; /* before the end was acknowledged */
+        uint64_t ended_us;  /* of the simulation's clock */
     };
     FleetSimulation *simulation;
     std::string name;
@@ -81,6 +82,7 @@
     void extend_lease(uint64_t new_lease_end_ms);
     void finish(size_t index, mb_run_end_t how);
     void advance();
+    bool take_token(uint64_t call_token);
     mb_executor_answer_t start(const mb_order_start_t &start,
                                uint64_t run_token, uint64_t new_lease_end_ms);
     mb_executor_answer_t stop(const mb_executor_run_t &which);
@@ -135,7 +137,8 @@
     std::set<std::string> acknowledged;
     std::vector<std::string> violations;    /* of invariants */
     std::map<std::string, uint32_t> starts; /* number of starts by task */
-    uint32_t capacity_milli = 4000;         /* processors of each worker */
+    std::map<std::string, uint64_t> latest_start_us; /* by task */
+    uint32_t capacity_milli = 4000; /* processors of each worker */
     uint32_t task_ms = 300;
     uint32_t fail_percent = 0; /* of runs */
     /* Returns what a worker reports of a run: the latency of a service task in
