Simulate a former owner beside its successor, late calls and frozen agents

The order of events without these faults is as before: the seeds of the random histories play the same histories.

--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -75,8 +75,12 @@
     /* Highest number of an ended run, by task. Starts up to it are refused. */
     std::map<std::string, uint64_t> ended_runs;
     /* Faults of the next starts, in order. 'o': none; 'l': carried out, but
-       the answer is lost; 'd': no answer, and carried out 900 ms later. */
+       the answer is lost; 'd': no answer, and carried out 900 ms later; 's':
+       the same, but 2 to 12 s later. The same for stops and list calls. */
     std::deque<char> start_faults;
+    std::deque<char> stop_faults;
+    std::deque<char> list_faults;
+    bool is_cut = false; /* no call and no heartbeat gets through */
 
     uint64_t clock_ms() const;
     void extend_lease(uint64_t new_lease_end_ms);
@@ -102,6 +106,11 @@
     mb_order_decoder_t order_decoder;
     bool connected = false;
     uint64_t heartbeats = 0;
+    /* The agent's process does nothing until then. What arrives for it
+       waits. */
+    uint64_t frozen_until_us = 0;
+    /* Takes the encoded reports of the agent instead of the owner, if set. */
+    std::function<void(const std::string &)> other_owner;
 };
 
 /* The fleet, its owner and its log, and the invariants that are checked. */
@@ -152,11 +161,15 @@
     void add_machine();
     void init_agent(Machine &machine);
     mb_dag_job_t *submit(const mb_dag_spec_t &spec);
+    void load_log(mb_dag_table_t *into, mb_fleet_t *owner);
     void fail_over(bool resigned = false);
     void connect(Machine &machine);
     void disconnect(Machine &machine);
     void restart_agent(Machine &machine);
     void heartbeat(Machine &machine);
+    void do_when_awake(Machine *machine, const std::function<void()> &action);
+    void when_awake(Machine *machine, uint64_t time_us,
+                    const std::function<void()> &action);
     void cancel(const char *id);
     void tick();
     void advance(uint64_t ms);
--- a/tests/unit/fleet_simulation_impl.h
+++ b/tests/unit/fleet_simulation_impl.h
@@ -37,6 +37,10 @@
     if (!fits_in_frame(simulation, copy)) {
         return;
     }
+    if (machine->other_owner) {
+        machine->other_owner(copy);
+        return;
+    }
     uint64_t token = simulation->token;
     uint32_t number = machine->number;
     simulation->events.push_back(
@@ -55,6 +59,19 @@
          }});
 }
 
+/* Has an agent carry out an encoded order. */
+static void
+deliver_order(Machine *machine, const std::string &bytes)
+{
+    if (!mb_order_decode(&machine->order_decoder, {bytes.data(), bytes.size()},
+                         nullptr)) {
+        machine->simulation->add_violation("order can't be decoded");
+        return;
+    }
+    mb_agent_order(machine->agent, &machine->order_decoder.order);
+    mb_agent_run(machine->agent);
+}
+
 /* Delivers an order of the owner to an agent after 4 ms. Orders of a lost
    connection are dropped. */
 static void
@@ -70,19 +87,11 @@
         return;
     }
     uint64_t token = simulation->token;
-    simulation->events.push_back(
-        {simulation->now_us + 4000, [=] {
-             if (!machine->connected || simulation->token != token) {
-                 return;
-             }
-             if (!mb_order_decode(&machine->order_decoder,
-                                  {copy.data(), copy.size()}, nullptr)) {
-                 simulation->add_violation("order can't be decoded");
-                 return;
-             }
-             mb_agent_order(machine->agent, &machine->order_decoder.order);
-             mb_agent_run(machine->agent);
-         }});
+    simulation->when_awake(machine, simulation->now_us + 4000, [=] {
+        if (machine->connected && simulation->token == token) {
+            deliver_order(machine, copy);
+        }
+    });
 }
 
 static bool
@@ -257,32 +266,18 @@
     return job;
 }
 
-/* Makes another process the owner of the fleet, or the first one at the start
-   of a test. It knows only what the log has stored. A former owner that has
-   `resigned` is no longer active, so only its leases are waited for. */
+/* Adds the jobs that the log has to a table, and tells a process of the
+   records of absent workers. */
 inline void
-FleetSimulation::fail_over(bool resigned)
+FleetSimulation::load_log(mb_dag_table_t *into, mb_fleet_t *owner)
 {
-    uint64_t former_leases_end_us = now_us;
-    for (auto &machine : machines) {
-        disconnect(*machine);
-    }
-    if (token > 0) {
-        former_leases_end_us +=
-            mb_fleet_max_lease_us() +
-            (resigned ? 0 : MB_OWNERSHIP_LEASE_MS * 1000ull);
-    }
-    mb_fleet_lose_ownership(&fleet);
-    mb_dag_table_clear(&table);
-    token++;
-    group.clear();
     for (const auto &item : jobs) {
         mb_dag_record_t record;
         std::string key = "j" + item.first;
         EXPECT_TRUE(mb_dag_record_decode(
             &record_decoder, {key.data(), key.size()},
             {item.second.data(), item.second.size()}, &record, nullptr));
-        mb_dag_job_t *job = mb_dag_add(&table, &record.body.job);
+        mb_dag_job_t *job = mb_dag_add(into, &record.body.job);
         job->cancelled = cancelled.count(item.first) > 0;
         auto stored = progress.find(item.first);
         if (stored != progress.end()) {
@@ -299,9 +294,31 @@
         EXPECT_TRUE(mb_dag_record_decode(
             &record_decoder, MB_STR_LIT("aworker"),
             {item.second.data(), item.second.size()}, &record, nullptr));
-        mb_fleet_absence_read(&fleet, item.first, record.body.absence.token,
+        mb_fleet_absence_read(owner, item.first, record.body.absence.token,
                               record.body.absence.tasks);
     }
+}
+
+/* Makes another process the owner of the fleet, or the first one at the start
+   of a test. It knows only what the log has stored. A former owner that has
+   `resigned` is no longer active, so only its leases are waited for. */
+inline void
+FleetSimulation::fail_over(bool resigned)
+{
+    uint64_t former_leases_end_us = now_us;
+    for (auto &machine : machines) {
+        disconnect(*machine);
+    }
+    if (token > 0) {
+        former_leases_end_us +=
+            mb_fleet_max_lease_us() +
+            (resigned ? 0 : MB_OWNERSHIP_LEASE_MS * 1000ull);
+    }
+    mb_fleet_lose_ownership(&fleet);
+    mb_dag_table_clear(&table);
+    token++;
+    group.clear();
+    load_log(&table, &fleet);
     mb_fleet_become_owner(&fleet, token, former_leases_end_us);
     mb_fleet_set_active(&fleet, true);
     mb_fleet_confirm_ownership(&fleet, now_us);
@@ -388,6 +405,27 @@
     return count;
 }
 
+/* Has something happen to the agent of a machine now, or when its process is
+   no longer frozen. */
+inline void
+FleetSimulation::do_when_awake(Machine *machine,
+                               const std::function<void()> &action)
+{
+    if (now_us < machine->frozen_until_us) {
+        when_awake(machine, machine->frozen_until_us, action);
+        return;
+    }
+    action();
+}
+
+/* The same at a later time. */
+inline void
+FleetSimulation::when_awake(Machine *machine, uint64_t time_us,
+                            const std::function<void()> &action)
+{
+    events.push_back({time_us, [=] { do_when_awake(machine, action); }});
+}
+
 /* Advances the time by 5 ms: runs the events that are due and the workers,
    lets the workers send a heartbeat every second, and ticks the owner every 20
    ms. */
@@ -410,10 +448,14 @@
         if (worker.is_up) {
             worker.advance();
         }
-        if (worker.is_up && now_us % 1000000 == 0) {
+        bool is_awake = now_us >= machine->frozen_until_us;
+        if (worker.is_up && !worker.is_cut && is_awake &&
+            now_us % 1000000 == 0) {
             heartbeat(*machine);
         }
-        mb_agent_run(machine->agent);
+        if (is_awake) {
+            mb_agent_run(machine->agent);
+        }
     }
     if (now_us % 20000 == 0) {
         if (log_read) {
--- a/tests/unit/fleet_simulation_worker.h
+++ b/tests/unit/fleet_simulation_worker.h
@@ -222,31 +222,63 @@
     answer->runs = answer->ends = nullptr;
 }
 
-/* Carries out a call of an agent after `delay_us`. If `answered`, the answer
+/* Takes the next fault of a kind of call: 'o' if there is none, and 'x', never
+   carried out, if the worker is cut off. */
+static inline char
+take_fault(const FakeWorker &worker, std::deque<char> *faults)
+{
+    char fault = 'o';
+    if (!faults->empty()) {
+        fault = faults->front();
+        faults->pop_front();
+    }
+    return worker.is_cut ? 'x' : fault;
+}
+
+/* Returns when a call with a fault is carried out; `usual_us` without one. */
+static inline uint64_t
+get_delay_us(FleetSimulation *simulation, char fault, uint64_t usual_us)
+{
+    if (fault == 's') {
+        return 2000000 + simulation->random() % 10000000;
+    }
+    return fault == 'd' ? 900000 : usual_us;
+}
+
+/* Carries out a call of an agent after `delay_us`. Without a fault, the answer
    arrives then; otherwise it is lost, and the call times out. */
 static inline void
-complete_call(FleetSimulation *simulation, const mb_executor_call_t *call,
-              std::function<void(mb_executor_answer_t *)> perform,
-              bool answered, uint64_t delay_us)
+complete_call(Machine *machine, const mb_executor_call_t *call,
+              std::function<void(mb_executor_answer_t *)> perform, char fault,
+              uint64_t delay_us)
 {
+    FleetSimulation *simulation = machine->simulation;
     auto done = call->done;
     void *context = call->context;
     uint64_t timeout_us = call->timeout_ms * 1000ull;
     auto result = std::make_shared<mb_executor_answer_t>();
-    simulation->events.push_back({simulation->now_us + delay_us, [=] {
-                                      perform(result.get());
-                                      if (answered) {
-                                          done(context, result.get());
-                                      }
-                                      free_arrays(result.get());
-                                  }});
-    if (!answered) {
-        simulation->events.push_back({simulation->now_us + timeout_us, [=] {
-                                          mb_executor_answer_t none = {};
-                                          none.result = MB_EXECUTOR_UNANSWERED;
-                                          done(context, &none);
+    auto answer = [=] {
+        done(context, result.get());
+        free_arrays(result.get());
+    };
+    if (fault != 'x') {
+        simulation->events.push_back({simulation->now_us + delay_us, [=] {
+                                          perform(result.get());
+                                          if (fault != 'o') {
+                                              free_arrays(result.get());
+                                              return;
+                                          }
+                                          simulation->do_when_awake(machine,
+                                                                    answer);
                                       }});
     }
+    if (fault != 'o') {
+        simulation->when_awake(machine, simulation->now_us + timeout_us, [=] {
+            mb_executor_answer_t none = {};
+            none.result = MB_EXECUTOR_UNANSWERED;
+            done(context, &none);
+        });
+    }
 }
 
 /* The callbacks of the executor, carried out by the fake worker. */
@@ -256,11 +288,7 @@
 {
     Machine *machine = static_cast<Machine *>(context);
     FakeWorker *worker = &machine->worker;
-    char fault = 'o';
-    if (!worker->start_faults.empty()) {
-        fault = worker->start_faults.front();
-        worker->start_faults.pop_front();
-    }
+    char fault = take_fault(*worker, &worker->start_faults);
     mb_order_start_t copy = *start;
     copy.payload = copy.checkpoint = copy.approval = copy.image = MB_STR_EMPTY;
     uint64_t token = call->token;
@@ -273,8 +301,8 @@
             answer->result = MB_EXECUTOR_UNANSWERED;
         }
     };
-    complete_call(machine->simulation, call, perform, fault == 'o',
-                  fault == 'd' ? 900000 : 1000);
+    complete_call(machine, call, perform, fault,
+                  get_delay_us(machine->simulation, fault, 1000));
     return true;
 }
 
@@ -284,10 +312,15 @@
 {
     Machine *machine = static_cast<Machine *>(context);
     FakeWorker *worker = &machine->worker;
+    char fault = take_fault(*worker, &worker->stop_faults);
     mb_executor_run_t copy = *run;
     uint64_t token = call->token;
+    uint64_t started_ms = worker->started_ms;
     auto perform = [=](mb_executor_answer_t *answer) {
         answer->result = MB_EXECUTOR_UNANSWERED;
+        if (fault == 's' && worker->started_ms != started_ms) {
+            return;
+        }
         if (worker->is_up && !worker->take_token(token)) {
             answer->result = MB_EXECUTOR_REFUSED;
             answer->reason = MB_REFUSAL_FENCED;
@@ -296,7 +329,8 @@
             *answer = worker->stop(copy);
         }
     };
-    complete_call(machine->simulation, call, perform, true, 1000);
+    complete_call(machine, call, perform, fault,
+                  get_delay_us(machine->simulation, fault, 1000));
     return true;
 }
 
@@ -307,6 +341,7 @@
     Machine *machine = static_cast<Machine *>(context);
     FakeWorker *worker = &machine->worker;
     (void)wait_ms;
+    char fault = take_fault(*worker, &worker->list_faults);
     uint64_t started_ms = worker->started_ms;
     auto runs = std::make_shared<std::vector<mb_report_run_t>>();
     std::string expected_name = to_std_string(call->worker);
@@ -363,15 +398,21 @@
         }
         answer->ends_cut = answer->ends->len == worker->listed_ends_max;
     };
+    auto take_call = [=] {
+        bool same_life = fault != 's' || worker->started_ms == started_ms;
+        if (worker->is_up && worker->name == expected_name && same_life &&
+            worker->take_token(token)) {
+            worker->take_list_call(acknowledged, lease_end_ms);
+        }
+    };
     /* The call arrives after 1 ms and is answered after 20 ms. */
-    machine->simulation->events.push_back(
-        {machine->simulation->now_us + 1000, [=] {
-             if (worker->is_up && worker->name == expected_name &&
-                 worker->take_token(token)) {
-                 worker->take_list_call(acknowledged, lease_end_ms);
-             }
-         }});
-    complete_call(machine->simulation, call, perform, true, 20000);
+    if (fault != 'x') {
+        machine->simulation->events.push_back(
+            {machine->simulation->now_us +
+                 get_delay_us(machine->simulation, fault, 1000),
+             take_call});
+    }
+    complete_call(machine, call, perform, fault, 20000);
     return true;
 }
 
@@ -391,7 +432,7 @@
             }
         }
     };
-    complete_call(machine->simulation, call, perform, true, 1000);
+    complete_call(machine, call, perform, worker->is_cut ? 'x' : 'o', 1000);
     return true;
 }
 
