Don't give up runs that a lease of the worker's earlier life may keep

Cause: the agent gives up the runs of a worker that it can't reach when the latest lease that it sent has ended. A worker that was reborn may hold a longer one, by the clock of its earlier life, which the agent notes but did not compare here. The owner reaches the agent meanwhile, so its grant does not end and nothing else waits.

Callers see two runs of a task at the same time, or a success that is acknowledged after its task was started again.

--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -396,11 +396,17 @@
     return end_us == 0 || now_us >= end_us + margin_us;
 }
 
-/* Returns whether all leases of the worker have expired: the latest one of
-   this agent or, if it has granted none, those of an earlier one. */
+/* Returns whether all leases of the worker have expired: one that was sent by
+   the clock of an earlier incarnation, and the latest one of this agent or, if
+   it has granted none, those of an earlier agent. */
 static bool
 have_leases_ended(const mb_agent_t *agent, uint64_t now_us)
 {
+#ifndef MB_MUTANT_AGENT_FOREIGN_LEASE_IGNORED
+    if (now_us < agent->foreign_lease_end_us) {
+        return false;
+    }
+#endif
     return agent->lease_end_us != 0
                ? mb_agent_lease_has_ended(agent, now_us)
                : now_us - agent->unlisted_us >=
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -228,6 +228,35 @@
     }
 }
 
+/* Guards against two runs of a task: the agent gave up the runs of a worker
+   that it can't reach, while they went on in a lease by the clock of the
+   worker's earlier incarnation. */
+TEST(Fleet, RunsInAnEarlierLeaseAreNotGivenUpWithTheLaterOne)
+{
+    for (uint64_t offset_ms = 0; offset_ms < 100; offset_ms += 5) {
+        SCOPED_TRACE("crash after " + std::to_string(offset_ms) + " ms");
+        FleetSimulation simulation(2);
+        mb_dag_step_t first_step;
+        mb_dag_step_t second_step;
+        Machine &machine = *simulation.machines[0];
+        simulation.task_ms = 5;
+        simulation.fail_over();
+        simulation.advance(2500);
+        simulation.submit(one_step_job(&first_step, first_id, 200, 100));
+        simulation.advance(1000 + offset_ms);
+        machine.worker.crash();
+        simulation.advance(2000);
+        simulation.task_ms = 60000;
+        simulation.submit(one_step_job(&second_step, second_id, 2, 4000));
+        simulation.advance(200);
+        ASSERT_EQ(machine.worker.runs.size(), 1u);
+        machine.worker.is_cut = true;
+        simulation.machines[1]->worker.finish(0, MB_RUN_DONE);
+        simulation.advance(15000);
+        expect_no_violations(simulation);
+    }
+}
+
 /* Guards against starts that are queued on a slow connection until it fails
    with all of them. */
 TEST(Fleet, StartsNothingOnACongestedConnection)
