Count the success of the newest run beside an older one on record

Cause: an agent reports a run that it is stopping until its worker has confirmed that, though the run may never have begun. A new owner that hears of it first adopts it, and then ignored the end of a later run of the same task, as it took the run on record for the newer one. The end was acknowledged.

Callers see a task that is started again after its success was acknowledged.

The run number tells which run was started later, whatever is reported first.

--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -152,6 +152,34 @@
     }
 }
 
+/* Returns a run that has ended and that this owner doesn't have on record. */
+static mb_fleet_run_t
+make_ended_run(const mb_fleet_t *fleet, mb_dag_job_t *job,
+               const mb_report_end_t *end)
+{
+    return (mb_fleet_run_t){.job = job,
+                            .occurrence = end->task.occurrence,
+                            .step = end->task.step,
+                            .index = end->task.index,
+                            .number = end->run,
+                            .started_us = mb_clock_us(&fleet->clock),
+                            .resumed = true,
+                            .confirmed = true};
+}
+
+/* Tells whether an end is a success that counts beside the run that its task
+   has on record: that one is older, so it was given up before the one that has
+   ended was started, and is being stopped. */
+static bool
+is_success_of_newest_run(const mb_dag_task_t *task, const mb_report_end_t *end)
+{
+#ifdef MB_MUTANT_FLEET_OLDER_RUN_HIDES_SUCCESS
+    return false;
+#endif
+    return mb_fleet_task_is_running(task) && end->run > task->last_run &&
+           end->how == MB_RUN_DONE;
+}
+
 /* Handles the end of a run that this owner doesn't have on record: the former
    owner started it, or it was given up with its worker. Its success counts
    unless the task has a newer run, in which case the lease of this one had
@@ -168,18 +196,15 @@
     if (task == NULL || job->outcome != MB_DAG_OPEN) {
         return;
     }
+    mb_fleet_run_t run = make_ended_run(fleet, job, end);
+    if (is_success_of_newest_run(task, end)) {
+        handle_success(fleet, worker, &run);
+        return;
+    }
     if (mb_fleet_task_is_running(task) || end->run < task->last_run) {
         count_superseded_failure(fleet, job, end);
         return;
     }
-    mb_fleet_run_t run = {.job = job,
-                          .occurrence = end->task.occurrence,
-                          .step = end->task.step,
-                          .index = end->task.index,
-                          .number = end->run,
-                          .started_us = mb_clock_us(&fleet->clock),
-                          .resumed = true,
-                          .confirmed = true};
     mb_fleet_run_t *added = mb_fleet_add_run(fleet, worker, &run);
     job->any_run_started = true;
     handle_known_end(fleet, worker, added, end);
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -257,6 +257,43 @@
     }
 }
 
+/* Guards against a start after an acknowledged success: the agent of another
+   worker still stopped an earlier run of the task, which the new owner took
+   for the present one, so that the success did not count. */
+TEST(Fleet, SuccessCountsBesideAnEarlierRunThatIsBeingStopped)
+{
+    FleetSimulation simulation(2);
+    mb_dag_step_t step;
+    Machine &stopping = *simulation.machines[0];
+    Machine &running = *simulation.machines[1];
+    simulation.task_ms = 3000;
+    simulation.fail_over();
+    simulation.advance(7000);
+    simulation.fail_over(true);
+    simulation.advance(7000);
+    simulation.disconnect(stopping);
+    simulation.submit(one_step_job(&step, first_id, 1, 1000));
+    simulation.advance(1000);
+    ASSERT_EQ(running.worker.runs.size(), 1u);
+    mb_order_stop_t stop = {running.worker.runs[0].task, 1};
+    ASSERT_GT(running.worker.runs[0].run, stop.run);
+    stopping.worker.is_cut = true;
+    mb_order_t order;
+    mb_order_init(&order);
+    order.incarnation = stopping.worker.started_ms;
+    EXPECT_TRUE(mb_order_add_stop(&order, &stop));
+    mb_agent_order(stopping.agent, &order);
+    mb_order_finish(&order);
+    simulation.fail_over(true);
+    simulation.disconnect(running);
+    simulation.advance(2500);
+    ASSERT_EQ(running.worker.ends.size(), 1u);
+    simulation.connect(running);
+    simulation.advance(20000);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
+
 /* Guards against starts that are queued on a slow connection until it fails
    with all of them. */
 TEST(Fleet, StartsNothingOnACongestedConnection)
