--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -228,6 +228,72 @@
     }
 }
 
+/* Guards against two runs of a task: the agent gave up the runs of a worker
+   that it can't reach, while they went on in a lease by the clock of the
+   worker's earlier incarnation. */
+TEST(Fleet, RunsInAnEarlierLeaseAreNotGivenUpWithTheLaterOne)
+{
+    for (uint64_t offset_ms = 0; offset_ms < 100; offset_ms += 5) {
+        SCOPED_TRACE("crash after " + std::to_string(offset_ms) + " ms");
+        FleetSimulation simulation(2);
+        mb_dag_step_t first_step;
+        mb_dag_step_t second_step;
+        Machine &machine = *simulation.machines[0];
+        simulation.task_ms = 5;
+        simulation.fail_over();
+        simulation.advance(2500);
+        simulation.submit(one_step_job(&first_step, first_id, 200, 100));
+        simulation.advance(1000 + offset_ms);
+        machine.worker.crash();
+        simulation.advance(2000);
+        simulation.task_ms = 60000;
+        simulation.submit(one_step_job(&second_step, second_id, 2, 4000));
+        simulation.advance(200);
+        ASSERT_EQ(machine.worker.runs.size(), 1u);
+        machine.worker.is_cut = true;
+        simulation.machines[1]->worker.finish(0, MB_RUN_DONE);
+        simulation.advance(15000);
+        expect_no_violations(simulation);
+    }
+}
+
+/* Guards against a start after an acknowledged success: the agent of another
+   worker still stopped an earlier run of the task, which the new owner took
+   for the present one, so that the success did not count. */
+TEST(Fleet, SuccessCountsBesideAnEarlierRunThatIsBeingStopped)
+{
+    FleetSimulation simulation(2);
+    mb_dag_step_t step;
+    Machine &stopping = *simulation.machines[0];
+    Machine &running = *simulation.machines[1];
+    simulation.task_ms = 3000;
+    simulation.fail_over();
+    simulation.advance(7000);
+    simulation.fail_over(true);
+    simulation.advance(7000);
+    simulation.disconnect(stopping);
+    simulation.submit(one_step_job(&step, first_id, 1, 1000));
+    simulation.advance(1000);
+    ASSERT_EQ(running.worker.runs.size(), 1u);
+    mb_order_stop_t stop = {running.worker.runs[0].task, 1};
+    ASSERT_GT(running.worker.runs[0].run, stop.run);
+    stopping.worker.is_cut = true;
+    mb_order_t order;
+    mb_order_init(&order);
+    order.incarnation = stopping.worker.started_ms;
+    EXPECT_TRUE(mb_order_add_stop(&order, &stop));
+    mb_agent_order(stopping.agent, &order);
+    mb_order_finish(&order);
+    simulation.fail_over(true);
+    simulation.disconnect(running);
+    simulation.advance(2500);
+    ASSERT_EQ(running.worker.ends.size(), 1u);
+    simulation.connect(running);
+    simulation.advance(20000);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
+
 /* Guards against starts that are queued on a slow connection until it fails
    with all of them. */
 TEST(Fleet, StartsNothingOnACongestedConnection)
@@ -441,7 +507,7 @@
         mb_dag_step_t step;
         simulation.task_ms = 4400;
         simulation.fail_over();
-        simulation.advance(2500);
+        simulation.advance(MB_OWNERSHIP_LEASE_MS);
         Machine &absent = make_one_worker_absent(simulation, &step);
         simulation.fail_over();
         simulation.disconnect(absent);
