--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -105,6 +105,7 @@
     std::vector<std::unique_ptr<mb_agent_t>> agents;
     mb_order_decoder_t order_decoder;
     bool connected = false;
+    uint64_t connections = 0; /* of any owner so far */
     uint64_t heartbeats = 0;
     /* The agent's process does nothing until then. What arrives for it
        waits. */
