Don't give up runs beside a frozen agent in a lease of an earlier life

Cause: a worker that was reborn may hold a lease by the clock of its earlier life, up to 10 s instead of 4.8 s. Its agent stops the runs when the owner's grant ends; a frozen or dead agent does not. The owner gave up the runs after 5.2 s of silence.

Callers see two runs of a task at the same time.

The owner counts on the longest lease of an earlier life from the first report of the new one, 10.5 s, whatever becomes of the agent. What it costs: tasks of a worker that falls silent within 5.3 s of its rebirth wait for that time.

--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -2,6 +2,7 @@
    progress, and the state of workers. */
 #include <string.h>
 
+#include "mb_agent.h"
 #include "mb_fleet_internal.h"
 
 /* Throttle at or below which a run counts as severely throttled, in percent of
@@ -557,6 +558,21 @@
     }
 }
 
+/* Notes that a worker which started again may hold a lease by the clock of its
+   earlier incarnation, longer than those that this owner grants. Its agent
+   ends the runs in time, unless it is frozen or gone. */
+static void
+note_earlier_lease(const mb_fleet_t *fleet, mb_fleet_worker_t *worker)
+{
+#ifndef MB_MUTANT_FLEET_EARLIER_LEASE_IGNORED
+    uint64_t lease_us = MB_AGENT_WORKER_LEASE_MAX_MS * (uint64_t)MB_US_PER_MS;
+    uint64_t end_us = mb_clock_us(&fleet->clock) + lease_us +
+                      lease_us / MB_FLEET_CLOCK_DRIFT_DIVISOR +
+                      MB_FLEET_LEASE_MARGIN_MS * (uint64_t)MB_US_PER_MS;
+    worker->lease_end_us = MAX(worker->lease_end_us, end_us);
+#endif
+}
+
 /* Applies the description of a worker. A new incarnation has run nothing yet:
    its health and the numbers of its ends start anew. */
 static void
@@ -570,6 +586,9 @@
                       "x to=%016" G_GINT64_MODIFIER "x",
                       MB_STR_ARG(info->name), worker->runs->len,
                       worker->incarnation, info->incarnation);
+        if (worker->incarnation != 0) {
+            note_earlier_lease(fleet, worker);
+        }
         mb_health_init(&worker->health);
         worker->incarnation = info->incarnation;
         worker->ends_applied = 0;
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -257,6 +257,37 @@
     }
 }
 
+/* Guards against two runs of a task: an agent is frozen or gone when it should
+   stop the runs of a worker that holds a lease by the clock of its earlier
+   incarnation. */
+TEST(Fleet, RunsInAnEarlierLeaseAreNotGivenUpBesideAFrozenAgent)
+{
+    for (uint64_t offset_ms = 0; offset_ms < 100; offset_ms += 5) {
+        SCOPED_TRACE("crash after " + std::to_string(offset_ms) + " ms");
+        FleetSimulation simulation(2);
+        mb_dag_step_t first_step;
+        mb_dag_step_t second_step;
+        Machine &machine = *simulation.machines[0];
+        simulation.task_ms = 5;
+        simulation.fail_over();
+        simulation.advance(2500);
+        simulation.submit(one_step_job(&first_step, first_id, 200, 100));
+        simulation.advance(1000 + offset_ms);
+        machine.worker.crash();
+        simulation.advance(2000);
+        simulation.task_ms = 60000;
+        simulation.submit(one_step_job(&second_step, second_id, 2, 4000));
+        simulation.advance(200);
+        ASSERT_EQ(machine.worker.runs.size(), 1u);
+        simulation.disconnect(machine);
+        machine.frozen_until_us = simulation.now_us + 8000000;
+        simulation.machines[1]->worker.finish(0, MB_RUN_DONE);
+        simulation.advance(20000);
+        EXPECT_GT(simulation.running(), 0u);
+        expect_no_violations(simulation);
+    }
+}
+
 /* Guards against a start after an acknowledged success: the agent of another
    worker still stopped an earlier run of the task, which the new owner took
    for the present one, so that the success did not count. */
