--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -202,8 +202,11 @@
    within that of the owner. */
 TEST(Fleet, SuccessAfterTheOwnersGrantIsNotAcknowledgedInAnEarlierLease)
 {
-    for (uint64_t offset_ms = 0; offset_ms < 100; offset_ms += 5) {
-        SCOPED_TRACE("crash after " + std::to_string(offset_ms) + " ms");
+    for (uint64_t i = 0; i < 40; i++) {
+        uint64_t offset_ms = i / 2 * 5;
+        bool new_owner = i % 2 == 1; /* which knows nothing of the crash */
+        SCOPED_TRACE("crash after " + std::to_string(offset_ms) +
+                     " ms, new owner: " + std::to_string(new_owner));
         FleetSimulation simulation(2);
         mb_dag_step_t first_step;
         mb_dag_step_t second_step;
@@ -219,6 +222,9 @@
         simulation.submit(one_step_job(&second_step, second_id, 2, 4000));
         simulation.advance(200);
         ASSERT_EQ(machine.worker.runs.size(), 1u);
+        if (new_owner) {
+            simulation.fail_over(true);
+        }
         simulation.disconnect(machine);
         simulation.advance(5500);
         simulation.task_ms = 60000;
