Count a job as begun when a worker shows a run of it

Cause: the owner stored that a job had begun when it sent the first start. The agent or the executor may refuse that start, or carry it out late or never. It also noted a run that it found under an earlier owner's number without storing it.

Three of the five tests FleetPending.* failed before: a start without an answer, refused starts, and a run that is listed under the next owner (owner changed after 25 ms).

Why it works: a list of a run, or its end, shows that the run began. Ends are acknowledged only after they are stored, so a run that is never listed counts too. It is stored once per job, as before; the test of 40 jobs, at most two records each, passes before and after.

--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -37,6 +37,8 @@
                                 const mb_fleet_run_t *finished);
 void mb_fleet_stop_gang(mb_fleet_t *fleet, const mb_fleet_run_t *member);
 void mb_fleet_mark_dirty(mb_fleet_t *fleet, mb_dag_job_t *job);
+void mb_fleet_mark_begun(mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
+                         mb_dag_job_t *job);
 void mb_fleet_close_job(mb_fleet_t *fleet, mb_dag_job_t *job,
                         mb_dag_outcome_t outcome);
 void mb_fleet_mark_job_startable(mb_fleet_t *fleet, mb_dag_job_t *job);
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -115,6 +115,7 @@
         mb_health_abandoned(&worker->health, run.started_us);
         return;
     }
+    mb_fleet_mark_begun(fleet, worker, run.job);
     mb_fleet_mark_job_startable(fleet, run.job);
     if (checkpoints && !task->done && end->checkpoint.len > 0) {
         mb_dag_set_checkpoint(task, end->checkpoint);
@@ -169,6 +170,7 @@
         return;
     }
     if (mb_fleet_task_is_running(task) || end->run < task->last_run) {
+        mb_fleet_mark_begun(fleet, worker, job);
         count_superseded_failure(fleet, job, end);
         return;
     }
@@ -181,7 +183,6 @@
                           .resumed = true,
                           .confirmed = true};
     mb_fleet_run_t *added = mb_fleet_add_run(fleet, worker, &run);
-    job->any_run_started = true;
     handle_known_end(fleet, worker, added, end);
 }
 
@@ -318,6 +319,9 @@
         job == NULL ? NULL
                     : mb_dag_task(job, entry->task.occurrence,
                                   entry->task.step, entry->task.index);
+    if (task != NULL && entry->confirmed) {
+        mb_fleet_mark_begun(fleet, worker, job);
+    }
     if (task == NULL ||
         !may_adopt(job, &job->steps[entry->task.step], task, entry)) {
         mb_log_info(&fleet->log,
@@ -338,7 +342,6 @@
                           .resumed = true,
                           .confirmed = true};
     (void)mb_fleet_add_run(fleet, worker, &run);
-    job->any_run_started = true;
 }
 
 /* Sends a restarted agent what it needs in order to throttle best-effort runs
@@ -440,6 +443,9 @@
             repeat_start(fleet, worker, run);
         }
         run->confirmed = run->confirmed || entry->confirmed;
+        if (entry->confirmed) {
+            mb_fleet_mark_begun(fleet, worker, run->job);
+        }
         update_throttle_state(fleet, run, entry->throttle_percent);
         check_progress(fleet, worker, run, entry);
         if (run->job->steps[run->step].checkpoints) {
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -199,19 +199,9 @@
                 run->step, run->index, run->number,
                 MB_STR_ARG(mb_buf_view(&worker->name)),
                 (pass->inputs.now_us - job->arrived_us) / MB_US_PER_MS);
-    if (!job->any_run_started) {
-        job->any_run_started = true;
-        mb_fleet_mark_dirty(pass->inputs.fleet, job);
-        mb_log_info(
-            &pass->inputs.fleet->log,
-            "job started job=%.*s queue=%.*s waited_ms=%" G_GUINT64_FORMAT
-            " objective_ms=%" G_GUINT64_FORMAT " worker=%.*s",
-            MB_STR_ARG(mb_dag_id_view(&job->spec.id)),
-            MB_STR_ARG(job->spec.policy.queue),
-            (pass->inputs.now_us - job->arrived_us) / MB_US_PER_MS,
-            job->objective_us / MB_US_PER_MS,
-            MB_STR_ARG(mb_buf_view(&worker->name)));
-    }
+#ifdef MB_MUTANT_FLEET_SENT_START_IS_BEGUN
+    mb_fleet_mark_begun(pass->inputs.fleet, worker, job);
+#endif
 }
 
 /* Tells whether a task may be started now: not done, without a run, past its
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -219,6 +219,28 @@
     }
 }
 
+/* Records that a worker has listed a run of an open job, or the end of one. An
+   order to start a run shows nothing: the agent or the worker may refuse it,
+   or it may get lost. Stored once for each job. */
+void
+mb_fleet_mark_begun(mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
+                    mb_dag_job_t *job)
+{
+    if (job->any_run_started || job->outcome != MB_DAG_OPEN) {
+        return;
+    }
+    job->any_run_started = true;
+    mb_fleet_mark_dirty(fleet, job);
+    mb_log_info(&fleet->log,
+                "job started job=%.*s queue=%.*s waited_ms=%" G_GUINT64_FORMAT
+                " objective_ms=%" G_GUINT64_FORMAT " worker=%.*s",
+                MB_STR_ARG(mb_dag_id_view(&job->spec.id)),
+                MB_STR_ARG(job->spec.policy.queue),
+                (mb_clock_us(&fleet->clock) - job->arrived_us) / MB_US_PER_MS,
+                job->objective_us / MB_US_PER_MS,
+                MB_STR_ARG(mb_buf_view(&worker->name)));
+}
+
 /* Sets the outcome of an open job and stops its runs; none of its tasks is
    started any more. Does nothing on a job that has an outcome. */
 void
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -158,13 +158,13 @@
     mb_dag_occurrence_t *occurrences;
     /* As stored in the job log, and thus as reported to clients: */
     mb_dag_outcome_t stored_outcome;
-    bool started; /* a task has been started */
+    bool started; /* a worker has listed a run or its end */
     bool cancelled;
     uint64_t known_since_us; /* when this process read the job from the log */
     uint64_t closed_us;      /* when it read the outcome; 0: still open */
     /* Known to the owner, possibly not stored yet: */
     mb_dag_outcome_t outcome;
-    bool any_run_started;
+    bool any_run_started;   /* becomes `started` */
     bool dirty;             /* the progress differs from what is stored */
     bool inherited;         /* accepted before this process became the owner */
     bool needs_scheduling;  /* a task may be startable */
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -131,6 +131,7 @@
     /* Encoded records of absent workers, by number of the worker. */
     std::map<uint32_t, std::string> absences;
     uint32_t absence_appends = 0;  /* appends of such records and removals */
+    uint32_t progress_records = 0; /* records of progress written so far */
     bool store_fails = false;      /* the log rejects groups */
     bool store_unanswered = false; /* the log does not answer */
     /* Tasks with an acknowledged success, which must not be started again. */
--- a/tests/unit/fleet_simulation_impl.h
+++ b/tests/unit/fleet_simulation_impl.h
@@ -98,6 +98,7 @@
 {
     FleetSimulation *simulation = static_cast<FleetSimulation *>(context);
     mb_buf_t value = {};
+    simulation->progress_records++;
     mb_dag_record_encode_progress(&value, progress);
     simulation->group.push_back({std::string(progress->id.text, MB_DAG_ID_LEN),
                                  std::string(value.data, value.len)});
