Take the lease of an earlier incarnation into account for the same name only

An executor under another name answers calls that were meant for the former one with a refusal, so it can't hold a lease by the former one's clock. The longest lease of a worker moves to mb_executor.h, since the owner and the agent use it. Tests of the fleet pass as before.

--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -40,9 +40,6 @@
    answered a list call holds no unknown runs, in milliseconds: longer than any
    lease that an earlier agent may have granted. */
 #define MB_AGENT_UNLISTED_MAX_MS 6000u
-/* Longest lease that a worker takes, in milliseconds; it shortens longer
-   ones. */
-#define MB_AGENT_WORKER_LEASE_MAX_MS 10000u
 /* Time after the departure of a worker within which its runs end, in
    milliseconds. */
 #define MB_AGENT_DEPARTURE_GRACE_MS 300u
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -49,7 +49,7 @@
 static void
 note_foreign_lease(mb_agent_t *agent)
 {
-    uint64_t lease_us = MB_AGENT_WORKER_LEASE_MAX_MS * (uint64_t)MB_US_PER_MS;
+    uint64_t lease_us = MB_EXECUTOR_LEASE_MAX_MS * (uint64_t)MB_US_PER_MS;
     agent->foreign_lease_end_us =
         mb_clock_us(&agent->clock) + lease_us + lease_us / CLOCK_DRIFT_DIVISOR;
 }
--- a/lib/coordination/mb_executor.h
+++ b/lib/coordination/mb_executor.h
@@ -7,6 +7,10 @@
 
 #include "mb_order.h"
 
+/* Longest lease that a worker takes, in milliseconds; it shortens longer
+   ones. */
+#define MB_EXECUTOR_LEASE_MAX_MS 10000u
+
 typedef enum mb_executor_result {
     MB_EXECUTOR_OK,
     MB_EXECUTOR_REFUSED,
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -2,7 +2,7 @@
    progress, and the state of workers. */
 #include <string.h>
 
-#include "mb_agent.h"
+#include "mb_executor.h"
 #include "mb_fleet_internal.h"
 
 /* Throttle at or below which a run counts as severely throttled, in percent of
@@ -564,14 +564,14 @@
     }
 }
 
-/* Notes that a worker which started again may hold a lease by the clock of its
-   earlier incarnation, longer than those that this owner grants. Its agent
-   ends the runs in time, unless it is frozen or gone. */
+/* Notes that a worker which started again under its name may hold a lease by
+   the clock of its earlier incarnation, longer than those that this owner
+   grants. Its agent ends the runs in time, unless it is frozen or gone. */
 static void
 note_earlier_lease(const mb_fleet_t *fleet, mb_fleet_worker_t *worker)
 {
 #ifndef MB_MUTANT_FLEET_EARLIER_LEASE_IGNORED
-    uint64_t lease_us = MB_AGENT_WORKER_LEASE_MAX_MS * (uint64_t)MB_US_PER_MS;
+    uint64_t lease_us = MB_EXECUTOR_LEASE_MAX_MS * (uint64_t)MB_US_PER_MS;
     uint64_t end_us = mb_clock_us(&fleet->clock) + lease_us +
                       lease_us / MB_FLEET_CLOCK_DRIFT_DIVISOR +
                       MB_FLEET_LEASE_MARGIN_MS * (uint64_t)MB_US_PER_MS;
@@ -592,7 +592,8 @@
                       "x to=%016" G_GINT64_MODIFIER "x",
                       MB_STR_ARG(info->name), worker->runs->len,
                       worker->incarnation, info->incarnation);
-        if (worker->incarnation != 0) {
+        if (worker->incarnation != 0 &&
+            mb_str_equal(mb_buf_view(&worker->name), info->name)) {
             note_earlier_lease(fleet, worker);
         }
         mb_health_init(&worker->health);
