Log why a job's task waits although its turn has come

Nothing told why a startable task was not placed: reason, since when, and on how many workers. The owner now logs 'task waits' for a job of which nothing has run for 3 s, again each 5 s, at most three lines a second, with the count of workers per obstacle, the lowest cost and its limit.

service_job, best_effort_job and report_latencies move from test_fleet.cc to fleet_histories.h unchanged, for the tests in test_fleet_idle_jobs.cc.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -285,6 +285,7 @@
     job->inherited = false;
     job->running = 0;
     job->idle_since_us = now_us;
+    job->wait_logged_us = 0;
     for (uint32_t i = 0; i < job->occurrence_count; i++) {
         uint64_t due_ms = job->spec.occurrences == 0
                               ? 0
@@ -558,6 +559,9 @@
         }
     }
     mb_fleet_flush(fleet);
+    if (fleet->active) {
+        mb_fleet_log_waiting(fleet, now_us);
+    }
 }
 
 /* Acts on the events so far; see the header. */
--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -272,6 +272,32 @@
     return false;
 }
 
+/* Returns what forbids a run on a worker whatever its cost, in the order that
+   tells an operator most; MB_FLEET_OBSTACLE_COST if nothing does. */
+mb_fleet_obstacle_t
+mb_fleet_placement_obstacle(const mb_fleet_cost_inputs_t *inputs,
+                            const mb_fleet_worker_t *worker,
+                            const mb_fleet_run_t *run)
+{
+    const mb_dag_step_t *step = &run->job->steps[run->step];
+    if (!mb_str_equal(mb_buf_view(&worker->service),
+                      run->job->spec.policy.service) ||
+        (step->label.len > 0 && !has_label(worker, step->label)) ||
+        (step->per_worker_max > 0 &&
+         count_step_runs(worker, run) >= step->per_worker_max)) {
+        return MB_FLEET_OBSTACLE_EXCLUDED;
+    }
+    if (!accepts_starts(inputs, worker)) {
+        return MB_FLEET_OBSTACLE_UNUSABLE;
+    }
+    if (step->best_effort && is_throttled_by_agent(worker)) {
+        return MB_FLEET_OBSTACLE_THROTTLED;
+    }
+    return load_with_task(worker, step) == COST_FORBIDDEN
+               ? MB_FLEET_OBSTACLE_ROOM
+               : MB_FLEET_OBSTACLE_COST;
+}
+
 /* Returns the cost of placing a run on a worker, or COST_FORBIDDEN if it must
    not be placed there. */
 uint64_t
@@ -279,22 +305,13 @@
                         const mb_fleet_worker_t *worker,
                         const mb_fleet_run_t *run)
 {
-    const mb_dag_job_t *job = run->job;
-    const mb_dag_step_t *step = &job->steps[run->step];
+    const mb_dag_step_t *step = &run->job->steps[run->step];
     const mb_dag_task_t *task = mb_fleet_run_task(run);
-    if (!accepts_starts(inputs, worker) ||
-        (step->best_effort && is_throttled_by_agent(worker)) ||
-        !mb_str_equal(mb_buf_view(&worker->service),
-                      job->spec.policy.service) ||
-        (step->label.len > 0 && !has_label(worker, step->label)) ||
-        (step->per_worker_max > 0 &&
-         count_step_runs(worker, run) >= step->per_worker_max)) {
+    if (mb_fleet_placement_obstacle(inputs, worker, run) !=
+        MB_FLEET_OBSTACLE_COST) {
         return COST_FORBIDDEN;
     }
     uint64_t cost = load_with_task(worker, step);
-    if (cost == COST_FORBIDDEN) {
-        return COST_FORBIDDEN;
-    }
     if (step->rack.len > 0 &&
         !mb_str_equal(mb_buf_view(&worker->rack), step->rack)) {
         cost += COST_OTHER_RACK;
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -4,6 +4,7 @@
    - mb_fleet_schedule.c chooses what to start, in the order of
      mb_fleet_order.c and at the costs of mb_fleet_cost.c, which
      mb_fleet_candidates.c keeps while the tasks of one step are placed
+   - mb_fleet_waiting.c logs why tasks that have waited for long don't start
    - mb_fleet_majority.c tells whether most agents obey the owner
    - mb_fleet_absence.c keeps the records of absent workers, and the tasks that
      wait for them after a change of ownership
@@ -91,6 +92,24 @@
 uint64_t mb_fleet_placement_cost_limit(const mb_fleet_cost_inputs_t *inputs,
                                        const mb_fleet_run_t *run);
 
+/* Why a worker does not get a task. */
+typedef enum mb_fleet_obstacle {
+    MB_FLEET_OBSTACLE_EXCLUDED,  /* service, label, or tasks per worker */
+    MB_FLEET_OBSTACLE_UNUSABLE,  /* the worker gets no starts at present */
+    MB_FLEET_OBSTACLE_THROTTLED, /* its agent protects a service there */
+    MB_FLEET_OBSTACLE_ROOM,      /* the task does not fit */
+    MB_FLEET_OBSTACLE_COST,      /* at most the cost is too high */
+    MB_FLEET_OBSTACLE_COUNT
+} mb_fleet_obstacle_t;
+
+mb_fleet_obstacle_t
+mb_fleet_placement_obstacle(const mb_fleet_cost_inputs_t *inputs,
+                            const mb_fleet_worker_t *worker,
+                            const mb_fleet_run_t *run);
+
+/* mb_fleet_waiting.c */
+void mb_fleet_log_waiting(mb_fleet_t *fleet, uint64_t now_us);
+
 /* The workers that can take a task of one step, as a heap with the lowest cost
    first; among equal costs, the lowest number first. */
 typedef struct mb_fleet_candidate {
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -170,8 +170,9 @@
     bool needs_scheduling;  /* a task may be startable */
     uint32_t running;       /* number of runs that occupy a worker */
     uint64_t idle_since_us; /* since when `running` is 0 */
-    uint64_t arrived_us;    /* when the job was submitted */
-    uint64_t objective_us;  /* see mb_dag_policy_t; from `arrived_us` */
+    uint64_t wait_logged_us; /* when the log last got why it waits; 0: never */
+    uint64_t arrived_us;     /* when the job was submitted */
+    uint64_t objective_us;   /* see mb_dag_policy_t; from `arrived_us` */
     /* Estimates for the first occurrence: */
     uint64_t remaining_work; /* in milliseconds of 1/1000 processor */
     uint64_t remaining_us;   /* of the critical path: minimum to completion */
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -746,56 +746,6 @@
     EXPECT_TRUE(mb_fleet_job_idle(job));
 }
 
-/* Returns a job of one service task with a latency target of 50 ms. */
-static mb_dag_spec_t
-service_job(mb_dag_step_t *step, const char *id, uint32_t cpu)
-{
-    mb_dag_spec_t spec = one_step_job(step, id, 1, cpu);
-    step->long_running = true;
-    step->latency_target_ms = 50;
-    step->image = MB_STR_LIT("web");
-    return spec;
-}
-
-/* Returns a job of best-effort tasks. */
-static mb_dag_spec_t
-best_effort_job(mb_dag_step_t *step, const char *id, uint32_t count,
-                const char *image)
-{
-    mb_dag_spec_t spec = one_step_job(step, id, count, 1500);
-    step->best_effort = true;
-    step->image = mb_str_from_cstr(image);
-    return spec;
-}
-
-/* Makes workers report the latency of a queue, 10 ms / (1 - utilization). A
-   service task has a utilization of 1/2, and best-effort runs of the harmful
-   image add 1/8 for each processor that they use. */
-static void
-report_latencies(FleetSimulation &simulation, const char *harmful)
-{
-    simulation.reported_value = [&simulation,
-                                 harmful](const FakeWorker &worker,
-                                          const FakeWorker::Run &run) {
-        double utilization = 0.5;
-        auto get_step = [&simulation](const FakeWorker::Run &of) {
-            return mb_dag_find(&simulation.table, of.task.job)
-                ->steps[of.task.step];
-        };
-        if (get_step(run).best_effort) {
-            return 15 * run.throttle_percent;
-        }
-        for (const auto &other : worker.runs) {
-            if (get_step(other).best_effort &&
-                mb_str_equal(get_step(other).image,
-                             mb_str_from_cstr(harmful))) {
-                utilization += 0.125 * 1.5 * other.throttle_percent / 100;
-            }
-        }
-        return (uint32_t)(10 / std::max(1 - utilization, 0.02));
-    };
-}
-
 /* Guards against a service task that misses its latency target because of
    best-effort runs, and against throttling harmless runs with the harmful. */
 TEST(Fleet, ThrottlesOnlyRunsThatDisturbAService)
