--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -337,7 +337,8 @@
     if (job->running > 0 || idle_us < IDLE_JOB_US) {
         return 0;
     }
-    if (mb_fleet_pools_use_milli(&inputs->pools, service) < SHARED_USE_MILLI) {
+    if (mb_fleet_pools_use_milli(&inputs->pools, service) < SHARED_USE_MILLI &&
+        !mb_fleet_pools_job_in_time_waits(&inputs->pools, service)) {
         return COST_FORBIDDEN;
     }
     bool is_over = idle_us >= IDLE_JOB_LOADED_US ||
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -89,6 +89,8 @@
     uint64_t used_cpu_milli; /* declared by tasks that are not best-effort */
     uint64_t best_effort_cpu_milli;
     uint64_t used_memory_mb;
+    bool job_in_time_waits; /* a job that can still be in time has a waiting
+                               task */
 } mb_fleet_pool_t;
 
 typedef struct mb_fleet_pools {
@@ -102,6 +104,8 @@
                                   mb_str_t service);
 uint64_t mb_fleet_pools_declared_milli(const mb_fleet_pools_t *pools,
                                        mb_str_t service);
+bool mb_fleet_pools_job_in_time_waits(const mb_fleet_pools_t *pools,
+                                      mb_str_t service);
 
 /* Inputs of the cost functions that stay the same during a scheduling
    pass. */
@@ -164,6 +168,7 @@
 
 /* mb_fleet_order.c */
 void mb_fleet_sort_jobs(mb_fleet_t *fleet, uint64_t now_us);
+bool mb_fleet_job_is_late(const mb_dag_job_t *job, uint64_t now_us);
 
 /* mb_fleet_schedule.c */
 void mb_fleet_schedule(mb_fleet_t *fleet);
--- a/lib/coordination/mb_fleet_order.c
+++ b/lib/coordination/mb_fleet_order.c
@@ -21,6 +21,14 @@
     uint64_t due_us;
 } sort_key_t;
 
+/* Tells whether a job is expected to miss its objective. */
+bool
+mb_fleet_job_is_late(const mb_dag_job_t *job, uint64_t now_us)
+{
+    uint64_t age_us = now_us - MIN(now_us, job->arrived_us);
+    return age_us + job->remaining_us > job->objective_us;
+}
+
 /* Returns the sort key of a job. It is late if its age plus the expected time
    to complete it exceeds its objective. */
 static sort_key_t
@@ -32,7 +40,7 @@
     if (total_us > job->objective_us * VERY_LATE_FACTOR) {
         lateness = 2;
     }
-    else if (total_us > job->objective_us) {
+    else if (mb_fleet_job_is_late(job, now_us)) {
         lateness = 1;
     }
     return (sort_key_t){lateness, job->spec.policy.priority,
--- a/lib/coordination/mb_fleet_pools.c
+++ b/lib/coordination/mb_fleet_pools.c
@@ -45,6 +45,32 @@
            !mb_fleet_worker_silent(worker, now_us);
 }
 
+/* Tells whether a job can still be in time and has tasks to finish that may
+   wait for a worker. Services, which are never finished, don't count. */
+static bool
+is_waiting_in_time(const mb_dag_job_t *job, uint64_t now_us)
+{
+    return job->outcome == MB_DAG_OPEN && job->needs_scheduling &&
+           !job->steps[0].long_running && job->spec.occurrences == 0 &&
+           !mb_fleet_job_is_late(job, now_us);
+}
+
+/* Notes for which services jobs wait that can still be in time. */
+static void
+note_jobs_in_time(mb_fleet_pools_t *pools, const mb_fleet_t *fleet,
+                  uint64_t now_us)
+{
+    for (guint i = 0; i < fleet->open_jobs->len; i++) {
+        const mb_dag_job_t *job = g_ptr_array_index(fleet->open_jobs, i);
+        mb_fleet_pool_t *pool = is_waiting_in_time(job, now_us)
+                                    ? get_pool(pools, job->spec.policy.service)
+                                    : NULL;
+        if (pool != NULL) {
+            pool->job_in_time_waits = true;
+        }
+    }
+}
+
 /* Adds up the capacity and the use of all services' workers. */
 void
 mb_fleet_pools_compute(mb_fleet_pools_t *pools, const mb_fleet_t *fleet,
@@ -69,6 +95,7 @@
                                 worker->best_effort.memory_mb +
                                 worker->orphaned.memory_mb;
     }
+    note_jobs_in_time(pools, fleet, now_us);
 }
 
 /* Returns the share of a capacity that is in use, in thousandths. Without
@@ -109,3 +136,12 @@
                                               pool->best_effort_cpu_milli,
                                           pool->cpu_milli);
 }
+
+/* Tells whether a job of a service waits that can still be in time. */
+bool
+mb_fleet_pools_job_in_time_waits(const mb_fleet_pools_t *pools,
+                                 mb_str_t service)
+{
+    const mb_fleet_pool_t *pool = find_pool(pools, service);
+    return pool != NULL && pool->job_in_time_waits;
+}
