Let late jobs wait while one that can be in time does

Cause: since each job without a run gets a task after 1.2 s while its service is half free.

The short time now holds only while no job of the service waits that can still be in time. FleetIdleJobs.AJobThatCanBeInTimeComesBeforeIdleLateOnes fails with the mutant FLEET_IDLE_JOBS_BEFORE_IN_TIME, which is the code before.

--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -327,8 +327,9 @@
 }
 
 /* Returns the limit for the best-effort tasks of a job without a run: none
-   after a while, but only while little of its service is in use does it get a
-   place on a crowded worker. Returns 0 if the while is not over. */
+   after a while, but it gets a place on a crowded worker only while little of
+   its service is in use and no job there waits that can still be in time.
+   Returns 0 if the while is not over. */
 static uint64_t
 idle_cost_limit(const mb_fleet_cost_inputs_t *inputs, const mb_dag_job_t *job)
 {
--- a/tests/unit/test_fleet_idle_jobs.cc
+++ b/tests/unit/test_fleet_idle_jobs.cc
@@ -175,6 +175,29 @@
     EXPECT_EQ(count_running_jobs(simulation), 3u);
 }
 
+/* Guards against late jobs that take the workers from one that can still be in
+   time, and against late jobs that wait once it is gone. */
+TEST(FleetIdleJobs, AJobThatCanBeInTimeComesBeforeIdleLateOnes)
+{
+    FleetSimulation simulation(3);
+    std::vector<mb_dag_step_t> steps;
+    mb_dag_step_t in_time;
+    simulation.task_ms = 60000;
+    report_near_target(simulation);
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_dag_spec_t spec = best_effort_job(&in_time, waiting_id, 20, "batch");
+    spec.submitted_ms = simulation.now_us / 1000;
+    spec.policy.latency_objective_ms = 3600000;
+    simulation.submit(spec);
+    submit_waiting_jobs(simulation, steps, 1500);
+    simulation.advance(3000);
+    EXPECT_LT(count_running_jobs(simulation), 5u);
+    simulation.cancel(waiting_id);
+    simulation.advance(4000);
+    EXPECT_EQ(count_running_jobs(simulation), 5u);
+}
+
 /* Guards against jobs of one service that wait because another is full. */
 TEST(FleetIdleJobs, OnlyTheJobsOwnServiceCounts)
 {
