Move the leases of the worker out of mb_agent_worker.c

The list of modules and a comment on the idle time of jobs follow the code. The unit tests of fleet and agent pass as before.

--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -1,8 +1,9 @@
 /* Functions and types shared by the files of the agent. mb_agent.c (owner,
-   reports) calls the other files. mb_agent_worker.c (list calls and lease)
-   calls mb_agent_throttle.c (best-effort work beside services). All of them
-   call mb_agent_runs.c (calls about single runs), which itself only calls
-   mb_agent_lease_end_ms of the others. */
+   reports) calls the other files. mb_agent_worker.c (list calls) calls
+   mb_agent_lease.c (the worker's leases) and mb_agent_throttle.c (best-effort
+   work beside services). All of them call mb_agent_runs.c (calls about single
+   runs), which itself only calls mb_agent_lease_end_ms and
+   mb_agent_note_answer of the others. */
 #ifndef MB_AGENT_INTERNAL_H
 #define MB_AGENT_INTERNAL_H
 
@@ -68,10 +69,14 @@
 void mb_agent_check_latency(mb_agent_t *agent, uint64_t now_us);
 void mb_agent_apply_throttle(mb_agent_t *agent);
 
-/* mb_agent_worker.c */
+/* mb_agent_lease.c */
 uint64_t mb_agent_lease_end_ms(mb_agent_t *agent);
-void mb_agent_worker_tick(mb_agent_t *agent, uint64_t now_us);
+void mb_agent_note_foreign_lease(mb_agent_t *agent);
 bool mb_agent_lease_has_ended(const mb_agent_t *agent, uint64_t now_us);
+void mb_agent_lease_tick(mb_agent_t *agent, uint64_t now_us);
+
+/* mb_agent_worker.c */
+void mb_agent_worker_tick(mb_agent_t *agent, uint64_t now_us);
 bool mb_agent_worker_reachable(const mb_agent_t *agent, uint64_t now_us);
 void mb_agent_reset_worker(mb_agent_t *agent);
 void mb_agent_note_answer(mb_agent_t *agent,
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -1,5 +1,4 @@
-/* List calls to the worker, which return its runs and ends, and the worker's
-   lease. */
+/* List calls to the worker, which return its runs and ends. */
 #include <string.h>
 
 #include "mb_agent_internal.h"
@@ -9,9 +8,6 @@
    never started. */
 #define STOP_SETTLED_US UINT64_C(50000)
 
-/* A worker's clock may be slow by up to 1 / CLOCK_DRIFT_DIVISOR. */
-#define CLOCK_DRIFT_DIVISOR 50u
-
 /* Returns whether the worker has answered a list call recently. */
 bool
 mb_agent_worker_reachable(const mb_agent_t *agent, uint64_t now_us)
@@ -43,17 +39,6 @@
            difference_ms <= MB_AGENT_CLOCK_TOLERANCE_MS;
 }
 
-/* Notes that a call with a lease by the clock of an earlier incarnation may
-   have reached the worker, which then holds the lease for longer than the
-   owner has granted it. */
-static void
-note_foreign_lease(mb_agent_t *agent)
-{
-    uint64_t lease_us = MB_EXECUTOR_LEASE_MAX_MS * (uint64_t)MB_US_PER_MS;
-    agent->foreign_lease_end_us =
-        mb_clock_us(&agent->clock) + lease_us + lease_us / CLOCK_DRIFT_DIVISOR;
-}
-
 /* Notes whether a call about a run was answered by the known incarnation of
    the worker. One that took its place between two calls shows in no call that
    fails, but by its clock. */
@@ -70,7 +55,7 @@
     /* A late answer is behind the expected time, too, but not behind the
        latest time that the worker has shown. */
     if (!known_clock && answer->clock_ms < agent->worker_clock_ms) {
-        note_foreign_lease(agent);
+        mb_agent_note_foreign_lease(agent);
     }
 }
 
@@ -87,23 +72,6 @@
     return agent->call_failed_us == 0;
 }
 
-/* Returns the lease end to send now, in the worker's clock, or 0 if no lease
-   may be granted, and records it as the latest one sent. The worker read its
-   clock before its answer arrived here, so the lease ends no later than the
-   owner allows. */
-uint64_t
-mb_agent_lease_end_ms(mb_agent_t *agent)
-{
-    uint64_t now_us = mb_clock_us(&agent->clock);
-    if (!agent->has_clock || agent->grant_end_us <= now_us ||
-        agent->lapse_awaited) {
-        return 0;
-    }
-    agent->lease_end_us = MAX(agent->lease_end_us, agent->grant_end_us);
-    return agent->worker_clock_ms +
-           (agent->grant_end_us - agent->worker_clock_read_us) / MB_US_PER_MS;
-}
-
 /* Returns whether a run may belong to an incarnation of the worker that was
    discovered just now: its start is not answered yet, or was answered after
    the list call that showed the new incarnation was sent. */
@@ -292,7 +260,7 @@
         "worker restarted name=%.*s born_ms=%" G_GUINT64_FORMAT " runs=%u",
         MB_STR_ARG(agent->info.name), answer->start_time_ms, agent->runs->len);
     mb_agent_reset_worker(agent);
-    note_foreign_lease(agent);
+    mb_agent_note_foreign_lease(agent);
     agent->info.incarnation = answer->incarnation;
     agent->info.start_time_ms = answer->start_time_ms;
     agent->heartbeat_sequence = 0;
@@ -384,91 +352,6 @@
     }
 }
 
-/* Returns whether the latest lease that was sent to the worker has certainly
-   expired, with a margin of 2 % of the time from its latest answer to the end
-   of the lease, as its clock may be slow, plus 200 ms. */
-bool
-mb_agent_lease_has_ended(const mb_agent_t *agent, uint64_t now_us)
-{
-    uint64_t end_us = agent->lease_end_us;
-    uint64_t margin_us =
-        (end_us - MIN(end_us, agent->last_list_us)) / 50 + 200 * MB_US_PER_MS;
-    return end_us == 0 || now_us >= end_us + margin_us;
-}
-
-/* Returns whether all leases of the worker have expired: one that was sent by
-   the clock of an earlier incarnation, and the latest one of this agent or, if
-   it has granted none, those of an earlier agent. */
-static bool
-have_leases_ended(const mb_agent_t *agent, uint64_t now_us)
-{
-#ifndef MB_MUTANT_AGENT_FOREIGN_LEASE_IGNORED
-    if (now_us < agent->foreign_lease_end_us) {
-        return false;
-    }
-#endif
-    return agent->lease_end_us != 0
-               ? mb_agent_lease_has_ended(agent, now_us)
-               : now_us - agent->unlisted_us >=
-                     MB_AGENT_UNLISTED_MAX_MS * (uint64_t)MB_US_PER_MS;
-}
-
-/* Gives up the runs of an unreachable worker when its lease has expired. */
-static void
-check_lease(mb_agent_t *agent, uint64_t now_us)
-{
-    if (agent->runs->len == 0 || mb_agent_worker_reachable(agent, now_us) ||
-        !have_leases_ended(agent, now_us)) {
-        return;
-    }
-    mb_log_notice(
-        &agent->log,
-        "no answer from the worker before its lease expired name=%.*s runs=%u",
-        MB_STR_ARG(agent->info.name), agent->runs->len);
-    (void)g_ptr_array_set_size(agent->runs, 0);
-    agent->generation++;
-    agent->complete_due = true;
-}
-
-/* Notes that the worker's lease must end, because the owner's grant has ended
-   and its tasks may be started elsewhere: an end that is acknowledged within
-   a lease counts, whoever has run the task again meanwhile. */
-static void
-await_lapse(mb_agent_t *agent, uint64_t now_us)
-{
-    bool has_work = agent->runs->len + agent->ends->len > 0;
-    if (has_work && !agent->lapse_awaited &&
-        now_us < agent->foreign_lease_end_us) {
-        agent->lapse_awaited = true;
-        mb_log_notice(&agent->log,
-                      "grant ended within a lease of an earlier incarnation, "
-                      "waiting for its end name=%.*s ends=%u runs=%u",
-                      MB_STR_ARG(agent->info.name), agent->ends->len,
-                      agent->runs->len);
-    }
-}
-
-/* Stops the runs when the time has passed for which the owner has granted the
-   lease. The worker ends them by itself, unless it holds a longer lease: one
-   that was sent by the clock of its earlier incarnation. */
-static void
-enforce_grant(mb_agent_t *agent, uint64_t now_us)
-{
-    if (agent->grant_end_us == 0 || now_us < agent->grant_end_us) {
-        return;
-    }
-#ifndef MB_MUTANT_AGENT_LAPSE_NOT_AWAITED
-    await_lapse(agent, now_us);
-#endif
-    for (guint i = 0; i < agent->runs->len; i++) {
-        mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
-        if (!run->stop_wanted) {
-            run->stop_wanted = true;
-            run->stop_due_us = 0;
-        }
-    }
-}
-
 /* Does what is due at this time. */
 void
 mb_agent_worker_tick(mb_agent_t *agent, uint64_t now_us)
@@ -484,13 +367,7 @@
         agent->generation++;
         agent->complete_due = true;
     }
-    check_lease(agent, now_us);
-    if (now_us >= agent->foreign_lease_end_us) {
-        agent->lapse_awaited = false;
-    }
-#ifndef MB_MUTANT_AGENT_GRANT_NOT_ENFORCED
-    enforce_grant(agent, now_us);
-#endif
+    mb_agent_lease_tick(agent, now_us);
     mb_agent_runs_tick(agent, now_us);
     if (!agent->list_pending && now_us >= agent->list_due_us) {
         send_list(agent, now_us);
--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -60,13 +60,13 @@
 #define BEST_EFFORT_OVERCOMMIT_MILLI 1250u
 /* After a time without a run, in microseconds, a job gets one best-effort task
    started even where it may disturb a service, whose agent then slows it down:
-   after IDLE_JOB_US while little of its service's capacity is in use, after
+   IDLE_JOB_US while little of its service's capacity is in use,
    IDLE_JOB_LOADED_US otherwise. With the short time, a loaded service would be
    divided among all jobs and none would be on time. Little is less than
-   SHARED_USE_MILLI thousandths as the platform counts it, which does not count
-   the processors of best-effort tasks (half, and a margin for what is about to
-   end), or less than LIGHT_LOAD_MILLI of the processors that all tasks
-   declare. */
+   SHARED_USE_MILLI thousandths as the platform counts it, without the
+   processors of best-effort tasks (half, and a margin for what is about to
+   end), while no job in time waits; or less than LIGHT_LOAD_MILLI of the
+   processors that all tasks declare. */
 #define IDLE_JOB_US UINT64_C(1200000)
 #define IDLE_JOB_LOADED_US UINT64_C(8000000)
 #define SHARED_USE_MILLI 550u
