--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -198,13 +198,13 @@
     if (task == NULL || job->outcome != MB_DAG_OPEN) {
         return;
     }
+    mb_fleet_mark_begun(fleet, worker, job);
     mb_fleet_run_t run = make_ended_run(fleet, job, end);
     if (is_success_of_newest_run(task, end)) {
         handle_success(fleet, worker, &run);
         return;
     }
     if (mb_fleet_task_is_running(task) || end->run < task->last_run) {
-        mb_fleet_mark_begun(fleet, worker, job);
         count_superseded_failure(fleet, job, end);
         return;
     }
