Count agents of the first load of the log towards a new owner's majority

A process that had just started left out all of them, and waited for the former owner's lease when a machine was lost with that owner.

Agents that are in the log when the process first reads it count again, as before; those that join while it follows the log don't for 10 s.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -129,6 +129,19 @@
     return worker->number;
 }
 
+/* Notes that the log has been read as a whole; see the header. */
+void
+mb_fleet_agents_loaded(mb_fleet_t *fleet)
+{
+    if (fleet->agents_loaded) {
+        return;
+    }
+    fleet->agents_loaded = true;
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        mb_fleet_get_worker(fleet, i)->joined_us = 0;
+    }
+}
+
 /* Resets the state of a worker that belongs to one connection to its agent.
    The runs stay. */
 static void
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -151,8 +151,10 @@
        run there; empty if there are none or they are unknown. */
     GArray *absent_tasks;
     bool former_tasks_known; /* nothing but `absent_tasks` may run there */
-    bool removed;        /* it has left: the log no longer names its agent */
-    uint64_t joined_us;  /* when this process read that it is in the fleet */
+    bool removed; /* it has left: the log no longer names its agent */
+    /* When this process read that it has joined the fleet; 0: it was part of
+       it when this process first read the log. */
+    uint64_t joined_us;
     bool agent_draining; /* the agent drains and will exit */
     mb_worker_state_t state;
     uint64_t incarnation;
@@ -230,6 +232,7 @@
     uint32_t held_tasks; /* tasks that wait for workers that have not reported
                             to this owner, in the latest scheduling pass */
     GPtrArray *workers;  /* mb_fleet_worker_t by number */
+    bool agents_loaded;  /* see mb_fleet_agents_loaded */
     /* mb_buf_t (address) -> mb_fleet_worker_t, both owned by `workers` */
     GHashTable *workers_by_address;
     /* mb_dag_job_t without an outcome, in scheduling order once sorted. Those
@@ -292,6 +295,9 @@
    mb_fleet_finish. */
 uint32_t mb_fleet_add_worker(mb_fleet_t *fleet, mb_str_t address);
 uint32_t mb_fleet_find_worker(const mb_fleet_t *fleet, mb_str_t address);
+/* Notes that the log has been read as a whole. Workers that are in the fleet
+   at the first time don't count as having joined lately. */
+void mb_fleet_agents_loaded(mb_fleet_t *fleet);
 void mb_fleet_agent_connected(mb_fleet_t *fleet, uint32_t worker);
 void mb_fleet_agent_disconnected(mb_fleet_t *fleet, uint32_t worker);
 void mb_fleet_handle_report(mb_fleet_t *fleet, uint32_t worker,
--- a/lib/coordination/mb_fleet_majority.c
+++ b/lib/coordination/mb_fleet_majority.c
@@ -99,17 +99,19 @@
     return now_us < fleet->majority_end_us;
 }
 
-/* Tells whether the former owner certainly knows of an agent, if it acts at or
-   after `now_us`: the agent had joined before the latest read of the log that
-   the lease of that owner may count from. */
+/* Tells whether the former owner is taken to know of an agent, if it acts at
+   or after `now_us`: the agent had joined before the latest read of the log
+   that the lease of that owner may count from, or before this process first
+   read the log, which does not tell when. */
 static bool
 is_known_to_former_owner(const mb_fleet_worker_t *worker, uint64_t now_us)
 {
 #ifdef MB_MUTANT_FLEET_JOINED_AGENTS_COUNT
     return true;
 #endif
-    return now_us >=
-           worker->joined_us + MB_OWNERSHIP_LEASE_MS * (uint64_t)MB_US_PER_MS;
+    return worker->joined_us == 0 ||
+           now_us >= worker->joined_us +
+                         MB_OWNERSHIP_LEASE_MS * (uint64_t)MB_US_PER_MS;
 }
 
 /* Ends the wait for the former owner's own lease when this owner has taken
--- a/tests/unit/fleet_simulation_impl.h
+++ b/tests/unit/fleet_simulation_impl.h
@@ -199,6 +199,7 @@
     for (uint32_t i = 0; i < count; i++) {
         add_machine();
     }
+    mb_fleet_agents_loaded(&fleet);
 }
 
 inline FleetSimulation::~FleetSimulation()
--- a/tests/unit/fleet_two_owners.h
+++ b/tests/unit/fleet_two_owners.h
@@ -102,6 +102,7 @@
         for (auto &machine : simulation.machines) {
             add(*machine);
         }
+        mb_fleet_agents_loaded(&fleet);
     }
 
     ~LaterOwner()
--- a/tests/unit/test_scheduler_records.cc
+++ b/tests/unit/test_scheduler_records.cc
@@ -144,6 +144,18 @@
     }
 };
 
+/* Guards against a new owner that takes all agents for ones that have joined
+   lately, because its process has just started: it would wait for the former
+   owner's lease whenever a machine is lost with that owner. */
+TEST(SchedulerRecords, AgentsOfTheFirstLoadHaveNotJoinedLately)
+{
+    SchedulerRecords records;
+    records.reload({"10.0.0.1:7480"});
+    records.reload({"10.0.0.1:7480", "10.0.0.2:7480"});
+    EXPECT_EQ(mb_fleet_get_worker(&records.node.fleet, 0)->joined_us, 0u);
+    EXPECT_NE(mb_fleet_get_worker(&records.node.fleet, 1)->joined_us, 0u);
+}
+
 /* Guards against a crash of a scheduler that started after an agent had left:
    it reads the removal of an agent that it has never heard of, and then the
    address of another agent. */
