Estimate no latencies for workers that only an idle job may get

Since a worker whose processors are declared to others has a cost for best-effort tasks instead of none, and so each pass estimated the latencies of the services on it. The estimate is left out there: it can't change that such a worker is the last choice.

--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -315,11 +315,15 @@
         !mb_str_equal(mb_buf_view(&worker->rack), step->rack)) {
         cost += COST_OTHER_RACK;
     }
-    cost += colocation_cost(inputs, worker, step);
     if (step->best_effort &&
         (is_crowded(worker, step) || is_throttled_by_agent(worker))) {
+        /* The estimate of latencies is the expensive part of a pass, and does
+           not change that this is the last choice. */
         cost += COST_BEST_EFFORT_CROWDED;
     }
+    else {
+        cost += colocation_cost(inputs, worker, step);
+    }
     if (task->last_failed_worker == worker->number + 1) {
         cost += COST_FAILED_HERE;
     }
