--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -1,6 +1,7 @@
 /* Functions that the files of the fleet share. Calls go one way:
    - mb_fleet.c (ownership, timers, sending) calls the files below
-   - mb_fleet_report.c applies what the agents report
+   - mb_fleet_report.c applies what the agents report, through mb_fleet_ends.c,
+     mb_fleet_refusals.c and mb_fleet_reported_runs.c
    - mb_fleet_schedule.c chooses what to start, in the order of
      mb_fleet_order.c and at the costs of mb_fleet_cost.c, which
      mb_fleet_candidates.c keeps while the tasks of one step are placed
@@ -75,6 +76,23 @@
 
 /* mb_fleet_report.c */
 void mb_fleet_settle_confirmed(mb_fleet_t *fleet);
+
+/* mb_fleet_ends.c */
+void mb_fleet_apply_ends(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                         const mb_report_t *report);
+
+/* mb_fleet_refusals.c */
+void mb_fleet_apply_refusals(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                             const mb_report_t *report);
+
+/* mb_fleet_reported_runs.c */
+void mb_fleet_apply_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                         const mb_report_t *report);
+bool mb_fleet_is_reported(const mb_report_t *report,
+                          const mb_fleet_run_t *run);
+void mb_fleet_drop_unreported_runs(mb_fleet_t *fleet,
+                                   mb_fleet_worker_t *worker,
+                                   const mb_report_t *report);
 void mb_fleet_abandon_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                            const char *reason);
 
--- /dev/null
+++ b/lib/coordination/mb_fleet_reported_runs.c
@@ -0,0 +1,276 @@
+/* Applies the runs that the agents report: their progress and throttles, runs
+   that this owner doesn't have on record, and those that are no longer
+   there. */
+#include "mb_fleet_internal.h"
+
+/* Throttle at or below which a run counts as severely throttled, in percent of
+   full speed. */
+#define SEVERE_THROTTLE_PERCENT 35u
+#define FULL_SPEED_PERCENT 100u
+/* A run counts as stalled after this time without progress, in microseconds:
+   a hundred times the usual time for one percent. */
+#define STALL_TIMEOUT_US UINT64_C(2000000)
+
+/* Tells whether a reported run that this owner doesn't have on record may go
+   on: its task still needs it and has no newer run. */
+static bool
+may_adopt(const mb_dag_job_t *job, const mb_dag_step_t *step,
+          const mb_dag_task_t *task, const mb_report_run_t *entry)
+{
+    uint32_t copies = 0;
+    for (uint32_t i = 0; i < MB_DAG_COPIES_MAX; i++) {
+        copies += task->runs[i].number != 0;
+    }
+    return job->outcome == MB_DAG_OPEN && !task->done &&
+           copies < (step->speculative ? MB_DAG_COPIES_MAX : 1u) &&
+           entry->run >= task->last_run;
+}
+
+/* Orders the stop of an orphaned run, one that no task needs. It uses its room
+   until it has ended; `step` is NULL if that is not known. */
+static void
+stop_orphan(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+            const mb_report_run_t *entry, const mb_dag_step_t *step)
+{
+    mb_order_stop_t stop = {entry->task, entry->run};
+    if (step == NULL) {
+        worker->has_unknown_orphan = true;
+    }
+    else {
+        worker->orphaned.cpu_milli +=
+            step->best_effort ? 0 : step->size.cpu_milli;
+        worker->orphaned.memory_mb += step->size.memory_mb;
+        worker->orphaned.accelerators += step->size.accelerators;
+    }
+    (void)mb_fleet_order_stop(fleet, worker, &stop);
+}
+
+/* Adopts a reported run that this owner doesn't have on record, such as one
+   that the former owner started, or orders its stop. */
+static void
+adopt_run(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+          const mb_report_run_t *entry)
+{
+    mb_dag_job_t *job = mb_dag_find(fleet->table, entry->task.job);
+    mb_dag_task_t *task =
+        job == NULL ? NULL
+                    : mb_dag_task(job, entry->task.occurrence,
+                                  entry->task.step, entry->task.index);
+    if (task != NULL && entry->confirmed) {
+        mb_fleet_mark_begun(fleet, worker, job);
+    }
+    if (task == NULL ||
+        !may_adopt(job, &job->steps[entry->task.step], task, entry)) {
+        mb_log_info(&fleet->log,
+                    "stopping an orphaned run job=%.*s run=%" G_GUINT64_FORMAT
+                    " worker=%.*s",
+                    MB_STR_ARG(mb_dag_id_view(&entry->task.job)), entry->run,
+                    MB_STR_ARG(mb_buf_view(&worker->name)));
+        stop_orphan(fleet, worker, entry,
+                    task == NULL ? NULL : &job->steps[entry->task.step]);
+        return;
+    }
+    mb_fleet_run_t run = {.job = job,
+                          .occurrence = entry->task.occurrence,
+                          .step = entry->task.step,
+                          .index = entry->task.index,
+                          .number = entry->run,
+                          .started_us = mb_clock_us(&fleet->clock),
+                          .resumed = true,
+                          .confirmed = true};
+    (void)mb_fleet_add_run(fleet, worker, &run);
+}
+
+/* Sends a restarted agent what it needs in order to throttle best-effort runs
+   and to watch the latency of service tasks: the start of the run again, which
+   has no other effect as the run exists already. */
+static void
+repeat_start(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+             const mb_fleet_run_t *run)
+{
+    const mb_dag_step_t *step = &run->job->steps[run->step];
+    mb_order_start_t start = {.task = mb_fleet_run_task_id(run),
+                              .run = run->number,
+                              .payload = run->job->spec.payload,
+                              .image = step->image,
+                              .latency_target_ms = step->latency_target_ms,
+                              .best_effort = step->best_effort};
+    if (step->best_effort || step->latency_target_ms > 0) {
+        (void)mb_fleet_order_start(fleet, worker, &start);
+    }
+}
+
+/* Records since when the agent has severely throttled a run, and whether it
+   has ever throttled it. */
+static void
+update_throttle_state(const mb_fleet_t *fleet, mb_fleet_run_t *run,
+                      uint32_t throttle_percent)
+{
+    run->was_throttled =
+        run->was_throttled || throttle_percent < FULL_SPEED_PERCENT;
+    if (throttle_percent > SEVERE_THROTTLE_PERCENT) {
+        run->throttled_since_us = 0;
+    }
+    else if (run->throttled_since_us == 0) {
+        run->throttled_since_us = mb_clock_us(&fleet->clock);
+    }
+}
+
+/* Stops a stalled run, one without progress that isn't severely throttled. Its
+   task goes on elsewhere, and the worker's health counts a failure. Gang
+   members are exempt because they wait for one another, and service tasks
+   because they report no progress. */
+static void
+check_progress(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+               mb_fleet_run_t *run, const mb_report_run_t *entry)
+{
+    uint64_t now_us = mb_clock_us(&fleet->clock);
+    const mb_dag_step_t *step = &run->job->steps[run->step];
+    if (!entry->confirmed || run->throttled_since_us != 0 ||
+        entry->progress != run->progress || run->progress_us == 0) {
+        run->progress = entry->progress;
+        run->progress_us = now_us;
+        return;
+    }
+    if (run->stopping || step->long_running || step->gang ||
+        now_us - run->progress_us < STALL_TIMEOUT_US) {
+        return;
+    }
+    mb_log_notice(&fleet->log,
+                  "run makes no progress, stopping it job=%.*s task=%u.%u.%u "
+                  "run=%" G_GUINT64_FORMAT " worker=%.*s progress=%u",
+                  MB_STR_ARG(mb_dag_id_view(&run->job->spec.id)),
+                  run->occurrence, run->step, run->index, run->number,
+                  MB_STR_ARG(mb_buf_view(&worker->name)), run->progress);
+    mb_health_failed(&worker->health, run->started_us, now_us);
+    mb_fleet_run_task(run)->last_failed_worker = worker->number + 1;
+    fleet->counts.stalls++;
+    mb_fleet_stop_run(fleet, worker, run);
+}
+
+/* Applies the runs of a report: updates known ones and their checkpoints, and
+   on a complete report adopts or stops the others. */
+void
+mb_fleet_apply_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                    const mb_report_t *report)
+{
+    if (report->complete) {
+        worker->orphaned = (mb_size_t){0};
+        worker->has_unknown_orphan = false;
+    }
+    for (guint i = 0; i < report->runs->len; i++) {
+        const mb_report_run_t *entry =
+            &g_array_index(report->runs, mb_report_run_t, i);
+        mb_fleet_run_t *run =
+            mb_fleet_find_run(worker, &entry->task, entry->run);
+        if (run == NULL) {
+            if (report->complete) {
+                adopt_run(fleet, worker, entry);
+            }
+            continue;
+        }
+        if (run->stopping) {
+#ifndef MB_MUTANT_FLEET_STOP_NOT_REPEATED
+            /* The stop was lost with an earlier connection, or the agent read
+               it before it knew of the run. */
+            mb_fleet_stop_run(fleet, worker, run);
+#endif
+        }
+        else if (!entry->attributes_known && entry->confirmed) {
+            repeat_start(fleet, worker, run);
+        }
+        run->confirmed = run->confirmed || entry->confirmed;
+        if (entry->confirmed) {
+            mb_fleet_mark_begun(fleet, worker, run->job);
+        }
+        update_throttle_state(fleet, run, entry->throttle_percent);
+        check_progress(fleet, worker, run, entry);
+        if (run->job->steps[run->step].checkpoints) {
+            mb_dag_set_checkpoint(mb_fleet_run_task(run), entry->checkpoint);
+        }
+    }
+}
+
+/* Tells whether a complete report contains a run. */
+bool
+mb_fleet_is_reported(const mb_report_t *report, const mb_fleet_run_t *run)
+{
+    mb_dag_task_id_t id = mb_fleet_run_task_id(run);
+    for (guint i = 0; i < report->runs->len; i++) {
+        const mb_report_run_t *entry =
+            &g_array_index(report->runs, mb_report_run_t, i);
+        if (entry->run == run->number &&
+            mb_dag_task_id_equal(&entry->task, &id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tells whether the start of a run that the worker has not confirmed may still
+   take effect: the worker refuses it once the lease that it came with has
+   ended. */
+static bool
+may_still_start(const mb_fleet_run_t *run, uint64_t now_us)
+{
+    return !run->confirmed &&
+           now_us < run->started_us + mb_fleet_max_lease_us();
+}
+
+/* Gives up the runs that a complete report does not contain although the agent
+   had read the order with their start before it made the report. A run that
+   the worker has never confirmed is stopped first: its agent was restarted,
+   and the start that the earlier one sent may still be on its way. The worker
+   refuses it after the stop, which the agent reports, or after the end of its
+   lease. */
+void
+mb_fleet_drop_unreported_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                              const mb_report_t *report)
+{
+    uint64_t now_us = mb_clock_us(&fleet->clock);
+    for (guint i = 0; i < worker->runs->len;) {
+        mb_fleet_run_t *run = &g_array_index(worker->runs, mb_fleet_run_t, i);
+        if (run->start_sequence > report->order_sequence ||
+            mb_fleet_is_reported(report, run)) {
+            i++;
+            continue;
+        }
+#ifndef MB_MUTANT_FLEET_DROPS_UNCONFIRMED
+        if (may_still_start(run, now_us)) {
+            mb_fleet_stop_run(fleet, worker, run);
+            i++;
+            continue;
+        }
+#endif
+        mb_dag_job_t *job = run->job;
+        mb_health_abandoned(&worker->health, run->started_us);
+        mb_fleet_remove_run(fleet, worker, run);
+        mb_fleet_mark_job_startable(fleet, job);
+        fleet->counts.lost_runs++;
+    }
+}
+
+/* Gives up all runs of a worker, whose tasks may be started again at once. The
+   caller ensures that the runs have ended. `reason` is for the log. */
+void
+mb_fleet_abandon_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                      const char *reason)
+{
+    if (worker->runs->len > 0) {
+        mb_log_notice(
+            &fleet->log,
+            "runs given up worker=%.*s runs=%u incarnation=%" G_GUINT64_FORMAT
+            " reason=%s",
+            MB_STR_ARG(mb_buf_view(&worker->name)), worker->runs->len,
+            worker->incarnation, reason);
+    }
+    while (worker->runs->len > 0) {
+        mb_fleet_run_t *run = &g_array_index(worker->runs, mb_fleet_run_t,
+                                             worker->runs->len - 1);
+        mb_dag_job_t *job = run->job;
+        mb_health_abandoned(&worker->health, run->started_us);
+        mb_fleet_remove_run(fleet, worker, run);
+        mb_fleet_mark_job_startable(fleet, job);
+        fleet->counts.lost_runs++;
+    }
+}
