Log whether a reported end counted, and count those that did not

Now effect= says what became of it. Two gauges count the ends that did not count, and successes of tasks that had succeeded before. No decision changes; test_fleet passes as before.

--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -85,10 +85,25 @@
     MB_FLEET_ABSENCE_REMOVING /* the log may still have the record */
 } mb_fleet_absence_t;
 
+/* What became of a reported end of a run. All but MB_FLEET_END_COUNTED change
+   nothing of the task. */
+typedef enum mb_fleet_end_effect {
+    MB_FLEET_END_COUNTED,
+    MB_FLEET_END_JOB_UNKNOWN,
+    MB_FLEET_END_TASK_UNKNOWN, /* the job has no such task */
+    MB_FLEET_END_JOB_CLOSED,   /* the job has an outcome */
+    MB_FLEET_END_TASK_DONE,    /* the task has succeeded before */
+    MB_FLEET_END_SUPERSEDED,   /* the task has been started again since */
+    MB_FLEET_END_REPEATED,     /* this failure has been counted before */
+    MB_FLEET_END_EFFECT_COUNT
+} mb_fleet_end_effect_t;
+
 /* Counters for metrics and tests. */
 typedef struct mb_fleet_counts {
     uint64_t starts;
     uint64_t ends[MB_RUN_END_COUNT];
+    uint64_t end_effects[MB_FLEET_END_EFFECT_COUNT];
+    uint64_t repeated_successes; /* of tasks that had succeeded before */
     uint64_t refusals[MB_REFUSAL_COUNT];
     uint64_t lost_runs; /* runs given up without a reported end */
     uint64_t stalls;    /* runs stopped because they made no progress */
--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -7,6 +7,16 @@
    up. */
 #define SERVICE_STARTUP_US UINT64_C(1000000)
 
+/* Returns the name of an effect for log lines, a static text. */
+const char *
+mb_fleet_end_effect_name(mb_fleet_end_effect_t effect)
+{
+    static const char *const names[MB_FLEET_END_EFFECT_COUNT] = {
+        "counted",   "job_unknown", "task_unknown", "job_closed",
+        "task_done", "superseded",  "repeated"};
+    return effect < MB_FLEET_END_EFFECT_COUNT ? names[effect] : "unknown";
+}
+
 /* Returns the task at which the failures of a run are counted. The members of
    a gang succeed and fail together, so a gang counts at its first task. */
 static mb_dag_task_t *
@@ -27,15 +37,16 @@
 }
 
 /* Handles the success of a run that has been removed from its worker. */
-static void
+static mb_fleet_end_effect_t
 handle_success(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                const mb_fleet_run_t *run)
 {
     mb_dag_job_t *job = run->job;
     const mb_dag_step_t *step = &job->steps[run->step];
+    bool was_done = mb_fleet_run_task(run)->done;
     mb_health_succeeded(&worker->health, run->started_us);
     if (step->long_running) {
-        return;
+        return MB_FLEET_END_COUNTED;
     }
     mb_fleet_learn_run_time(fleet, run);
     if (step->gang) {
@@ -50,19 +61,17 @@
     if (mb_dag_all_done(job)) {
         mb_fleet_close_job(fleet, job, MB_DAG_COMPLETED);
     }
+    return was_done ? MB_FLEET_END_TASK_DONE : MB_FLEET_END_COUNTED;
 }
 
-/* Handles the failure of a run that has been removed from its worker: delays
-   the next attempt, and fails the job after its last one. */
+/* Notes a failure at the worker, and delays the next attempt. */
 static void
-handle_failure(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
-               const mb_fleet_run_t *run)
+note_failure(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+             const mb_fleet_run_t *run)
 {
     uint64_t now_us = mb_clock_us(&fleet->clock);
-    mb_dag_job_t *job = run->job;
     mb_dag_task_t *task = mb_fleet_run_task(run);
-    mb_dag_task_t *counter = get_failure_counter(run);
-    if (job->steps[run->step].long_running &&
+    if (run->job->steps[run->step].long_running &&
         now_us - run->started_us >= SERVICE_STARTUP_US) {
         /* Service tasks never succeed and may fail at any time, so a failure
            after the startup says little about the worker. */
@@ -76,72 +85,77 @@
     mb_log_notice(&fleet->log,
                   "run failed job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
                   " worker=%.*s failures=%u of=%u",
-                  MB_STR_ARG(mb_dag_id_view(&job->spec.id)), run->occurrence,
-                  run->step, run->index, run->number,
+                  MB_STR_ARG(mb_dag_id_view(&run->job->spec.id)),
+                  run->occurrence, run->step, run->index, run->number,
                   MB_STR_ARG(mb_buf_view(&worker->name)),
-                  counter->failures + 1u, job->spec.policy.max_attempts);
-    /* The worker may report a failure that the former owner has stored
-       already; mb_dag_add_failure ignores it. */
-    if (job->steps[run->step].long_running || task->done ||
-        !mb_dag_add_failure(counter, run->number)) {
-        return;
+                  get_failure_counter(run)->failures + 1u,
+                  run->job->spec.policy.max_attempts);
+}
+
+/* Counts a failure towards the maximum number of attempts, and fails the job
+   after the last one. Each is counted once: a worker may report one that the
+   former owner has stored already. */
+static mb_fleet_end_effect_t
+count_failure(mb_fleet_t *fleet, const mb_fleet_run_t *run)
+{
+    mb_dag_job_t *job = run->job;
+    mb_dag_task_t *counter = get_failure_counter(run);
+    if (job->steps[run->step].long_running) {
+        return MB_FLEET_END_COUNTED;
+    }
+    if (mb_fleet_run_task(run)->done) {
+        return MB_FLEET_END_TASK_DONE;
+    }
+    if (!mb_dag_add_failure(counter, run->number)) {
+        return MB_FLEET_END_REPEATED;
     }
     mb_fleet_mark_dirty(fleet, job);
     if (counter->failures >= MAX(1u, job->spec.policy.max_attempts)) {
         mb_fleet_close_job(fleet, job, MB_DAG_FAILED);
     }
+    return MB_FLEET_END_COUNTED;
 }
 
-/* Handles the end of a run that this owner has on record, and removes the run.
- */
-static void
-handle_known_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
-                 mb_fleet_run_t *found, const mb_report_end_t *end)
+/* Handles the end of the newest run of a task. The run has been removed from
+   its worker. */
+static mb_fleet_end_effect_t
+handle_newest_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                  const mb_fleet_run_t *run, const mb_report_end_t *end)
 {
-    mb_fleet_run_t run = *found;
-    mb_dag_task_t *task = mb_fleet_run_task(&run);
-    bool checkpoints = run.job->steps[run.step].checkpoints;
-    mb_fleet_remove_run(fleet, worker, found);
-    if (run.job->outcome != MB_DAG_OPEN) {
-        mb_health_abandoned(&worker->health, run.started_us);
-        return;
-    }
-    mb_fleet_mark_begun(fleet, worker, run.job);
-    mb_fleet_mark_job_startable(fleet, run.job);
+    mb_dag_task_t *task = mb_fleet_run_task(run);
+    bool checkpoints = run->job->steps[run->step].checkpoints;
     if (checkpoints && !task->done && end->checkpoint.len > 0) {
         mb_dag_set_checkpoint(task, end->checkpoint);
-        mb_fleet_mark_dirty(fleet, run.job);
+        mb_fleet_mark_dirty(fleet, run->job);
     }
     if (end->how == MB_RUN_DONE) {
-        handle_success(fleet, worker, &run);
+        return handle_success(fleet, worker, run);
     }
-    else if (end->how == MB_RUN_FAILED) {
-        handle_failure(fleet, worker, &run);
-    }
-    else {
-        mb_health_abandoned(&worker->health, run.started_us);
+    if (end->how == MB_RUN_FAILED) {
+        note_failure(fleet, worker, run);
+        return count_failure(fleet, run);
     }
+    mb_health_abandoned(&worker->health, run->started_us);
+    return MB_FLEET_END_COUNTED;
 }
 
-/* Counts the failure of a run after which the task was started again. It
-   belongs to an attempt of the former owner, which could not store it; it must
-   still count towards the maximum number of attempts. */
-static void
-count_superseded_failure(mb_fleet_t *fleet, mb_dag_job_t *job,
-                         const mb_report_end_t *end)
+/* Handles the end of a run after which its task was started again. Its failure
+   is an attempt of the former owner, which could not store it; it must still
+   count towards the maximum number of attempts. */
+static mb_fleet_end_effect_t
+handle_superseded_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                      const mb_fleet_run_t *run, const mb_report_end_t *end)
 {
-    const mb_dag_step_t *step = &job->steps[end->task.step];
-    uint32_t index = step->gang ? 0 : end->task.index;
-    mb_dag_task_t *counter =
-        mb_dag_task(job, end->task.occurrence, end->task.step, index);
-    if (end->how != MB_RUN_FAILED || step->long_running || counter->done ||
-        !mb_dag_add_failure(counter, end->run)) {
-        return;
-    }
-    mb_fleet_mark_dirty(fleet, job);
-    if (counter->failures >= MAX(1u, job->spec.policy.max_attempts)) {
-        mb_fleet_close_job(fleet, job, MB_DAG_FAILED);
+    const mb_dag_task_t *task = mb_fleet_run_task(run);
+#ifndef MB_MUTANT_FLEET_OLDER_RUN_HIDES_SUCCESS
+    /* The run on record is older, so it was given up before the one that has
+       ended was started, and is being stopped. */
+    if (end->how == MB_RUN_DONE && end->run > task->last_run) {
+        return handle_success(fleet, worker, run);
     }
+#endif
+    return end->how == MB_RUN_FAILED ? count_failure(fleet, run)
+                                     : MB_FLEET_END_SUPERSEDED;
 }
 
 /* Returns a run that has ended and that this owner doesn't have on record. */
@@ -159,47 +173,72 @@
                             .confirmed = true};
 }
 
-/* Tells whether an end is a success that counts beside the run that its task
-   has on record: that one is older, so it was given up before the one that has
-   ended was started, and is being stopped. */
-static bool
-is_success_of_newest_run(const mb_dag_task_t *task, const mb_report_end_t *end)
+/* Handles the end of a run that this owner has on record, and removes the
+   run. */
+static mb_fleet_end_effect_t
+handle_known_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                 mb_fleet_run_t *found, const mb_report_end_t *end)
 {
-#ifdef MB_MUTANT_FLEET_OLDER_RUN_HIDES_SUCCESS
-    return false;
-#endif
-    return mb_fleet_task_is_running(task) && end->run > task->last_run &&
-           end->how == MB_RUN_DONE;
+    mb_fleet_run_t run = *found;
+    mb_fleet_remove_run(fleet, worker, found);
+    if (run.job->outcome != MB_DAG_OPEN) {
+        mb_health_abandoned(&worker->health, run.started_us);
+        return MB_FLEET_END_JOB_CLOSED;
+    }
+    mb_fleet_mark_begun(fleet, worker, run.job);
+    mb_fleet_mark_job_startable(fleet, run.job);
+    return handle_newest_end(fleet, worker, &run, end);
 }
 
 /* Handles the end of a run that this owner doesn't have on record: the former
-   owner started it, or it was given up with its worker. Its success counts
-   unless the task has a newer run, in which case the lease of this one had
-   expired before the newer one was started. */
-static void
+   owner started it, or it was given up with its worker. */
+static mb_fleet_end_effect_t
 handle_unknown_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                    const mb_report_end_t *end)
 {
     mb_dag_job_t *job = mb_dag_find(fleet->table, end->task.job);
-    mb_dag_task_t *task = job == NULL
-                              ? NULL
-                              : mb_dag_task(job, end->task.occurrence,
-                                            end->task.step, end->task.index);
-    if (task == NULL || job->outcome != MB_DAG_OPEN) {
-        return;
+    if (job == NULL) {
+        return MB_FLEET_END_JOB_UNKNOWN;
     }
-    mb_fleet_mark_begun(fleet, worker, job);
-    mb_fleet_run_t run = make_ended_run(fleet, job, end);
-    if (is_success_of_newest_run(task, end)) {
-        handle_success(fleet, worker, &run);
-        return;
+    mb_dag_task_t *task = mb_dag_task(job, end->task.occurrence,
+                                      end->task.step, end->task.index);
+    if (task == NULL) {
+        return MB_FLEET_END_TASK_UNKNOWN;
     }
+    if (job->outcome != MB_DAG_OPEN) {
+        return MB_FLEET_END_JOB_CLOSED;
+    }
+    mb_fleet_run_t run = make_ended_run(fleet, job, end);
+    mb_fleet_mark_begun(fleet, worker, job);
     if (mb_fleet_task_is_running(task) || end->run < task->last_run) {
-        count_superseded_failure(fleet, job, end);
-        return;
+        return handle_superseded_end(fleet, worker, &run, end);
     }
-    mb_fleet_run_t *added = mb_fleet_add_run(fleet, worker, &run);
-    handle_known_end(fleet, worker, added, end);
+    task->last_run = end->run;
+    mb_fleet_mark_job_startable(fleet, job);
+    return handle_newest_end(fleet, worker, &run, end);
+}
+
+/* Applies an end and writes to the log what became of it. */
+static void
+apply_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+          const mb_report_end_t *end)
+{
+    mb_fleet_run_t *run = mb_fleet_find_run(worker, &end->task, end->run);
+    mb_fleet_end_effect_t effect =
+        run != NULL ? handle_known_end(fleet, worker, run, end)
+                    : handle_unknown_end(fleet, worker, end);
+    fleet->counts.ends[end->how]++;
+    fleet->counts.end_effects[effect]++;
+    if (effect == MB_FLEET_END_TASK_DONE && end->how == MB_RUN_DONE) {
+        fleet->counts.repeated_successes++;
+    }
+    mb_log_info(&fleet->log,
+                "end job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
+                " worker=%.*s number=%" G_GUINT64_FORMAT " how=%s effect=%s",
+                MB_STR_ARG(mb_dag_id_view(&end->task.job)),
+                end->task.occurrence, end->task.step, end->task.index,
+                end->run, MB_STR_ARG(mb_buf_view(&worker->name)), end->number,
+                mb_run_end_name(end->how), mb_fleet_end_effect_name(effect));
 }
 
 /* Applies the ends of a report that have not been applied yet. Workers repeat
@@ -211,24 +250,9 @@
     for (guint i = 0; i < report->ends->len; i++) {
         const mb_report_end_t *end =
             &g_array_index(report->ends, mb_report_end_t, i);
-        if (end->number <= worker->ends_applied) {
-            continue;
-        }
-        worker->ends_applied = end->number;
-        fleet->counts.ends[end->how]++;
-        mb_log_info(&fleet->log,
-                    "end job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
-                    " worker=%.*s number=%" G_GUINT64_FORMAT " how=%s",
-                    MB_STR_ARG(mb_dag_id_view(&end->task.job)),
-                    end->task.occurrence, end->task.step, end->task.index,
-                    end->run, MB_STR_ARG(mb_buf_view(&worker->name)),
-                    end->number, mb_run_end_name(end->how));
-        mb_fleet_run_t *run = mb_fleet_find_run(worker, &end->task, end->run);
-        if (run != NULL) {
-            handle_known_end(fleet, worker, run, end);
-        }
-        else {
-            handle_unknown_end(fleet, worker, end);
+        if (end->number > worker->ends_applied) {
+            worker->ends_applied = end->number;
+            apply_end(fleet, worker, end);
         }
     }
 }
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -78,6 +78,7 @@
 void mb_fleet_settle_confirmed(mb_fleet_t *fleet);
 
 /* mb_fleet_ends.c */
+const char *mb_fleet_end_effect_name(mb_fleet_end_effect_t effect);
 void mb_fleet_apply_ends(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                          const mb_report_t *report);
 
--- a/lib/transport/mb_scheduler_metrics.c
+++ b/lib/transport/mb_scheduler_metrics.c
@@ -33,6 +33,12 @@
                                   "Runs started by this process"),
         .lost_runs = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_runs_lost",
                                      "Runs given up without an end"),
+        .uncounted_ends = mb_counters_add(
+            counters, MB_METRIC_GAUGE, "mb_run_ends_not_counted",
+            "Ends of runs that did not count; the log line \"end\" says why"),
+        .repeated_successes = mb_counters_add(
+            counters, MB_METRIC_GAUGE, "mb_run_successes_repeated",
+            "Successes of tasks that had succeeded before"),
         .held_tasks = mb_counters_add(
             counters, MB_METRIC_GAUGE, "mb_tasks_held",
             "Tasks that wait for workers that have not reported"),
@@ -70,6 +76,17 @@
     mb_http_respond(exchange, 200, NULL, mb_buf_view(&body));
 }
 
+/* Returns the number of reported ends of runs that did not count. */
+static uint64_t
+sum_uncounted_ends(const mb_fleet_counts_t *counts)
+{
+    uint64_t sum = 0;
+    for (uint32_t i = 0; i < MB_FLEET_END_EFFECT_COUNT; i++) {
+        sum += i == MB_FLEET_END_COUNTED ? 0 : counts->end_effects[i];
+    }
+    return sum;
+}
+
 /* Copies the counters that other modules keep to the metrics. */
 void
 mb_scheduler_update_metrics(mb_scheduler_node_t *node)
@@ -84,6 +101,10 @@
     mb_gauge_set(node->metrics.held_tasks,
                  mb_fleet_is_owner(&node->fleet) ? node->fleet.held_tasks : 0);
     mb_gauge_set(node->metrics.lost_runs, node->fleet.counts.lost_runs);
+    mb_gauge_set(node->metrics.uncounted_ends,
+                 sum_uncounted_ends(&node->fleet.counts));
+    mb_gauge_set(node->metrics.repeated_successes,
+                 node->fleet.counts.repeated_successes);
     mb_gauge_set(node->metrics.appends,
                  node->journal.appends + (node->owner_journal != NULL
                                               ? node->owner_journal->appends
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -67,7 +67,11 @@
     mb_metric_t *owner;     /* 1 while this process owns the fleet */
     mb_metric_t *running;
     mb_metric_t *starts;
-    mb_metric_t *lost_runs;    /* runs given up without a reported end */
+    mb_metric_t *lost_runs; /* runs given up without a reported end */
+    /* Reported ends that did not count, and successes among them of tasks that
+       had succeeded before: work that was done twice. */
+    mb_metric_t *uncounted_ends;
+    mb_metric_t *repeated_successes;
     mb_metric_t *held_tasks;   /* tasks that wait for workers that have not
                                   reported to this owner */
     mb_metric_t *appends;      /* sent to the log, including retries */
