Report successes as such beside an expired lease

Cause: an agent turned each end that its worker listed before an expired lease into an expired lease, a success as well, because the task might be running elsewhere. A worker that was cut off from its agent for longer than its lease lists both, so all that it had finished meanwhile was done again. The platform counts the first success: by its picture the turn of the next step had come.

FleetSuccess.SuccessListedBesideAnExpiredLeaseCounts failed before: the job of one task was open, and the task was started twice.

Why it works: an end is passed on as it is listed. Whether it counts depends on what else is known of the task, which the owner knows.

test_fleet, its histories with late calls, late starts and two owners hold.

--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -138,37 +138,24 @@
     }
 }
 
-/* Returns the highest number of an end that an expired lease caused, or 0 if
-   there is none. */
-static uint64_t
-find_latest_expiry(const GArray *ends)
-{
-    uint64_t number = 0;
-    for (guint i = 0; i < ends->len; i++) {
-        const mb_report_end_t *end = &g_array_index(ends, mb_report_end_t, i);
-        if (end->how == MB_RUN_LEASE_EXPIRED) {
-            number = MAX(number, end->number);
-        }
-    }
-    return number;
-}
-
-/* Handles the ends that are new. An outcome from before the lease expired was
-   not delivered in time to count, since the task may be running elsewhere: it
-   is reported as an expired lease. */
+/* Handles the ends that are new. Each is reported as the worker lists it, also
+   if the lease expired afterwards and the task may be running elsewhere: the
+   owner decides whether it counts. */
 static void
 handle_ends(mb_agent_t *agent, const GArray *ends)
 {
-    uint64_t expired = find_latest_expiry(ends);
+#ifdef MB_MUTANT_AGENT_SUCCESS_BEFORE_EXPIRY_DROPPED
+    bool expired = agent->lease_end_us < mb_clock_us(&agent->clock);
+#endif
     for (guint i = 0; i < ends->len; i++) {
         mb_report_end_t end = g_array_index(ends, mb_report_end_t, i);
         if (end.number <= agent->last_end) {
             continue;
         }
         agent->last_end = end.number;
-        if (end.number < expired) {
-            end.how = MB_RUN_LEASE_EXPIRED;
-        }
+#ifdef MB_MUTANT_AGENT_SUCCESS_BEFORE_EXPIRY_DROPPED
+        end.how = expired ? MB_RUN_LEASE_EXPIRED : end.how;
+#endif
         mb_agent_run_t *run = mb_agent_find_run(agent, &end.task, end.run);
         if (run != NULL) {
             mb_agent_remove_run(agent, run);
--- /dev/null
+++ b/tests/unit/test_fleet_successes.cc
@@ -0,0 +1,68 @@
+/* Tests that a success counts once, whichever process hears of it and when. */
+#include <gtest/gtest.h>
+
+#include "fleet_histories.h"
+
+static const char *const short_id = "0123456789abcdef";
+static const char *const long_id = "fedcba9876543210";
+
+/* A fleet whose first worker runs one task of 1 s, and whose agent is then cut
+   off from what the test says. */
+struct FirstRun {
+    FleetSimulation simulation;
+    mb_dag_step_t step;
+    Machine *machine = nullptr;
+
+    explicit FirstRun(uint32_t machine_count, uint32_t task_count = 1,
+                      uint32_t cpu = 1000)
+        : simulation(machine_count)
+    {
+        simulation.task_ms = 1000;
+        simulation.fail_over();
+        simulation.advance(2500);
+        simulation.submit(one_step_job(&step, short_id, task_count, cpu));
+        simulation.advance(300);
+        for (auto &each : simulation.machines) {
+            if (!each->worker.runs.empty()) {
+                machine = each.get();
+            }
+        }
+        EXPECT_NE(machine, nullptr);
+    }
+
+    uint32_t starts(uint32_t index = 0)
+    {
+        mb_dag_task_id_t task = {step_job()->spec.id, 0, 0, index};
+        return simulation.starts[format_task(task)];
+    }
+
+    mb_dag_job_t *step_job()
+    {
+        mb_dag_id_t id;
+        EXPECT_TRUE(mb_dag_id_parse(mb_str_from_cstr(short_id), &id));
+        return mb_dag_find(&simulation.table, id);
+    }
+
+    uint64_t effects(mb_fleet_end_effect_t effect) const
+    {
+        return simulation.fleet.counts.end_effects[effect];
+    }
+};
+
+/* The agent reported successes as expired leases. */
+TEST(FleetSuccess, SuccessListedBesideAnExpiredLeaseCounts)
+{
+    FirstRun test(1);
+    mb_dag_step_t long_step;
+    test.simulation.task_ms = 60000;
+    test.simulation.submit(one_step_job(&long_step, long_id, 1, 1000));
+    test.simulation.advance(300);
+    ASSERT_EQ(test.machine->worker.runs.size(), 2u);
+    test.machine->worker.is_cut = true;
+    test.simulation.advance(8000);
+    test.machine->worker.is_cut = false;
+    test.simulation.advance(3000);
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(test.starts(), 1u);
+    expect_no_violations(test.simulation);
+}
