Count a success of an older run of a task

Cause: the owner ignored the end of a run that it did not have on record if a run with a higher number was, or had been: it took the newer one for the one that counts. The newer start may have been refused, or the newer run be at work.

FleetSuccess.SuccessCountsAfterANewerStartWasRefused and .SuccessOfAnOlderRunEndsTheNewerOne failed before: the job stayed open, and in the second a run went on.

Why it works: a success counts unless its task is done. The other runs of the task are stopped. A later success of it changes nothing, and is counted as work done again if it is of another run.

--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -26,42 +26,61 @@
     return mb_dag_task(run->job, run->occurrence, run->step, index);
 }
 
-/* Marks every member of the gang of a run as done. */
+/* Marks the task of a run that has succeeded as done, and stops its other
+   runs. */
 static void
-finish_gang(const mb_fleet_run_t *run)
+finish_task(mb_fleet_t *fleet, const mb_fleet_run_t *run)
 {
+    mb_dag_task_t *task = mb_fleet_run_task(run);
+    mb_dag_set_done(run->job, run->occurrence, run->step, task);
+    task->done_run = run->number;
+    mb_fleet_stop_other_copies(fleet, run);
+}
+
+/* Does the same for every member of the gang of a run. Their runs have the
+   same number. */
+static void
+finish_gang(mb_fleet_t *fleet, const mb_fleet_run_t *run)
+{
+    mb_fleet_run_t member = *run;
     for (uint32_t i = 0; i < run->job->steps[run->step].count; i++) {
-        mb_dag_set_done(run->job, run->occurrence, run->step,
-                        mb_dag_task(run->job, run->occurrence, run->step, i));
+        member.index = i;
+        finish_task(fleet, &member);
     }
 }
 
-/* Handles the success of a run that has been removed from its worker. */
+/* Handles the success of a run that is not on record at its worker any more.
+   It counts unless the task is done, whichever of its runs is the newest, as
+   the work is done. */
 static mb_fleet_end_effect_t
 handle_success(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                const mb_fleet_run_t *run)
 {
     mb_dag_job_t *job = run->job;
     const mb_dag_step_t *step = &job->steps[run->step];
-    bool was_done = mb_fleet_run_task(run)->done;
+    const mb_dag_task_t *task = mb_fleet_run_task(run);
     mb_health_succeeded(&worker->health, run->started_us);
     if (step->long_running) {
         return MB_FLEET_END_COUNTED;
     }
     mb_fleet_learn_run_time(fleet, run);
+    if (task->done) {
+        bool is_repeated =
+            task->done_run == 0 || task->done_run == run->number;
+        fleet->counts.repeated_successes += is_repeated ? 0 : 1;
+        return MB_FLEET_END_TASK_DONE;
+    }
     if (step->gang) {
-        finish_gang(run);
+        finish_gang(fleet, run);
     }
     else {
-        mb_dag_set_done(job, run->occurrence, run->step,
-                        mb_fleet_run_task(run));
-        mb_fleet_stop_other_copies(fleet, run);
+        finish_task(fleet, run);
     }
     mb_fleet_mark_dirty(fleet, job);
     if (mb_dag_all_done(job)) {
         mb_fleet_close_job(fleet, job, MB_DAG_COMPLETED);
     }
-    return was_done ? MB_FLEET_END_TASK_DONE : MB_FLEET_END_COUNTED;
+    return MB_FLEET_END_COUNTED;
 }
 
 /* Notes a failure at the worker, and delays the next attempt. */
@@ -139,23 +158,29 @@
     return MB_FLEET_END_COUNTED;
 }
 
-/* Handles the end of a run after which its task was started again. Its failure
-   is an attempt of the former owner, which could not store it; it must still
-   count towards the maximum number of attempts. */
+/* Handles the end of a run beside a newer one, or after a newer one that was
+   refused or has ended. */
 static mb_fleet_end_effect_t
-handle_superseded_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
-                      const mb_fleet_run_t *run, const mb_report_end_t *end)
+handle_older_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                 const mb_fleet_run_t *run, const mb_report_end_t *end)
 {
-    const mb_dag_task_t *task = mb_fleet_run_task(run);
-#ifndef MB_MUTANT_FLEET_OLDER_RUN_HIDES_SUCCESS
-    /* The run on record is older, so it was given up before the one that has
-       ended was started, and is being stopped. */
-    if (end->how == MB_RUN_DONE && end->run > task->last_run) {
-        return handle_success(fleet, worker, run);
+#ifdef MB_MUTANT_FLEET_OLDER_RUN_HIDES_SUCCESS
+    if (mb_fleet_task_is_running(mb_fleet_run_task(run))) {
+        return MB_FLEET_END_SUPERSEDED;
     }
 #endif
-    return end->how == MB_RUN_FAILED ? count_failure(fleet, run)
-                                     : MB_FLEET_END_SUPERSEDED;
+#ifdef MB_MUTANT_FLEET_REFUSED_START_HIDES_SUCCESS
+    if (end->run < mb_fleet_run_task(run)->last_run) {
+        return MB_FLEET_END_SUPERSEDED;
+    }
+#endif
+    if (end->how == MB_RUN_DONE) {
+        return handle_success(fleet, worker, run);
+    }
+    if (end->how == MB_RUN_FAILED) {
+        return count_failure(fleet, run);
+    }
+    return MB_FLEET_END_SUPERSEDED;
 }
 
 /* Returns a run that has ended and that this owner doesn't have on record. */
@@ -209,13 +234,15 @@
         return MB_FLEET_END_JOB_CLOSED;
     }
     mb_fleet_run_t run = make_ended_run(fleet, job, end);
+    bool is_newest =
+        !mb_fleet_task_is_running(task) && end->run >= task->last_run;
     mb_fleet_mark_begun(fleet, worker, job);
-    if (mb_fleet_task_is_running(task) || end->run < task->last_run) {
-        return handle_superseded_end(fleet, worker, &run, end);
-    }
-    task->last_run = end->run;
     mb_fleet_mark_job_startable(fleet, job);
-    return handle_newest_end(fleet, worker, &run, end);
+    task->last_run = MAX(task->last_run, end->run);
+    if (is_newest) {
+        return handle_newest_end(fleet, worker, &run, end);
+    }
+    return handle_older_end(fleet, worker, &run, end);
 }
 
 /* Applies an end and writes to the log what became of it. */
@@ -229,9 +256,6 @@
                     : handle_unknown_end(fleet, worker, end);
     fleet->counts.ends[end->how]++;
     fleet->counts.end_effects[effect]++;
-    if (effect == MB_FLEET_END_TASK_DONE && end->how == MB_RUN_DONE) {
-        fleet->counts.repeated_successes++;
-    }
     mb_log_info(&fleet->log,
                 "end job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
                 " worker=%.*s number=%" G_GUINT64_FORMAT " how=%s effect=%s",
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -126,6 +126,8 @@
     uint16_t checkpoint_len;
     uint16_t failures; /* number of failed runs */
     bool done;
+    uint64_t done_run; /* number of the run that succeeded; 0: unknown, read
+                          from the log */
     uint64_t *failed_runs; /* numbers of the `failures` failed runs. Needed to
                               count each once: a worker may report a completion
                               repeatedly, and reports of several workers arrive
--- a/tests/unit/test_fleet_successes.cc
+++ b/tests/unit/test_fleet_successes.cc
@@ -66,3 +66,59 @@
     EXPECT_EQ(test.starts(), 1u);
     expect_no_violations(test.simulation);
 }
+
+/* The owner ignored successes with a lower number than that of a start that
+   was refused. */
+TEST(FleetSuccess, SuccessCountsAfterANewerStartWasRefused)
+{
+    FirstRun test(2);
+    for (auto &machine : test.simulation.machines) {
+        bool is_other = machine.get() != test.machine;
+        mb_agent_set_departure_recorded(machine->agent, is_other);
+    }
+    test.machine->worker.is_cut = true;
+    test.simulation.advance(8000);
+    EXPECT_GT(test.simulation.fleet.counts.refusals[MB_REFUSAL_ABSENT], 0u);
+    test.machine->worker.is_cut = false;
+    test.simulation.advance(3000);
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(test.starts(), 1u);
+    expect_no_violations(test.simulation);
+}
+
+/* The owner ignored successes of a task that runs again. */
+TEST(FleetSuccess, SuccessOfAnOlderRunEndsTheNewerOne)
+{
+    FirstRun test(2);
+    test.simulation.task_ms = 60000;
+    test.machine->worker.is_cut = true;
+    test.simulation.advance(8000);
+    ASSERT_EQ(test.starts(), 2u);
+    test.machine->worker.is_cut = false;
+    test.simulation.advance(3000);
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(test.simulation.running(), 0u);
+    expect_no_violations(test.simulation);
+}
+
+/* The owner could not tell work that was done twice from an end that it got
+   twice. */
+TEST(FleetSuccess, SecondSuccessOfATaskDoesNotCount)
+{
+    FirstRun test(3, 3, 3000);
+    FleetSimulation &simulation = test.simulation;
+    Machine *last = simulation.machines[0].get();
+    last = last == test.machine ? simulation.machines[1].get() : last;
+    ASSERT_EQ(last->worker.runs.size(), 1u);
+    last->worker.runs[0].end_ms += 20000;
+    test.machine->worker.is_cut = true;
+    simulation.advance(8000);
+    test.machine->worker.is_cut = false;
+    simulation.advance(3000);
+    EXPECT_EQ(test.effects(MB_FLEET_END_TASK_DONE), 1u);
+    EXPECT_EQ(simulation.fleet.counts.repeated_successes, 1u);
+    EXPECT_EQ(simulation.outcome(short_id), MB_DAG_OPEN);
+    simulation.advance(15000);
+    EXPECT_EQ(simulation.outcome(short_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
