Apply the ends of reports that come before the complete one

What callers could see: work done twice after reports of an agent were delayed.

Cause: when the owner has given up the runs of a worker whose lease has ended, it ignores reports until a complete one. An agent whose reports were delayed on an open connection sends those from before first, and it reports each end once on a connection: their successes were lost until the agent connected anew.

Evidence: FleetSuccess.SuccessCountsInAReportThatIsNotComplete failed before, the task was started twice.

Why it works: the ends of a report stand for themselves. Runs are believed only from a complete report, as before.

--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -126,6 +126,27 @@
     }
 }
 
+/* Applies the ends of a report that comes before the complete one. The agent
+   does not repeat them on this connection. */
+static void
+apply_early_ends(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                 const mb_report_t *report)
+{
+#ifdef MB_MUTANT_FLEET_EARLY_ENDS_IGNORED
+    return;
+#endif
+    if (report->worker.incarnation == worker->incarnation) {
+        mb_fleet_apply_ends(fleet, worker, report);
+    }
+    else if (report->ends->len > 0) {
+        mb_log_warning(&fleet->log,
+                       "ends ignored: an incomplete report is the first of "
+                       "its worker's incarnation worker=%.*s ends=%u",
+                       MB_STR_ARG(mb_buf_view(&worker->name)),
+                       report->ends->len);
+    }
+}
+
 /* Applies a report of the agent of a worker. The report is borrowed. Reports
    under another fencing token than this owner's are ignored, as the agent does
    not follow its orders yet. */
@@ -138,11 +159,12 @@
     if (!fleet->is_owner || report->token != fleet->token) {
         return;
     }
-    /* The first report of a connection or an incarnation has to be complete:
-       runs that it doesn't contain no longer exist. */
-    bool runs_known = worker->runs_known &&
-                      report->worker.incarnation == worker->incarnation;
-    if (!runs_known && !report->complete) {
+    /* The first report of a connection or an incarnation, or after the runs
+       were given up, has to be complete: runs that it doesn't contain no
+       longer exist. */
+    bool same_incarnation = report->worker.incarnation == worker->incarnation;
+    if (!report->complete && !(worker->runs_known && same_incarnation)) {
+        apply_early_ends(fleet, worker, report);
         return;
     }
     note_agent(fleet, worker, report);
--- a/tests/unit/test_fleet_successes.cc
+++ b/tests/unit/test_fleet_successes.cc
@@ -122,3 +122,30 @@
     EXPECT_EQ(simulation.outcome(short_id), MB_DAG_COMPLETED);
     expect_no_violations(simulation);
 }
+
+/* The owner ignored the ends of a report that was not complete, although the
+   agent does not repeat them on the same connection. */
+TEST(FleetSuccess, SuccessCountsInAReportThatIsNotComplete)
+{
+    FirstRun test(1);
+    std::vector<std::string> delayed;
+    FleetSimulation &simulation = test.simulation;
+    test.machine->other_owner = [&](const std::string &bytes) {
+        delayed.push_back(bytes);
+    };
+    simulation.advance(7000);
+    ASSERT_EQ(simulation.fleet.running, 0u);
+    test.machine->other_owner = nullptr;
+    for (const std::string &bytes : delayed) {
+        ASSERT_TRUE(mb_report_decode(&simulation.report_decoder,
+                                     {bytes.data(), bytes.size()}, nullptr));
+        if (!simulation.report_decoder.report.complete) {
+            mb_fleet_handle_report(&simulation.fleet, test.machine->number,
+                                   &simulation.report_decoder.report);
+        }
+    }
+    simulation.advance(3000);
+    EXPECT_EQ(simulation.outcome(short_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(test.starts(), 1u);
+    expect_no_violations(simulation);
+}
