Keep the outcomes that a worker listed before it started again

What callers could see: work done twice after a worker that started again while there was no owner.

Cause: when another incarnation of its worker shows itself, the agent resets what it knows of the worker, also the ends that the earlier one had listed and no owner had stored. The new incarnation can't list them.

Evidence: FleetSuccess.SuccessCountsAfterARestartOfTheWorker failed before, the task was started twice.

Why it works: outcomes are kept for 30 s, longer than a change of owner takes, and reported once on each connection. They carry no number, as the numbers of the new incarnation start anew, so that nobody acknowledges them; a success counts once, and a failure by its run number. The ends of an agent have a file of their own now.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -23,7 +23,7 @@
     agent->started_us = mb_clock_us(clock);
     agent->unlisted_us = agent->started_us;
     agent->runs = g_ptr_array_new_with_free_func(mb_agent_free_run);
-    agent->ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
+    mb_agent_ends_init(agent);
     mb_report_init(&agent->report);
     mb_throttle_init(&agent->throttle);
 }
@@ -34,7 +34,7 @@
 {
     mb_agent_reset_worker(agent);
     g_ptr_array_unref(agent->runs);
-    g_array_unref(agent->ends);
+    mb_agent_ends_finish(agent);
     mb_report_finish(&agent->report);
     for (size_t i = 0; i < G_N_ELEMENTS(agent->text); i++) {
         mb_buf_finish(&agent->text[i]);
@@ -177,6 +177,7 @@
     agent->report_sequence = 0;
     agent->order_sequence = 0;
     agent->reported_end = agent->acknowledged;
+    agent->reported_former_ends = 0;
     agent->complete_due = true;
     mb_report_clear(&agent->report);
     memset(agent->report_sent_us, 0, sizeof(agent->report_sent_us));
@@ -329,25 +330,6 @@
     return true;
 }
 
-/* Adds the ends that were not reported on this connection yet, as many as
-   fit. The others follow in the next report. */
-static void
-add_ends(mb_agent_t *agent)
-{
-    for (guint i = 0; i < agent->ends->len; i++) {
-        const mb_report_end_t *end =
-            &g_array_index(agent->ends, mb_report_end_t, i);
-        if (end->number <= agent->reported_end) {
-            continue;
-        }
-        if (!mb_report_add_end(&agent->report, end)) {
-            agent->report_due = true;
-            return;
-        }
-        agent->reported_end = end->number;
-    }
-}
-
 /* Returns whether the worker refuses the starts that an earlier process of the
    agent sent under former owners: they carry a lower fencing token than a list
    call that the worker has answered, or the lease that they came with has
@@ -398,7 +380,7 @@
     }
     agent->report_due = false;
     agent->complete_due = false;
-    add_ends(agent);
+    mb_agent_add_ends(agent);
     agent->report_sent_us[report->sequence % MB_AGENT_REPORT_TIMES_MAX] =
         now_us;
     agent->last_report_us = now_us;
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -93,8 +93,12 @@
        store in time must not be acknowledged before that lease has ended as
        well, so the worker gets nothing until then. */
     bool lapse_awaited;
-    GPtrArray *runs;        /* mb_agent_run_t */
-    GArray *ends;           /* mb_report_end_t with owned checkpoints */
+    GPtrArray *runs; /* mb_agent_run_t */
+    GArray *ends;    /* mb_report_end_t with owned checkpoints */
+    /* mb_report_end_t without checkpoints, of earlier incarnations of the
+       worker, and until when they are kept. */
+    GArray *former_ends;
+    uint64_t former_ends_due_us;
     uint64_t last_end;      /* highest number of an end received */
     uint64_t acknowledged;  /* the owner has stored ends up to this number */
     bool list_pending;      /* a list call is not answered yet */
@@ -117,7 +121,8 @@
     uint64_t report_sent_us[MB_AGENT_REPORT_TIMES_MAX];
     uint64_t last_report_us;
     uint64_t last_complete_us;
-    uint64_t reported_end; /* ends up to this number were reported */
+    uint64_t reported_end;      /* ends up to this number were reported */
+    guint reported_former_ends; /* so many of the first ones were reported */
     bool report_due;
     bool complete_due; /* the next report is to be complete */
     bool draining;
--- /dev/null
+++ b/lib/coordination/mb_agent_ends.c
@@ -0,0 +1,168 @@
+/* The ends of runs that the worker has listed, until the owner has stored
+   them. */
+#include "mb_agent_internal.h"
+
+/* How long the ends that a worker had listed before it started again are kept,
+   in milliseconds. The worker can't list them again, and the owner that has
+   got them may end before it has stored them: longer than a change of owner
+   takes. */
+#define FORMER_ENDS_MS UINT64_C(30000)
+
+/* Initializes the ends of an agent. */
+void
+mb_agent_ends_init(mb_agent_t *agent)
+{
+    agent->ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
+    agent->former_ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
+}
+
+/* Releases the first ends of an array, and removes them. */
+static void
+remove_first_ends(GArray *ends, guint count)
+{
+    for (guint i = 0; i < count; i++) {
+        g_free(
+            (char *)g_array_index(ends, mb_report_end_t, i).checkpoint.data);
+    }
+    if (count > 0) {
+        (void)g_array_remove_range(ends, 0, count);
+    }
+}
+
+/* Releases the ends of an agent. */
+void
+mb_agent_ends_finish(mb_agent_t *agent)
+{
+    remove_first_ends(agent->ends, agent->ends->len);
+    remove_first_ends(agent->former_ends, agent->former_ends->len);
+    g_array_unref(agent->ends);
+    g_array_unref(agent->former_ends);
+}
+
+/* Handles the ends that are new. Each is reported as the worker lists it, also
+   if the lease expired afterwards and the task may be running elsewhere: the
+   owner decides whether it counts. */
+void
+mb_agent_handle_ends(mb_agent_t *agent, const GArray *ends)
+{
+#ifdef MB_MUTANT_AGENT_SUCCESS_BEFORE_EXPIRY_DROPPED
+    bool expired = agent->lease_end_us < mb_clock_us(&agent->clock);
+#endif
+    for (guint i = 0; i < ends->len; i++) {
+        mb_report_end_t end = g_array_index(ends, mb_report_end_t, i);
+        if (end.number <= agent->last_end) {
+            continue;
+        }
+        agent->last_end = end.number;
+#ifdef MB_MUTANT_AGENT_SUCCESS_BEFORE_EXPIRY_DROPPED
+        end.how = expired ? MB_RUN_LEASE_EXPIRED : end.how;
+#endif
+        mb_agent_run_t *run = mb_agent_find_run(agent, &end.task, end.run);
+        if (run != NULL) {
+            mb_agent_remove_run(agent, run);
+        }
+        end.checkpoint.data =
+            g_memdup2(end.checkpoint.data, end.checkpoint.len);
+        g_array_append_val(agent->ends, end);
+        agent->report_due = true;
+    }
+}
+
+/* Returns whether an end tells what has become of the task: whether it is
+   done, or an attempt has failed. */
+static bool
+is_outcome(const mb_report_end_t *end)
+{
+    return end->how == MB_RUN_DONE || end->how == MB_RUN_FAILED;
+}
+
+/* Keeps the outcomes that the owner has not stored, before another incarnation
+   of the worker takes its place. They are reported again on each connection
+   for a while, as no owner acknowledges them. */
+void
+mb_agent_keep_former_ends(mb_agent_t *agent)
+{
+#ifndef MB_MUTANT_AGENT_FORMER_ENDS_DROPPED
+    for (guint i = 0; i < agent->ends->len; i++) {
+        mb_report_end_t end = g_array_index(agent->ends, mb_report_end_t, i);
+        if (end.number > agent->acknowledged && is_outcome(&end) &&
+            agent->former_ends->len < MB_ORDER_ROWS_MAX) {
+            end.number = MB_REPORT_END_FORMER;
+            end.checkpoint = (mb_str_t){NULL, 0};
+            g_array_append_val(agent->former_ends, end);
+            agent->former_ends_due_us =
+                mb_clock_us(&agent->clock) + FORMER_ENDS_MS * MB_US_PER_MS;
+        }
+    }
+#endif
+    remove_first_ends(agent->ends, agent->ends->len);
+}
+
+/* Returns whether the end of a run has been received and is kept until the
+   owner acknowledges it. */
+bool
+mb_agent_has_end(const mb_agent_t *agent, const mb_order_stop_t *stop)
+{
+    for (guint i = 0; i < agent->ends->len; i++) {
+        const mb_report_end_t *end =
+            &g_array_index(agent->ends, mb_report_end_t, i);
+        if (end->run == stop->run &&
+            mb_dag_task_id_equal(&end->task, &stop->task)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Adds to the report the ends that were not reported on this connection yet,
+   as many as fit. The others follow in the next report. */
+void
+mb_agent_add_ends(mb_agent_t *agent)
+{
+    while (agent->reported_former_ends < agent->former_ends->len) {
+        if (!mb_report_add_end(&agent->report,
+                               &g_array_index(agent->former_ends,
+                                              mb_report_end_t,
+                                              agent->reported_former_ends))) {
+            agent->report_due = true;
+            return;
+        }
+        agent->reported_former_ends++;
+    }
+    for (guint i = 0; i < agent->ends->len; i++) {
+        const mb_report_end_t *end =
+            &g_array_index(agent->ends, mb_report_end_t, i);
+        if (end->number <= agent->reported_end) {
+            continue;
+        }
+        if (!mb_report_add_end(&agent->report, end)) {
+            agent->report_due = true;
+            return;
+        }
+        agent->reported_end = end->number;
+    }
+}
+
+/* Returns the number of ends that the owner has stored. */
+static guint
+count_acknowledged_ends(const mb_agent_t *agent)
+{
+    guint count = 0;
+    while (count < agent->ends->len &&
+           g_array_index(agent->ends, mb_report_end_t, count).number <=
+               agent->acknowledged) {
+        count++;
+    }
+    return count;
+}
+
+/* Removes the ends that need not be reported any more. */
+void
+mb_agent_ends_tick(mb_agent_t *agent, uint64_t now_us)
+{
+    remove_first_ends(agent->ends, count_acknowledged_ends(agent));
+    if (agent->former_ends->len > 0 && now_us >= agent->former_ends_due_us) {
+        remove_first_ends(agent->former_ends, agent->former_ends->len);
+        agent->reported_former_ends = 0;
+    }
+}
--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -1,7 +1,8 @@
 /* Functions and types shared by the files of the agent. mb_agent.c (owner,
    reports) calls the other files. mb_agent_worker.c (list calls) calls
-   mb_agent_lease.c (the worker's leases) and mb_agent_throttle.c (best-effort
-   work beside services). All of them call mb_agent_runs.c (calls about single
+   mb_agent_lease.c (the worker's leases), mb_agent_ends.c (ends until they are
+   stored) and mb_agent_throttle.c (best-effort work beside services). All of
+   them call mb_agent_runs.c (calls about single
    runs), which itself only calls mb_agent_lease_end_ms and
    mb_agent_note_answer of the others. */
 #ifndef MB_AGENT_INTERNAL_H
@@ -65,6 +66,15 @@
                                               const mb_executor_answer_t *),
                                  void *context);
 
+/* mb_agent_ends.c */
+void mb_agent_ends_init(mb_agent_t *agent);
+void mb_agent_ends_finish(mb_agent_t *agent);
+void mb_agent_handle_ends(mb_agent_t *agent, const GArray *ends);
+void mb_agent_keep_former_ends(mb_agent_t *agent);
+bool mb_agent_has_end(const mb_agent_t *agent, const mb_order_stop_t *stop);
+void mb_agent_add_ends(mb_agent_t *agent);
+void mb_agent_ends_tick(mb_agent_t *agent, uint64_t now_us);
+
 /* mb_agent_throttle.c */
 void mb_agent_check_latency(mb_agent_t *agent, uint64_t now_us);
 void mb_agent_apply_throttle(mb_agent_t *agent);
--- a/lib/coordination/mb_agent_runs.c
+++ b/lib/coordination/mb_agent_runs.c
@@ -229,22 +229,6 @@
     }
 }
 
-/* Returns whether the end of a run has been received and is kept until the
-   owner acknowledges it. */
-static bool
-has_end(const mb_agent_t *agent, const mb_order_stop_t *stop)
-{
-    for (guint i = 0; i < agent->ends->len; i++) {
-        const mb_report_end_t *end =
-            &g_array_index(agent->ends, mb_report_end_t, i);
-        if (end->run == stop->run &&
-            mb_dag_task_id_equal(&end->task, &stop->task)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Requests the stop of a run. The worker then lists its end. An unknown run
    may have been started by an earlier agent, whose call may still be on its
    way: it is stopped as well, so that the worker refuses a start that arrives
@@ -253,7 +237,7 @@
 mb_agent_stop(mb_agent_t *agent, const mb_order_stop_t *stop)
 {
     mb_agent_run_t *run = mb_agent_find_run(agent, &stop->task, stop->run);
-    if (run == NULL && has_end(agent, stop)) {
+    if (run == NULL && mb_agent_has_end(agent, stop)) {
         return;
     }
     if (run == NULL) {
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -97,11 +97,7 @@
             mb_agent_remove_run(agent, run);
         }
     }
-    for (guint i = 0; i < agent->ends->len; i++) {
-        g_free((char *)g_array_index(agent->ends, mb_report_end_t, i)
-                   .checkpoint.data);
-    }
-    (void)g_array_set_size(agent->ends, 0);
+    mb_agent_keep_former_ends(agent);
     agent->departed = false;
     agent->worker_replaced = false;
     agent->known_since_us = mb_clock_us(&agent->clock);
@@ -119,54 +115,6 @@
     mb_throttle_init(&agent->throttle);
 }
 
-/* Removes the ends that the owner has stored. */
-static void
-remove_acknowledged_ends(mb_agent_t *agent)
-{
-    guint count = 0;
-    while (count < agent->ends->len) {
-        mb_report_end_t *end =
-            &g_array_index(agent->ends, mb_report_end_t, count);
-        if (end->number > agent->acknowledged) {
-            break;
-        }
-        g_free((char *)end->checkpoint.data);
-        count++;
-    }
-    if (count > 0) {
-        (void)g_array_remove_range(agent->ends, 0, count);
-    }
-}
-
-/* Handles the ends that are new. Each is reported as the worker lists it, also
-   if the lease expired afterwards and the task may be running elsewhere: the
-   owner decides whether it counts. */
-static void
-handle_ends(mb_agent_t *agent, const GArray *ends)
-{
-#ifdef MB_MUTANT_AGENT_SUCCESS_BEFORE_EXPIRY_DROPPED
-    bool expired = agent->lease_end_us < mb_clock_us(&agent->clock);
-#endif
-    for (guint i = 0; i < ends->len; i++) {
-        mb_report_end_t end = g_array_index(ends, mb_report_end_t, i);
-        if (end.number <= agent->last_end) {
-            continue;
-        }
-        agent->last_end = end.number;
-#ifdef MB_MUTANT_AGENT_SUCCESS_BEFORE_EXPIRY_DROPPED
-        end.how = expired ? MB_RUN_LEASE_EXPIRED : end.how;
-#endif
-        mb_agent_run_t *run = mb_agent_find_run(agent, &end.task, end.run);
-        if (run != NULL) {
-            mb_agent_remove_run(agent, run);
-        }
-        end.checkpoint.data =
-            g_memdup2(end.checkpoint.data, end.checkpoint.len);
-        g_array_append_val(agent->ends, end);
-        agent->report_due = true;
-    }
-}
-
 /* Updates the runs with those that the worker lists. Unknown ones are
    added. */
 static void
@@ -301,7 +249,7 @@
         agent->worker_clock_ms = answer->clock_ms;
         agent->worker_clock_read_us = now_us;
     }
-    handle_ends(agent, answer->ends);
+    mb_agent_handle_ends(agent, answer->ends);
     update_runs(agent, answer->runs);
 #ifndef MB_MUTANT_AGENT_CUT_LIST_BELIEVED
     if (!answer->ends_cut)
@@ -346,7 +294,7 @@
     if (agent->info.name.len == 0) {
         return;
     }
-    remove_acknowledged_ends(agent);
+    mb_agent_ends_tick(agent, now_us);
     if (agent->departed && agent->runs->len > 0 &&
         now_us - agent->departed_us >=
             MB_AGENT_DEPARTURE_GRACE_MS * (uint64_t)MB_US_PER_MS) {
--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -234,8 +234,10 @@
         return MB_FLEET_END_JOB_CLOSED;
     }
     mb_fleet_run_t run = make_ended_run(fleet, job, end);
-    bool is_newest =
-        !mb_fleet_task_is_running(task) && end->run >= task->last_run;
+    /* An earlier incarnation says nothing about the health of this one. */
+    bool is_newest = !mb_fleet_task_is_running(task) &&
+                     end->run >= task->last_run &&
+                     end->number != MB_REPORT_END_FORMER;
     mb_fleet_mark_begun(fleet, worker, job);
     mb_fleet_mark_job_startable(fleet, job);
     task->last_run = MAX(task->last_run, end->run);
@@ -274,7 +276,10 @@
     for (guint i = 0; i < report->ends->len; i++) {
         const mb_report_end_t *end =
             &g_array_index(report->ends, mb_report_end_t, i);
-        if (end->number > worker->ends_applied) {
+        if (end->number == MB_REPORT_END_FORMER) {
+            apply_end(fleet, worker, end);
+        }
+        else if (end->number > worker->ends_applied) {
             worker->ends_applied = end->number;
             apply_end(fleet, worker, end);
         }
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -115,8 +115,13 @@
     mb_str_t checkpoint;
 } mb_report_run_t;
 
+/* Number of an end that the worker listed before it started again. No owner
+   acknowledges it, and it may be reported repeatedly. */
+#define MB_REPORT_END_FORMER UINT64_C(0)
+
 typedef struct mb_report_end {
-    /* Rises by one with each end of a run on an incarnation of the worker. */
+    /* Rises by one with each end of a run on an incarnation of the worker,
+       from 1 on; or MB_REPORT_END_FORMER. */
     uint64_t number;
     mb_dag_task_id_t task;
     uint64_t run;
--- a/tests/unit/test_fleet_successes.cc
+++ b/tests/unit/test_fleet_successes.cc
@@ -149,3 +149,20 @@
     EXPECT_EQ(test.starts(), 1u);
     expect_no_violations(simulation);
 }
+
+/* The agent dropped the ends that it had not reported when the worker started
+   again. */
+TEST(FleetSuccess, SuccessCountsAfterARestartOfTheWorker)
+{
+    FirstRun test(1);
+    test.simulation.disconnect(*test.machine);
+    test.simulation.advance(1500);
+    ASSERT_EQ(test.machine->worker.ends.size(), 1u);
+    test.machine->worker.crash();
+    test.simulation.advance(1500);
+    test.simulation.connect(*test.machine);
+    test.simulation.advance(3000);
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(test.starts(), 1u);
+    expect_no_violations(test.simulation);
+}
