Watch the progress of runs by recent figures only

What callers saw: work at 6 to 99 % thrown away and done again, jobs late by it.

Cause: an agent whose worker does not answer repeats the progress that the worker listed last, and the owner took a figure that it got again for 2 s for a stalled run. It stopped the run, and the worker's health counted a failure.

FleetOldFigures.RunsOfASilentWorkerAreNotStalled failed before: 4 stalls, and each task was started again.

Why it works: a report tells the age of its figures. A run that is stalled is stopped 2 s after the gap.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -358,6 +358,16 @@
                MB_AGENT_UNLISTED_MAX_MS * (uint64_t)MB_US_PER_MS;
 }
 
+/* Returns the time since the worker has answered with the figures of its
+   runs, in milliseconds. */
+static uint32_t
+get_figures_age_ms(const mb_agent_t *agent, uint64_t now_us)
+{
+    uint64_t age_ms = (now_us - agent->last_list_us) / MB_US_PER_MS;
+    return agent->last_list_us == 0 ? UINT32_MAX
+                                    : (uint32_t)MIN(age_ms, UINT32_MAX);
+}
+
 /* Sends a report. The first one on a connection is complete, and is not sent
    before it is known what the worker runs. */
 static void
@@ -369,6 +379,7 @@
     report->sequence = ++agent->report_sequence;
     report->order_sequence = agent->order_sequence;
     report->draining = agent->draining;
+    report->figures_age_ms = get_figures_age_ms(agent, now_us);
     report->worker = agent->info;
     if (agent->departed || agent->info.name.len == 0 || agent->lapse_awaited ||
         !mb_agent_worker_reachable(agent, now_us)) {
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -38,6 +38,9 @@
 /* A worker gets no starts when its latest report is older than this, in
    milliseconds. */
 #define MB_FLEET_REPORT_TIMEOUT_MS 1000u
+/* Figures of runs that are older than this, in milliseconds, are not used: the
+   worker does not answer its agent, which repeats what it had. */
+#define MB_FLEET_FIGURES_AGE_MAX_MS 500u
 /* Time for which an agent counts as obeying after the owner has sent an order
    that it has carried out, in milliseconds: several intervals of orders and
    reports. */
@@ -140,8 +143,10 @@
        set, and the value last ordered on the current connection. */
     uint32_t target_throttle_percent;
     uint32_t ordered_throttle_percent;
-    uint32_t progress;           /* latest report, in percent */
-    uint64_t progress_us;        /* when `progress` last changed */
+    uint32_t progress; /* latest report, in percent */
+    /* Since when `progress` is known not to have changed. */
+    uint64_t progress_us;
+    uint64_t progress_read_us;   /* latest report with a recent figure */
     uint64_t throttled_since_us; /* since when the agent has severely throttled
                                     it; 0: it is not severely throttled */
     bool was_throttled;          /* it has been throttled at some time */
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -91,6 +91,7 @@
                          const mb_report_t *report);
 bool mb_fleet_is_reported(const mb_report_t *report,
                           const mb_fleet_run_t *run);
+bool mb_fleet_has_recent_figures(const mb_report_t *report);
 void mb_fleet_drop_unreported_runs(mb_fleet_t *fleet,
                                    mb_fleet_worker_t *worker,
                                    const mb_report_t *report);
--- a/lib/coordination/mb_fleet_reported_runs.c
+++ b/lib/coordination/mb_fleet_reported_runs.c
@@ -116,17 +116,44 @@
     }
 }
 
+/* Tells whether the figures of a report are as of now. */
+bool
+mb_fleet_has_recent_figures(const mb_report_t *report)
+{
+#ifdef MB_MUTANT_FLEET_OLD_FIGURES_USED
+    return true;
+#endif
+    return report->figures_age_ms <= MB_FLEET_FIGURES_AGE_MAX_MS;
+}
+
+/* Notes that a report has a recent figure of the progress of a run, or not.
+   Returns whether it has, and had one a short time before. */
+static bool
+note_progress_read(mb_fleet_run_t *run, const mb_report_t *report,
+                   uint64_t now_us)
+{
+    uint64_t gap_us = now_us - run->progress_read_us;
+    if (!mb_fleet_has_recent_figures(report)) {
+        return false;
+    }
+    run->progress_read_us = now_us;
+    return gap_us < MB_FLEET_REPORT_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
+}
+
 /* Stops a stalled run, one without progress that isn't severely throttled. Its
    task goes on elsewhere, and the worker's health counts a failure. Gang
    members are exempt because they wait for one another, and service tasks
-   because they report no progress. */
+   because they report no progress. A time without recent figures doesn't
+   count. */
 static void
 check_progress(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
-               mb_fleet_run_t *run, const mb_report_run_t *entry)
+               mb_fleet_run_t *run, const mb_report_run_t *entry,
+               const mb_report_t *report)
 {
     uint64_t now_us = mb_clock_us(&fleet->clock);
     const mb_dag_step_t *step = &run->job->steps[run->step];
-    if (!entry->confirmed || run->throttled_since_us != 0 ||
+    bool is_watched = note_progress_read(run, report, now_us);
+    if (!is_watched || !entry->confirmed || run->throttled_since_us != 0 ||
         entry->progress != run->progress || run->progress_us == 0) {
         run->progress = entry->progress;
         run->progress_us = now_us;
@@ -184,7 +211,7 @@
             mb_fleet_mark_begun(fleet, worker, run->job);
         }
         update_throttle_state(fleet, run, entry->throttle_percent);
-        check_progress(fleet, worker, run, entry);
+        check_progress(fleet, worker, run, entry, report);
         if (run->job->steps[run->step].checkpoints) {
             mb_dag_set_checkpoint(mb_fleet_run_task(run), entry->checkpoint);
         }
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -157,7 +157,10 @@
     uint64_t sequence;       /* rises with each report of a connection */
     uint64_t order_sequence; /* sequence of the latest order processed */
     bool complete;           /* `runs` lists all runs */
-    bool draining;           /* the agent is stopping */
+    /* Time since the worker has answered with the progress and the values of
+       `runs`, which are repeated meanwhile. */
+    uint32_t figures_age_ms;
+    bool draining; /* the agent is stopping */
     mb_worker_info_t worker;
     GArray *runs;     /* mb_report_run_t */
     GArray *ends;     /* mb_report_end_t */
