Learn the headroom of services from recent figures only

What callers could see: best-effort work that waits or is throttled by slopes that were learned while a worker did not answer its agent.

Cause: the headroom model took a latency that an agent repeats for a further sample with each complete report.

Evidence: FleetOldFigures.LatenciesOfASilentWorkerAreNotLearned failed before, 13 samples in place of 7 after 3 s without an answer of the worker.

Why it works: reports with figures older than 500 ms are not learned from.

--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -182,7 +182,9 @@
     mb_fleet_apply_refusals(fleet, worker, report);
     mb_fleet_apply_runs(fleet, worker, report);
     if (report->complete) {
-        mb_fleet_learn_headroom(fleet, worker, report);
+        if (mb_fleet_has_recent_figures(report)) {
+            mb_fleet_learn_headroom(fleet, worker, report);
+        }
         settle_runs(fleet, worker, report);
         mb_fleet_set_throttles(fleet, worker);
         if (!worker->runs_known) {
