Leave out checkpoints that are too long for a message

Cause: the agent copied the checkpoints of runs and ends as listed, but the owner's decoder rejects a report with a longer one than MB_DAG_CHECKPOINT_MAX. The agent sent the same report on each connection.

Evidence: FleetReview.EndWithATooLongCheckpointIsReported failed before: simulation.outcome(job_id) Which is: 0 MB_DAG_COMPLETED Which is: 1

Why it works: the agent leaves out such a checkpoint, with a log line for ends. The owner ignored longer ones already, but never got to see them.

--- a/lib/coordination/mb_agent_ends.c
+++ b/lib/coordination/mb_agent_ends.c
@@ -39,6 +39,35 @@
     g_array_unref(agent->former_ends);
 }
 
+/* Returns a checkpoint that a worker lists, or an empty text if it is longer
+   than a message may contain. */
+mb_str_t
+mb_agent_usable_checkpoint(mb_str_t checkpoint)
+{
+#ifdef MB_MUTANT_AGENT_LONG_CHECKPOINT_PASSED_ON
+    return checkpoint;
+#endif
+    return checkpoint.len > MB_DAG_CHECKPOINT_MAX ? MB_STR_EMPTY : checkpoint;
+}
+
+/* Returns a copy of an end as it is kept, with a usable checkpoint. */
+static mb_report_end_t
+copy_end(const mb_agent_t *agent, const mb_report_end_t *listed)
+{
+    mb_report_end_t end = *listed;
+    mb_str_t checkpoint = mb_agent_usable_checkpoint(listed->checkpoint);
+    if (checkpoint.len < listed->checkpoint.len) {
+        mb_log_warning(&agent->log,
+                       "checkpoint of an end ignored: it is too long "
+                       "job=%.*s run=%" G_GUINT64_FORMAT " bytes=%zu",
+                       MB_STR_ARG(mb_dag_id_view(&end.task.job)), end.run,
+                       listed->checkpoint.len);
+    }
+    end.checkpoint.data = g_memdup2(checkpoint.data, checkpoint.len);
+    end.checkpoint.len = checkpoint.len;
+    return end;
+}
+
 /* Handles the ends that are new. Each is reported as the worker lists it, also
    if the lease expired afterwards and the task may be running elsewhere: the
    owner decides whether it counts. */
@@ -49,10 +78,12 @@
     bool expired = agent->lease_end_us < mb_clock_us(&agent->clock);
 #endif
     for (guint i = 0; i < ends->len; i++) {
-        mb_report_end_t end = g_array_index(ends, mb_report_end_t, i);
-        if (end.number <= agent->last_end) {
+        const mb_report_end_t *listed =
+            &g_array_index(ends, mb_report_end_t, i);
+        if (listed->number <= agent->last_end) {
             continue;
         }
+        mb_report_end_t end = copy_end(agent, listed);
         agent->last_end = end.number;
 #ifdef MB_MUTANT_AGENT_SUCCESS_BEFORE_EXPIRY_DROPPED
         end.how = expired ? MB_RUN_LEASE_EXPIRED : end.how;
@@ -61,8 +92,6 @@
         if (run != NULL) {
             mb_agent_remove_run(agent, run);
         }
-        end.checkpoint.data =
-            g_memdup2(end.checkpoint.data, end.checkpoint.len);
         g_array_append_val(agent->ends, end);
         agent->report_due = true;
     }
--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -69,6 +69,7 @@
 /* mb_agent_ends.c */
 void mb_agent_ends_init(mb_agent_t *agent);
 void mb_agent_ends_finish(mb_agent_t *agent);
+mb_str_t mb_agent_usable_checkpoint(mb_str_t checkpoint);
 void mb_agent_handle_ends(mb_agent_t *agent, const GArray *ends);
 void mb_agent_keep_former_ends(mb_agent_t *agent);
 bool mb_agent_has_end(const mb_agent_t *agent, const mb_order_stop_t *stop);
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -136,7 +136,8 @@
         run->progress = listed->progress;
         run->value = listed->value;
         run->last_listed_us = agent->list_start_us;
-        mb_buf_set(&run->checkpoint, listed->checkpoint);
+        mb_buf_set(&run->checkpoint,
+                   mb_agent_usable_checkpoint(listed->checkpoint));
     }
 }
 
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -80,7 +80,8 @@
     std::deque<char> start_faults;
     std::deque<char> stop_faults;
     std::deque<char> list_faults;
-    bool is_cut = false; /* no call and no heartbeat gets through */
+    bool is_cut = false;        /* no call and no heartbeat gets through */
+    std::string end_checkpoint; /* that it lists with each end */
 
     uint64_t clock_ms() const;
     void extend_lease(uint64_t new_lease_end_ms);
--- a/tests/unit/fleet_simulation_worker.h
+++ b/tests/unit/fleet_simulation_worker.h
@@ -391,6 +391,8 @@
             row.task = end.task;
             row.run = end.run;
             row.how = end.how;
+            row.checkpoint = {worker->end_checkpoint.data(),
+                              worker->end_checkpoint.size()};
             if (answer->ends->len == worker->listed_ends_max) {
                 break;
             }
--- /dev/null
+++ b/tests/unit/test_fleet_review.cc
@@ -0,0 +1,23 @@
+/* Tests of what the review of inc-dropped-success and inc-old-figures found.
+ */
+#include <gtest/gtest.h>
+
+#include "fleet_histories.h"
+
+static const char *const job_id = "0123456789abcdef";
+
+/* An end with a text that fits in no report kept all later ones of its worker
+   from being reported. */
+TEST(FleetReview, EndWithATooLongCheckpointIsReported)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    Machine &machine = *simulation.machines[0];
+    machine.worker.end_checkpoint = std::string(1000000, 'c');
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&step, job_id, 2, 1000));
+    simulation.advance(3000);
+    EXPECT_EQ(simulation.outcome(job_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
