Add ends to a full report without their checkpoints

What callers could see: tasks that are done are started again, and their first success is acknowledged afterwards (TWICE). It takes more than 870 ends of 1 KB in a report, or the 500 that an executor lists beside some 430 runs with checkpoints of 1 KB.

Cause: a complete report contained no run that had ended, and not the ends that did not fit. The owner took the runs for lost.

Why it works: from three quarters of the size on, an end goes in without its checkpoint, so that 500 ends have room beside 4,096 runs and refusals: at most 438 runs with and 3,658 without checkpoint, and 500 ends, take 890,688 of 983,040 bytes.

--- a/lib/coordination/mb_order.c
+++ b/lib/coordination/mb_order.c
@@ -5,6 +5,9 @@
 /* Size of a report up to which runs are added with their checkpoints, in
    bytes. The rest is for the rows of the other runs. */
 #define CHECKPOINTED_BYTES_MAX (MB_REPORT_BYTES_MAX / 2)
+/* The same for ends. The rest has room for the rows of the other ends that a
+   worker lists. */
+#define CHECKPOINTED_ENDS_BYTES_MAX (MB_REPORT_BYTES_MAX / 4 * 3)
 
 /* Returns the name of the end of a run, for log lines. */
 const char *
@@ -107,11 +110,23 @@
 bool
 mb_report_add_end(mb_report_t *report, const mb_report_end_t *end)
 {
-    if (!reserve_row(report->ends, end->checkpoint.len, MB_REPORT_BYTES_MAX,
+    mb_report_end_t row = *end;
+#ifdef MB_MUTANT_REPORT_ENDS_LEFT_OUT
+    if (!reserve_row(report->ends, row.checkpoint.len, MB_REPORT_BYTES_MAX,
                      &report->bytes)) {
         return false;
     }
-    g_array_append_val(report->ends, *end);
+#else
+    if (!reserve_row(report->ends, row.checkpoint.len,
+                     CHECKPOINTED_ENDS_BYTES_MAX, &report->bytes)) {
+        row.checkpoint = MB_STR_EMPTY;
+        if (!reserve_row(report->ends, 0, MB_REPORT_BYTES_MAX,
+                         &report->bytes)) {
+            return false;
+        }
+    }
+#endif
+    g_array_append_val(report->ends, row);
     return true;
 }
 
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -177,8 +177,8 @@
 bool mb_order_add_stop(mb_order_t *order, const mb_order_stop_t *stop);
 bool mb_order_add_throttle(mb_order_t *order,
                            const mb_order_throttle_t *throttle);
-/* Adds a row to a report, likewise. A run for which there is room only without
-   its checkpoint is added without it. */
+/* Adds a row to a report, likewise. A run or an end for which there is room
+   only without its checkpoint is added without it. */
 bool mb_report_add_run(mb_report_t *report, const mb_report_run_t *run);
 bool mb_report_add_end(mb_report_t *report, const mb_report_end_t *end);
 bool mb_report_add_refusal(mb_report_t *report,
--- a/tests/unit/test_fleet_review.cc
+++ b/tests/unit/test_fleet_review.cc
@@ -21,3 +21,29 @@
     EXPECT_EQ(simulation.outcome(job_id), MB_DAG_COMPLETED);
     expect_no_violations(simulation);
 }
+
+/* A complete report contained neither the runs that had ended nor those of
+   their ends that did not fit, so the owner started their tasks again. */
+TEST(FleetReview, EndsThatDoNotFitAreNotTakenForLostRuns)
+{
+    static const uint32_t COUNT = 900;
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    Machine &machine = *simulation.machines[0];
+    simulation.capacity_milli = 1000000;
+    simulation.task_ms = 1100;
+    machine.worker.end_checkpoint = std::string(1000, 'c');
+    machine.worker.listed_ends_max = 2000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&step, job_id, COUNT, 1000));
+    simulation.advance(900);
+    ASSERT_EQ(machine.worker.runs.size(), COUNT);
+    simulation.disconnect(machine);
+    simulation.advance(600);
+    simulation.connect(machine);
+    simulation.advance(3000);
+    EXPECT_EQ(simulation.outcome(job_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(simulation.fleet.counts.starts, COUNT);
+    expect_no_violations(simulation);
+}
