Add up the watched time of a run without progress

What callers could see: a stalled run that is never stopped, so that its job is late, on a worker whose answers have gaps.

Cause: each gap in the recent figures of a run's progress began the watch of 2 s anew.

Evidence: FleetReview.StalledRunOfAFlappingWorkerIsStopped failed before, with 10 gaps of 1.5 s in 30 s: Expected: (simulation.fleet.counts.stalls) > (0u), actual: 0 vs 0

Why it works: the times between two recent figures that lie less than a second apart add up until the progress changes; a gap adds nothing and resets nothing. A run that was at work before a gap has a small sum.

--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -144,8 +144,8 @@
     uint32_t target_throttle_percent;
     uint32_t ordered_throttle_percent;
     uint32_t progress; /* latest report, in percent */
-    /* Since when `progress` is known not to have changed. */
-    uint64_t progress_us;
+    /* Time for which `progress` has been watched without a change. */
+    uint64_t stalled_for_us;
     uint64_t progress_read_us;   /* latest report with a recent figure */
     uint64_t throttled_since_us; /* since when the agent has severely throttled
                                     it; 0: it is not severely throttled */
--- a/lib/coordination/mb_fleet_reported_runs.c
+++ b/lib/coordination/mb_fleet_reported_runs.c
@@ -126,18 +126,22 @@
     return report->figures_age_ms <= MB_FLEET_FIGURES_AGE_MAX_MS;
 }
 
-/* Notes that a report has a recent figure of the progress of a run, or not.
-   Returns whether it has, and had one a short time before. */
-static bool
-note_progress_read(mb_fleet_run_t *run, const mb_report_t *report,
-                   uint64_t now_us)
+/* Notes that a report has a recent figure of the progress of a run. Returns
+   the time since the one before, for which the run has been watched: 0 if that
+   one is too old. */
+static uint64_t
+note_progress_read(mb_fleet_run_t *run, uint64_t now_us)
 {
     uint64_t gap_us = now_us - run->progress_read_us;
-    if (!mb_fleet_has_recent_figures(report)) {
-        return false;
-    }
     run->progress_read_us = now_us;
-    return gap_us < MB_FLEET_REPORT_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
+#ifdef MB_MUTANT_FLEET_STALL_WATCH_RESTARTED
+    if (gap_us >= MB_FLEET_REPORT_TIMEOUT_MS * (uint64_t)MB_US_PER_MS) {
+        run->stalled_for_us = 0;
+    }
+#endif
+    return gap_us < MB_FLEET_REPORT_TIMEOUT_MS * (uint64_t)MB_US_PER_MS
+               ? gap_us
+               : 0;
 }
 
 /* Stops a stalled run, one without progress that isn't severely throttled. Its
@@ -152,15 +156,20 @@
 {
     uint64_t now_us = mb_clock_us(&fleet->clock);
     const mb_dag_step_t *step = &run->job->steps[run->step];
-    bool is_watched = note_progress_read(run, report, now_us);
-    if (!is_watched || !entry->confirmed || run->throttled_since_us != 0 ||
-        entry->progress != run->progress || run->progress_us == 0) {
+    if (!mb_fleet_has_recent_figures(report)) {
+        return;
+    }
+    bool is_first = run->progress_read_us == 0;
+    uint64_t watched_us = note_progress_read(run, now_us);
+    if (is_first || !entry->confirmed || run->throttled_since_us != 0 ||
+        entry->progress != run->progress) {
         run->progress = entry->progress;
-        run->progress_us = now_us;
+        run->stalled_for_us = 0;
         return;
     }
+    run->stalled_for_us += watched_us;
     if (run->stopping || step->long_running || step->gang ||
-        now_us - run->progress_us < STALL_TIMEOUT_US) {
+        run->stalled_for_us < STALL_TIMEOUT_US) {
         return;
     }
     mb_log_notice(&fleet->log,
--- a/tests/unit/test_fleet_review.cc
+++ b/tests/unit/test_fleet_review.cc
@@ -47,3 +47,31 @@
     EXPECT_EQ(simulation.fleet.counts.starts, COUNT);
     expect_no_violations(simulation);
 }
+
+/* A stalled run was never stopped while answers of its worker came with gaps:
+   the watch began anew after each gap. */
+TEST(FleetReview, StalledRunOfAFlappingWorkerIsStopped)
+{
+    FleetSimulation simulation(2);
+    mb_dag_step_t step;
+    simulation.task_ms = 20000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&step, job_id, 1, 1000));
+    simulation.advance(1000);
+    for (auto &machine : simulation.machines) {
+        machine->worker.stalled = true;
+    }
+    for (int i = 0; i < 10; i++) {
+        for (auto &machine : simulation.machines) {
+            machine->worker.is_cut = true;
+        }
+        simulation.advance(1500);
+        for (auto &machine : simulation.machines) {
+            machine->worker.is_cut = false;
+        }
+        simulation.advance(1500);
+    }
+    EXPECT_GT(simulation.fleet.counts.stalls, 0u);
+    expect_no_violations(simulation);
+}
