Keep ends of an earlier incarnation out of a worker's health

What callers could see: a worker that has just started again gets no work, and jobs wait.

Cause: such an end was kept out of the health only if its run was not on record and failed; with the run on record, its failure counted, and so did a success.

Evidence: FleetReview.FailuresOfAnEarlierIncarnationDoNotSuspendTheWorker failed before: Value of: mb_health_suspended(&worker->health, simulation.now_us) Actual: true Expected: false

Why it works: the health is the same before and after such an end, whichever way it is handled. The task has its delay and its count of failures as after others.

--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -234,10 +234,8 @@
         return MB_FLEET_END_JOB_CLOSED;
     }
     mb_fleet_run_t run = make_ended_run(fleet, job, end);
-    /* An earlier incarnation says nothing about the health of this one. */
-    bool is_newest = !mb_fleet_task_is_running(task) &&
-                     end->run >= task->last_run &&
-                     end->number != MB_REPORT_END_FORMER;
+    bool is_newest =
+        !mb_fleet_task_is_running(task) && end->run >= task->last_run;
     mb_fleet_mark_begun(fleet, worker, job);
     mb_fleet_mark_job_startable(fleet, job);
     task->last_run = MAX(task->last_run, end->run);
@@ -267,6 +265,19 @@
                 mb_run_end_name(end->how), mb_fleet_end_effect_name(effect));
 }
 
+/* Applies an end that an earlier incarnation of the worker listed. It says
+   nothing about the health of this one. */
+static void
+apply_former_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                 const mb_report_end_t *end)
+{
+    mb_health_t health = worker->health;
+    apply_end(fleet, worker, end);
+#ifndef MB_MUTANT_FLEET_FORMER_END_IN_HEALTH
+    worker->health = health;
+#endif
+}
+
 /* Applies the ends of a report that have not been applied yet. Workers repeat
    them until they are acknowledged. */
 void
@@ -277,7 +288,7 @@
         const mb_report_end_t *end =
             &g_array_index(report->ends, mb_report_end_t, i);
         if (end->number == MB_REPORT_END_FORMER) {
-            apply_end(fleet, worker, end);
+            apply_former_end(fleet, worker, end);
         }
         else if (end->number > worker->ends_applied) {
             worker->ends_applied = end->number;
--- a/tests/unit/test_fleet_review.cc
+++ b/tests/unit/test_fleet_review.cc
@@ -75,3 +75,35 @@
     EXPECT_GT(simulation.fleet.counts.stalls, 0u);
     expect_no_violations(simulation);
 }
+
+/* Failures of an earlier incarnation of a worker suspended the next one. */
+TEST(FleetReview, FailuresOfAnEarlierIncarnationDoNotSuspendTheWorker)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    Machine &machine = *simulation.machines[0];
+    simulation.task_ms = 1000;
+    simulation.fail_percent = 100;
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_dag_spec_t spec = one_step_job(&step, job_id, 8, 500);
+    spec.policy.max_attempts = 5;
+    simulation.submit(spec);
+    simulation.advance(300);
+    ASSERT_EQ(machine.worker.runs.size(), 8u);
+    simulation.disconnect(machine);
+    simulation.advance(1500);
+    ASSERT_EQ(machine.worker.ends.size(), 8u);
+    machine.worker.crash();
+    simulation.fail_percent = 0;
+    simulation.advance(1500);
+    simulation.connect(machine);
+    simulation.advance(500);
+    const mb_fleet_worker_t *worker = static_cast<mb_fleet_worker_t *>(
+        g_ptr_array_index(simulation.fleet.workers, 0));
+    ASSERT_EQ(worker->incarnation, machine.worker.started_ms);
+    EXPECT_FALSE(mb_health_suspended(&worker->health, simulation.now_us));
+    simulation.advance(3000);
+    EXPECT_EQ(simulation.outcome(job_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
