Record no departure while ends of an earlier incarnation are kept

What callers could see: work done again after a worker has started again and left while there was no owner.

Cause: mb_agent_worker_has_left looked at the ends of the present incarnation only, and owners don't connect to an agent with a recorded departure.

Evidence: FleetReview.WorkerHasNotLeftBeforeItsFormerEndsAreReported failed before: Value of: mb_agent_worker_has_left(machine.agent) Actual: true Expected: false

Why it works: the departure waits until the agent forgets these ends, 30 s after the latest restart. A draining agent does not wait, as before.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -298,12 +298,16 @@
 
 /* Tells whether the worker has left for good; see the header. A draining agent
    does not wait until its ends are acknowledged, because it is about to
-   exit. */
+   exit. Those of an earlier incarnation wait until they are forgotten. */
 bool
 mb_agent_worker_has_left(const mb_agent_t *agent)
 {
+    guint end_count = agent->ends->len;
+#ifndef MB_MUTANT_AGENT_LEAVES_WITH_FORMER_ENDS
+    end_count += agent->former_ends->len;
+#endif
     return agent->departed && agent->runs->len == 0 &&
-           (agent->ends->len == 0 || agent->draining);
+           (end_count == 0 || agent->draining);
 }
 
 /* Adds all runs to a complete report. Returns false if there are more than
--- a/tests/unit/test_fleet_review.cc
+++ b/tests/unit/test_fleet_review.cc
@@ -107,3 +107,33 @@
     EXPECT_EQ(simulation.outcome(job_id), MB_DAG_COMPLETED);
     expect_no_violations(simulation);
 }
+
+/* An agent whose worker had started again and then left was recorded as
+   departed before any owner had got the outcomes of the earlier
+   incarnation. */
+TEST(FleetReview, WorkerHasNotLeftBeforeItsFormerEndsAreReported)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    Machine &machine = *simulation.machines[0];
+    simulation.task_ms = 1000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&step, job_id, 1, 1000));
+    simulation.advance(300);
+    simulation.disconnect(machine);
+    simulation.advance(1500);
+    ASSERT_EQ(machine.worker.ends.size(), 1u);
+    machine.worker.crash();
+    simulation.advance(1500);
+    mb_agent_deregister(machine.agent, {machine.worker.name.data(),
+                                        machine.worker.name.size()});
+    machine.worker.is_up = false;
+    simulation.advance(500);
+    EXPECT_FALSE(mb_agent_worker_has_left(machine.agent));
+    simulation.connect(machine);
+    simulation.advance(1000);
+    EXPECT_EQ(simulation.outcome(job_id), MB_DAG_COMPLETED);
+    simulation.advance(31000);
+    EXPECT_TRUE(mb_agent_worker_has_left(machine.agent));
+}
