Keep the checkpoint of an older run of a task

What callers could see: saved work done again.

Cause: an end with a lower number than that of the newest start was ignored with its checkpoint, also if that start had been refused.

Evidence: FleetReview.CheckpointCountsAfterANewerStartWasRefused failed before: std::string(task->checkpoint ...) Which is: "" "saved"

Why it works: the checkpoint counts if nothing of the task runs and no run with a higher number has saved one, which the task notes now. Gangs are left out, as all members have to carry the same one.

--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -135,18 +135,25 @@
     return MB_FLEET_END_COUNTED;
 }
 
+/* Keeps the checkpoint of an end for the next start of its task. */
+static void
+keep_checkpoint(mb_fleet_t *fleet, const mb_fleet_run_t *run,
+                const mb_report_end_t *end)
+{
+    if (run->job->steps[run->step].checkpoints &&
+        !mb_fleet_run_task(run)->done && end->checkpoint.len > 0) {
+        mb_fleet_set_checkpoint(run, end->checkpoint);
+        mb_fleet_mark_dirty(fleet, run->job);
+    }
+}
+
 /* Handles the end of the newest run of a task. The run has been removed from
    its worker. */
 static mb_fleet_end_effect_t
 handle_newest_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                   const mb_fleet_run_t *run, const mb_report_end_t *end)
 {
-    mb_dag_task_t *task = mb_fleet_run_task(run);
-    bool checkpoints = run->job->steps[run->step].checkpoints;
-    if (checkpoints && !task->done && end->checkpoint.len > 0) {
-        mb_dag_set_checkpoint(task, end->checkpoint);
-        mb_fleet_mark_dirty(fleet, run->job);
-    }
+    keep_checkpoint(fleet, run, end);
     if (end->how == MB_RUN_DONE) {
         return handle_success(fleet, worker, run);
     }
@@ -158,6 +165,21 @@
     return MB_FLEET_END_COUNTED;
 }
 
+/* Tells whether the checkpoint of an older run is the latest of its task: no
+   newer run is at work or has saved one. Members of a gang have to carry the
+   same one, so theirs don't count. */
+static bool
+has_latest_checkpoint(const mb_fleet_run_t *run)
+{
+    const mb_dag_task_t *task = mb_fleet_run_task(run);
+#ifdef MB_MUTANT_FLEET_REFUSED_START_HIDES_CHECKPOINT
+    return false;
+#endif
+    return !run->job->steps[run->step].gang &&
+           !mb_fleet_task_is_running(task) &&
+           run->number >= task->checkpoint_run;
+}
+
 /* Handles the end of a run beside a newer one, or after a newer one that was
    refused or has ended. */
 static mb_fleet_end_effect_t
@@ -174,6 +196,9 @@
         return MB_FLEET_END_SUPERSEDED;
     }
 #endif
+    if (has_latest_checkpoint(run)) {
+        keep_checkpoint(fleet, run, end);
+    }
     if (end->how == MB_RUN_DONE) {
         return handle_success(fleet, worker, run);
     }
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -39,6 +39,7 @@
 void mb_fleet_stop_other_copies(mb_fleet_t *fleet,
                                 const mb_fleet_run_t *finished);
 void mb_fleet_stop_gang(mb_fleet_t *fleet, const mb_fleet_run_t *member);
+void mb_fleet_set_checkpoint(const mb_fleet_run_t *run, mb_str_t checkpoint);
 void mb_fleet_mark_dirty(mb_fleet_t *fleet, mb_dag_job_t *job);
 void mb_fleet_mark_begun(mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
                          mb_dag_job_t *job);
--- a/lib/coordination/mb_fleet_reported_runs.c
+++ b/lib/coordination/mb_fleet_reported_runs.c
@@ -222,7 +222,7 @@
         update_throttle_state(fleet, run, entry->throttle_percent);
         check_progress(fleet, worker, run, entry, report);
         if (run->job->steps[run->step].checkpoints) {
-            mb_dag_set_checkpoint(mb_fleet_run_task(run), entry->checkpoint);
+            mb_fleet_set_checkpoint(run, entry->checkpoint);
         }
     }
 }
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -209,6 +209,18 @@
     }
 }
 
+/* Notes the checkpoint that a run has saved, if any, for the next start of its
+   task. */
+void
+mb_fleet_set_checkpoint(const mb_fleet_run_t *run, mb_str_t checkpoint)
+{
+    mb_dag_task_t *task = mb_fleet_run_task(run);
+    if (checkpoint.len > 0) {
+        task->checkpoint_run = MAX(task->checkpoint_run, run->number);
+        mb_dag_set_checkpoint(task, checkpoint);
+    }
+}
+
 /* Has the progress of a job stored with the next group of records. */
 void
 mb_fleet_mark_dirty(mb_fleet_t *fleet, mb_dag_job_t *job)
--- a/tests/unit/test_fleet_review.cc
+++ b/tests/unit/test_fleet_review.cc
@@ -137,3 +137,40 @@
     simulation.advance(31000);
     EXPECT_TRUE(mb_agent_worker_has_left(machine.agent));
 }
+
+/* The checkpoint of a stopped run was dropped when a newer start of its task
+   had been refused, and the work was done again. */
+TEST(FleetReview, CheckpointCountsAfterANewerStartWasRefused)
+{
+    FleetSimulation simulation(2);
+    mb_dag_step_t step;
+    Machine *first = nullptr;
+    simulation.task_ms = 60000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_dag_spec_t spec = one_step_job(&step, job_id, 1, 1000);
+    step.checkpoints = true;
+    mb_dag_job_t *job = simulation.submit(spec);
+    simulation.advance(300);
+    for (auto &machine : simulation.machines) {
+        machine->worker.end_checkpoint = "saved";
+        if (!machine->worker.runs.empty()) {
+            first = machine.get();
+        }
+    }
+    ASSERT_NE(first, nullptr);
+    for (auto &machine : simulation.machines) {
+        mb_agent_set_departure_recorded(machine->agent,
+                                        machine.get() != first);
+    }
+    first->worker.is_cut = true;
+    simulation.advance(8000);
+    EXPECT_GT(simulation.fleet.counts.refusals[MB_REFUSAL_ABSENT], 0u);
+    first->worker.is_cut = false;
+    simulation.advance(500);
+    const mb_dag_task_t *task = mb_dag_task(job, 0, 0, 0);
+    EXPECT_EQ(std::string(task->checkpoint == nullptr ? "" : task->checkpoint,
+                          task->checkpoint_len),
+              "saved");
+    expect_no_violations(simulation);
+}
