Test histories of workers that are cut off from their agents

These have cuts, crashes, late and lost answers, restarted agents, failing stores and new owners, on jobs of two steps. Completed jobs must have a success of each task (MIXED).

--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -147,6 +147,7 @@
     bool store_unanswered = false; /* the log does not answer */
     /* Tasks with an acknowledged success, which must not be started again. */
     std::set<std::string> acknowledged;
+    std::set<std::string> succeeded;        /* tasks of which a run was done */
     std::vector<std::string> violations;    /* of invariants */
     std::map<std::string, uint32_t> starts; /* number of starts by task */
     std::map<std::string, uint64_t> latest_start_us; /* by task */
--- a/tests/unit/test_fleet_review.cc
+++ b/tests/unit/test_fleet_review.cc
@@ -6,48 +6,6 @@
 
 static const char *const job_id = "0123456789abcdef";
 
-/* An end with a text that fits in no report kept all later ones of its worker
-   from being reported. */
-TEST(FleetReview, EndWithATooLongCheckpointIsReported)
-{
-    FleetSimulation simulation(1);
-    mb_dag_step_t step;
-    Machine &machine = *simulation.machines[0];
-    machine.worker.end_checkpoint = std::string(1000000, 'c');
-    simulation.fail_over();
-    simulation.advance(2500);
-    simulation.submit(one_step_job(&step, job_id, 2, 1000));
-    simulation.advance(3000);
-    EXPECT_EQ(simulation.outcome(job_id), MB_DAG_COMPLETED);
-    expect_no_violations(simulation);
-}
-
-/* A complete report contained neither the runs that had ended nor those of
-   their ends that did not fit, so the owner started their tasks again. */
-TEST(FleetReview, EndsThatDoNotFitAreNotTakenForLostRuns)
-{
-    static const uint32_t COUNT = 900;
-    FleetSimulation simulation(1);
-    mb_dag_step_t step;
-    Machine &machine = *simulation.machines[0];
-    simulation.capacity_milli = 1000000;
-    simulation.task_ms = 1100;
-    machine.worker.end_checkpoint = std::string(1000, 'c');
-    machine.worker.listed_ends_max = 2000;
-    simulation.fail_over();
-    simulation.advance(2500);
-    simulation.submit(one_step_job(&step, job_id, COUNT, 1000));
-    simulation.advance(900);
-    ASSERT_EQ(machine.worker.runs.size(), COUNT);
-    simulation.disconnect(machine);
-    simulation.advance(600);
-    simulation.connect(machine);
-    simulation.advance(3000);
-    EXPECT_EQ(simulation.outcome(job_id), MB_DAG_COMPLETED);
-    EXPECT_EQ(simulation.fleet.counts.starts, COUNT);
-    expect_no_violations(simulation);
-}
-
 /* A stalled run was never stopped while answers of its worker came with gaps:
    the watch began anew after each gap. */
 TEST(FleetReview, StalledRunOfAFlappingWorkerIsStopped)
@@ -138,6 +96,48 @@
     EXPECT_TRUE(mb_agent_worker_has_left(machine.agent));
 }
 
+/* A complete report contained neither the runs that had ended nor those of
+   their ends that did not fit, so the owner started their tasks again. */
+TEST(FleetReview, EndsThatDoNotFitAreNotTakenForLostRuns)
+{
+    static const uint32_t COUNT = 900;
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    Machine &machine = *simulation.machines[0];
+    simulation.capacity_milli = 1000000;
+    simulation.task_ms = 1100;
+    machine.worker.end_checkpoint = std::string(1000, 'c');
+    machine.worker.listed_ends_max = 2000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&step, job_id, COUNT, 1000));
+    simulation.advance(900);
+    ASSERT_EQ(machine.worker.runs.size(), COUNT);
+    simulation.disconnect(machine);
+    simulation.advance(600);
+    simulation.connect(machine);
+    simulation.advance(3000);
+    EXPECT_EQ(simulation.outcome(job_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(simulation.fleet.counts.starts, COUNT);
+    expect_no_violations(simulation);
+}
+
+/* An end with a text that fits in no report kept all later ones of its worker
+   from being reported. */
+TEST(FleetReview, EndWithATooLongCheckpointIsReported)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    Machine &machine = *simulation.machines[0];
+    machine.worker.end_checkpoint = std::string(1000000, 'c');
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&step, job_id, 2, 1000));
+    simulation.advance(3000);
+    EXPECT_EQ(simulation.outcome(job_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
+
 /* The checkpoint of a stopped run was dropped when a newer start of its task
    had been refused, and the work was done again. */
 TEST(FleetReview, CheckpointCountsAfterANewerStartWasRefused)
@@ -174,3 +174,128 @@
               "saved");
     expect_no_violations(simulation);
 }
+
+/* Returns a job of two steps, of which the second one depends on the first. */
+static mb_dag_spec_t
+two_step_job(mb_dag_step_t *steps, const char *id, uint32_t count)
+{
+    mb_dag_spec_t spec = one_step_job(&steps[0], id, count, 800);
+    steps[1] = steps[0];
+    steps[1].depends_on = 1;
+    spec.step_count = 2;
+    return spec;
+}
+
+static std::string
+make_id(int number)
+{
+    char id[MB_DAG_ID_LEN + 1];
+    (void)snprintf(id, sizeof(id), "%016x", number);
+    return id;
+}
+
+/* Tells of completed jobs with a task of which no run has succeeded. */
+static void
+check_completed(FleetSimulation &simulation, int count)
+{
+    for (int i = 1; i <= count; i++) {
+        mb_dag_id_t id;
+        ASSERT_TRUE(
+            mb_dag_id_parse(mb_str_from_cstr(make_id(i).c_str()), &id));
+        const mb_dag_job_t *job = mb_dag_find(&simulation.table, id);
+        if (job == nullptr || job->outcome != MB_DAG_COMPLETED) {
+            continue;
+        }
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            for (uint32_t k = 0; k < job->steps[s].count; k++) {
+                std::string task = format_task({job->spec.id, 0, s, k});
+                EXPECT_EQ(simulation.succeeded.count(task), 1u) << task;
+            }
+        }
+    }
+}
+
+/* Workers that are cut off from their agents, that start again and whose calls
+   are late, with agents that restart and owners that change. */
+static void
+run_cut_history(uint64_t seed)
+{
+    static const int JOBS = 24;
+    FleetSimulation simulation(4, seed);
+    std::vector<mb_dag_step_t> steps(2 * JOBS);
+    simulation.fail_percent = 3;
+    simulation.task_ms = 200 + simulation.random() % 3000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    for (int event = 0; event < 80; event++) {
+        Machine &machine = *simulation.machines[simulation.random() % 4];
+        FakeWorker &worker = machine.worker;
+        switch (simulation.random() % 12) {
+        case 0:
+        case 1:
+        case 2:
+            worker.is_cut = true;
+            break;
+        case 3:
+        case 4:
+            worker.is_cut = false;
+            break;
+        case 5:
+            simulation.disconnect(machine);
+            break;
+        case 6:
+            simulation.connect(machine);
+            break;
+        case 7:
+            worker.start_faults = {'d', 'o', 'l'};
+            worker.stop_faults = {'l', 'd'};
+            break;
+        case 8:
+            if (simulation.random() % 2 == 0) {
+                worker.crash();
+            }
+            break;
+        case 9:
+            if (simulation.random() % 3 == 0) {
+                simulation.store_fails = false;
+                simulation.fail_over();
+            }
+            break;
+        case 10:
+            if (!may_hold_earlier_lease(worker)) {
+                simulation.restart_agent(machine);
+            }
+            break;
+        default:
+            simulation.store_fails = simulation.random() % 8 == 0;
+            break;
+        }
+        if (event < JOBS) {
+            mb_dag_spec_t spec = two_step_job(&steps[2 * (size_t)event],
+                                              make_id(event + 1).c_str(),
+                                              1 + simulation.random() % 4);
+            spec.policy.max_attempts = 50;
+            spec.submitted_ms = simulation.now_us / 1000;
+            simulation.submit(spec);
+        }
+        simulation.advance(50 + simulation.random() % 1500);
+        check_completed(simulation, JOBS);
+    }
+    simulation.store_fails = false;
+    for (auto &machine : simulation.machines) {
+        machine->worker.is_cut = false;
+    }
+    simulation.fail_over();
+    simulation.advance(60000);
+    check_completed(simulation, JOBS);
+    for (int i = 1; i <= JOBS; i++) {
+        EXPECT_EQ(simulation.outcome(make_id(i).c_str()), MB_DAG_COMPLETED)
+            << i;
+    }
+    expect_no_violations(simulation);
+}
+
+TEST(FleetReview, KeepsInvariantsWhileWorkersAreCutOff)
+{
+    run_histories(run_cut_history);
+}
