Test a checkpoint that is one byte too long, and a gang of an earlier run

SuccessOfAnOlderGangEndsTheNewerOne passed on the code as it was: it is a check that was missing beside FleetSuccess.SuccessOfAnOlderRunEndsTheNewerOne.

--- a/tests/unit/test_fleet_review.cc
+++ b/tests/unit/test_fleet_review.cc
@@ -129,7 +129,8 @@
     FleetSimulation simulation(1);
     mb_dag_step_t step;
     Machine &machine = *simulation.machines[0];
-    machine.worker.end_checkpoint = std::string(1000000, 'c');
+    machine.worker.end_checkpoint =
+        std::string(MB_DAG_CHECKPOINT_MAX + 1, 'c');
     simulation.fail_over();
     simulation.advance(2500);
     simulation.submit(one_step_job(&step, job_id, 2, 1000));
@@ -299,3 +300,38 @@
 {
     run_histories(run_cut_history);
 }
+
+/* A gang whose success is heard of late: the members that run again are
+   stopped, and the success of another member counts for nothing more. */
+TEST(FleetReview, SuccessOfAnOlderGangEndsTheNewerOne)
+{
+    FleetSimulation simulation(4);
+    mb_dag_step_t step;
+    std::vector<Machine *> first;
+    simulation.task_ms = 1000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_dag_spec_t spec = one_step_job(&step, job_id, 2, 3000);
+    step.gang = true;
+    simulation.submit(spec);
+    simulation.advance(300);
+    for (auto &machine : simulation.machines) {
+        if (!machine->worker.runs.empty()) {
+            first.push_back(machine.get());
+            machine->worker.is_cut = true;
+        }
+    }
+    ASSERT_EQ(first.size(), 2u);
+    simulation.task_ms = 60000;
+    simulation.advance(8000);
+    ASSERT_EQ(simulation.running(), 2u);
+    first[1]->worker.is_cut = false;
+    simulation.advance(2000);
+    EXPECT_EQ(simulation.outcome(job_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(simulation.running(), 0u);
+    first[0]->worker.is_cut = false;
+    simulation.advance(2000);
+    EXPECT_EQ(simulation.running(), 0u);
+    EXPECT_EQ(simulation.fleet.counts.starts, 4u);
+    expect_no_violations(simulation);
+}
