--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -135,18 +135,25 @@
     return MB_FLEET_END_COUNTED;
 }
 
+/* Keeps the checkpoint of an end for the next start of its task. */
+static void
+keep_checkpoint(mb_fleet_t *fleet, const mb_fleet_run_t *run,
+                const mb_report_end_t *end)
+{
+    if (run->job->steps[run->step].checkpoints &&
+        !mb_fleet_run_task(run)->done && end->checkpoint.len > 0) {
+        mb_fleet_set_checkpoint(run, end->checkpoint);
+        mb_fleet_mark_dirty(fleet, run->job);
+    }
+}
+
 /* Handles the end of the newest run of a task. The run has been removed from
    its worker. */
 static mb_fleet_end_effect_t
 handle_newest_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                   const mb_fleet_run_t *run, const mb_report_end_t *end)
 {
-    mb_dag_task_t *task = mb_fleet_run_task(run);
-    bool checkpoints = run->job->steps[run->step].checkpoints;
-    if (checkpoints && !task->done && end->checkpoint.len > 0) {
-        mb_dag_set_checkpoint(task, end->checkpoint);
-        mb_fleet_mark_dirty(fleet, run->job);
-    }
+    keep_checkpoint(fleet, run, end);
     if (end->how == MB_RUN_DONE) {
         return handle_success(fleet, worker, run);
     }
@@ -158,6 +165,21 @@
     return MB_FLEET_END_COUNTED;
 }
 
+/* Tells whether the checkpoint of an older run is the latest of its task: no
+   newer run is at work or has saved one. Members of a gang have to carry the
+   same one, so theirs don't count. */
+static bool
+has_latest_checkpoint(const mb_fleet_run_t *run)
+{
+    const mb_dag_task_t *task = mb_fleet_run_task(run);
+#ifdef MB_MUTANT_FLEET_REFUSED_START_HIDES_CHECKPOINT
+    return false;
+#endif
+    return !run->job->steps[run->step].gang &&
+           !mb_fleet_task_is_running(task) &&
+           run->number >= task->checkpoint_run;
+}
+
 /* Handles the end of a run beside a newer one, or after a newer one that was
    refused or has ended. */
 static mb_fleet_end_effect_t
@@ -174,6 +196,9 @@
         return MB_FLEET_END_SUPERSEDED;
     }
 #endif
+    if (has_latest_checkpoint(run)) {
+        keep_checkpoint(fleet, run, end);
+    }
     if (end->how == MB_RUN_DONE) {
         return handle_success(fleet, worker, run);
     }
@@ -234,10 +259,8 @@
         return MB_FLEET_END_JOB_CLOSED;
     }
     mb_fleet_run_t run = make_ended_run(fleet, job, end);
-    /* An earlier incarnation says nothing about the health of this one. */
-    bool is_newest = !mb_fleet_task_is_running(task) &&
-                     end->run >= task->last_run &&
-                     end->number != MB_REPORT_END_FORMER;
+    bool is_newest =
+        !mb_fleet_task_is_running(task) && end->run >= task->last_run;
     mb_fleet_mark_begun(fleet, worker, job);
     mb_fleet_mark_job_startable(fleet, job);
     task->last_run = MAX(task->last_run, end->run);
@@ -267,6 +290,19 @@
                 mb_run_end_name(end->how), mb_fleet_end_effect_name(effect));
 }
 
+/* Applies an end that an earlier incarnation of the worker listed. It says
+   nothing about the health of this one. */
+static void
+apply_former_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                 const mb_report_end_t *end)
+{
+    mb_health_t health = worker->health;
+    apply_end(fleet, worker, end);
+#ifndef MB_MUTANT_FLEET_FORMER_END_IN_HEALTH
+    worker->health = health;
+#endif
+}
+
 /* Applies the ends of a report that have not been applied yet. Workers repeat
    them until they are acknowledged. */
 void
@@ -277,7 +313,7 @@
         const mb_report_end_t *end =
             &g_array_index(report->ends, mb_report_end_t, i);
         if (end->number == MB_REPORT_END_FORMER) {
-            apply_end(fleet, worker, end);
+            apply_former_end(fleet, worker, end);
         }
         else if (end->number > worker->ends_applied) {
             worker->ends_applied = end->number;
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -80,7 +80,8 @@
     std::deque<char> start_faults;
     std::deque<char> stop_faults;
     std::deque<char> list_faults;
-    bool is_cut = false; /* no call and no heartbeat gets through */
+    bool is_cut = false;        /* no call and no heartbeat gets through */
+    std::string end_checkpoint; /* that it lists with each end */
 
     uint64_t clock_ms() const;
     void extend_lease(uint64_t new_lease_end_ms);
@@ -146,6 +147,7 @@
     bool store_unanswered = false; /* the log does not answer */
     /* Tasks with an acknowledged success, which must not be started again. */
     std::set<std::string> acknowledged;
+    std::set<std::string> succeeded;        /* tasks of which a run was done */
     std::vector<std::string> violations;    /* of invariants */
     std::map<std::string, uint32_t> starts; /* number of starts by task */
     std::map<std::string, uint64_t> latest_start_us; /* by task */
