Test that a success counts once in further cases

These are added on the same set-up: a success of an earlier occurrence, of a cancelled and of a failed job, at a second owner that has started the task again, of an older run of a gang, of the first of two copies, and while the task waits for an absent worker after a change of owner; and the failure of an older run, which counts once by its run number, also on further connections, from an earlier incarnation and at a second owner.

Two mutants are added, FLEET_GANG_COUNTS_ONE_MEMBER and FLEET_FAILURE_COUNTED_AGAIN; both are caught by test_fleet_successes.

--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -70,7 +70,11 @@
         fleet->counts.repeated_successes += is_repeated ? 0 : 1;
         return MB_FLEET_END_TASK_DONE;
     }
-    if (step->gang) {
+    bool is_gang = step->gang;
+#ifdef MB_MUTANT_FLEET_GANG_COUNTS_ONE_MEMBER
+    is_gang = false;
+#endif
+    if (is_gang) {
         finish_gang(fleet, run);
     }
     else {
@@ -125,7 +129,11 @@
     if (mb_fleet_run_task(run)->done) {
         return MB_FLEET_END_TASK_DONE;
     }
-    if (!mb_dag_add_failure(counter, run->number)) {
+    uint64_t number = run->number;
+#ifdef MB_MUTANT_FLEET_FAILURE_COUNTED_AGAIN
+    number += counter->failures;
+#endif
+    if (!mb_dag_add_failure(counter, number)) {
         return MB_FLEET_END_REPEATED;
     }
     mb_fleet_mark_dirty(fleet, job);
--- a/tests/unit/test_fleet_successes.cc
+++ b/tests/unit/test_fleet_successes.cc
@@ -43,6 +43,53 @@
         return mb_dag_find(&simulation.table, id);
     }
 
+    mb_dag_task_id_t task_id(uint32_t occurrence = 0, uint32_t index = 0)
+    {
+        return {step_job()->spec.id, occurrence, 0, index};
+    }
+
+    const mb_dag_task_t *task()
+    {
+        return mb_dag_task(step_job(), 0, 0, 0);
+    }
+
+    /* Returns a machine other than those that run the job at first. */
+    Machine *other_machine()
+    {
+        for (auto &each : simulation.machines) {
+            if (each.get() != machine && each->worker.runs.empty()) {
+                return each.get();
+            }
+        }
+        return nullptr;
+    }
+
+    /* Cuts the first worker off until its run has been given up and the task
+       has been started again, for a long time. */
+    void start_again()
+    {
+        simulation.task_ms = 60000;
+        machine->worker.is_cut = true;
+        simulation.advance(8000);
+        EXPECT_EQ(starts(), 2u);
+    }
+
+    /* Lets the first worker list what it has finished meanwhile. */
+    void reconnect_worker()
+    {
+        machine->worker.is_cut = false;
+        simulation.advance(3000);
+    }
+
+    /* Has a worker list the end of a run that it did not get here. */
+    void list_end(Machine *of, const mb_dag_task_id_t &id, uint64_t run,
+                  mb_run_end_t how)
+    {
+        of->worker.ends.push_back({++of->worker.last_end_number, id, run, how,
+                                   false, simulation.now_us});
+        simulation.advance(500);
+    }
+
     uint64_t effects(mb_fleet_end_effect_t effect) const
     {
         return simulation.fleet.counts.end_effects[effect];
@@ -166,3 +213,235 @@
     EXPECT_EQ(test.starts(), 1u);
     expect_no_violations(test.simulation);
 }
+
+/* The end of one occurrence was taken for that of a later one. */
+TEST(FleetSuccess, SuccessOfAnEarlierOccurrenceLeavesTheLaterOneAlone)
+{
+    FirstRun test(3);
+    FleetSimulation &simulation = test.simulation;
+    mb_dag_step_t step;
+    mb_dag_spec_t spec = one_step_job(&step, long_id, 1, 3000);
+    spec.occurrences = 2;
+    spec.first_ms = simulation.now_us / 1000;
+    spec.interval_ms = 500;
+    simulation.task_ms = 60000;
+    simulation.submit(spec);
+    simulation.advance(1500);
+    mb_dag_job_t *job = mb_dag_find(&simulation.table, spec.id);
+    mb_dag_task_id_t later = {spec.id, 1, 0, 0};
+    const mb_dag_task_t *first = mb_dag_task(job, 0, 0, 0);
+    const mb_dag_task_t *second = mb_dag_task(job, 1, 0, 0);
+    ASSERT_NE(second->runs[0].number, 0u);
+    test.list_end(test.machine, {spec.id, 0, 0, 0}, first->last_run - 1,
+                  MB_RUN_DONE);
+    EXPECT_TRUE(first->done);
+    EXPECT_FALSE(second->done);
+    EXPECT_EQ(simulation.running(), 1u);
+    EXPECT_EQ(simulation.starts[format_task(later)], 1u);
+    EXPECT_EQ(job->outcome, MB_DAG_OPEN);
+    expect_no_violations(simulation);
+}
+
+/* A late success changed the outcome of a cancelled job, or was listed
+   forever. */
+TEST(FleetSuccess, SuccessOfACancelledJobIsOnlyAcknowledged)
+{
+    FirstRun test(2);
+    test.start_again();
+    test.simulation.cancel(short_id);
+    test.simulation.advance(1000);
+    test.reconnect_worker();
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_CANCELLED);
+    EXPECT_FALSE(test.task()->done);
+    EXPECT_GT(test.effects(MB_FLEET_END_JOB_CLOSED), 0u);
+    EXPECT_TRUE(test.machine->worker.ends.empty());
+    EXPECT_EQ(test.simulation.running(), 0u);
+    expect_no_violations(test.simulation);
+}
+
+/* The same for a job that has failed. */
+TEST(FleetSuccess, SuccessOfAFailedJobIsOnlyAcknowledged)
+{
+    FirstRun test(3);
+    test.start_again();
+    Machine *other = test.other_machine();
+    test.list_end(other, test.task_id(), 1, MB_RUN_FAILED);
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_OPEN);
+    test.list_end(other, test.task_id(), 2, MB_RUN_FAILED);
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_FAILED);
+    test.reconnect_worker();
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_FAILED);
+    EXPECT_FALSE(test.task()->done);
+    EXPECT_TRUE(test.machine->worker.ends.empty());
+    EXPECT_EQ(test.simulation.running(), 0u);
+    expect_no_violations(test.simulation);
+}
+
+/* A new owner, which knows nothing of the earlier run, ignored its success. */
+TEST(FleetSuccess, SuccessCountsAtASecondOwnerThatHasStartedTheTaskAgain)
+{
+    FirstRun test(2);
+    FleetSimulation &simulation = test.simulation;
+    simulation.task_ms = 60000;
+    test.machine->worker.is_cut = true;
+    simulation.advance(1500);
+    simulation.fail_over();
+    simulation.advance(30000);
+    ASSERT_EQ(test.starts(), 2u);
+    test.reconnect_worker();
+    EXPECT_EQ(simulation.outcome(short_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(simulation.running(), 0u);
+    EXPECT_EQ(test.starts(), 2u);
+    expect_no_violations(simulation);
+}
+
+/* The newer run of a gang went on after an older one had ended, or its
+   dependents were started once for each member that had. */
+TEST(FleetSuccess, SuccessOfAnOlderGangEndsTheNewerOne)
+{
+    FleetSimulation simulation(4);
+    mb_dag_step_t steps[2];
+    mb_dag_spec_t spec = one_step_job(&steps[0], short_id, 2, 3000);
+    steps[0].gang = true;
+    steps[1] = steps[0];
+    steps[1].gang = false;
+    steps[1].count = 1;
+    steps[1].depends_on = 1;
+    spec.step_count = 2;
+    spec.steps = steps;
+    simulation.task_ms = 1000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(spec);
+    simulation.advance(500);
+    std::vector<Machine *> older;
+    for (auto &machine : simulation.machines) {
+        if (!machine->worker.runs.empty()) {
+            machine->worker.is_cut = true;
+            older.push_back(machine.get());
+        }
+    }
+    ASSERT_EQ(older.size(), 2u);
+    simulation.task_ms = 60000;
+    simulation.advance(9000);
+    ASSERT_EQ(simulation.running(), 2u);
+    older[0]->worker.is_cut = false;
+    simulation.advance(3000);
+    mb_dag_job_t *job = mb_dag_find(&simulation.table, spec.id);
+    EXPECT_EQ(job->occurrences[0].finished_steps, 1u);
+    EXPECT_EQ(simulation.running(), 1u);
+    older[1]->worker.is_cut = false;
+    simulation.advance(3000);
+    EXPECT_EQ(simulation.starts[format_task({spec.id, 0, 1, 0})], 1u);
+    EXPECT_EQ(simulation.running(), 1u);
+    EXPECT_EQ(simulation.fleet.counts.repeated_successes, 0u);
+    expect_no_violations(simulation);
+}
+
+/* The second copy of a speculative task went on, or its success counted. */
+TEST(FleetSuccess, FirstSuccessOfTwoCopiesCounts)
+{
+    FirstRun test(3, 2);
+    FleetSimulation &simulation = test.simulation;
+    mb_dag_job_t *job = test.step_job();
+    job->steps[0].speculative = true;
+    mb_dag_task_id_t id = test.task_id();
+    for (auto &machine : simulation.machines) {
+        for (auto &run : machine->worker.runs) {
+            run.end_ms += run.task.index == 0 ? 2000 : 60000;
+        }
+    }
+    Machine *holder = simulation.machines[test.task()->runs[0].worker].get();
+    Machine *other = simulation.machines[holder->number == 0 ? 1 : 0].get();
+    uint64_t now_ms = other->worker.clock_ms();
+    other->worker.runs.push_back(
+        {id, test.task()->last_run + 1, now_ms + 3000, false, 100});
+    other->worker.extend_lease(now_ms + 10000);
+    simulation.advance(1500);
+    ASSERT_NE(test.task()->runs[0].number, 0u);
+    ASSERT_NE(test.task()->runs[1].number, 0u);
+    other->worker.stop_faults = {'s'};
+    simulation.advance(1500);
+    EXPECT_TRUE(test.task()->done);
+    EXPECT_EQ(test.effects(MB_FLEET_END_TASK_DONE), 0u);
+    simulation.advance(2000);
+    EXPECT_EQ(test.effects(MB_FLEET_END_TASK_DONE), 1u);
+    EXPECT_EQ(job->occurrences[0].unfinished_tasks[0], 1u);
+    EXPECT_EQ(simulation.outcome(short_id), MB_DAG_OPEN);
+    EXPECT_EQ(test.starts(), 1u);
+}
+
+/* The failure of an older run was counted again each time that it was
+   reported, so that the job failed after a single one. */
+TEST(FleetSuccess, FailureOfAnOlderRunCountsOnce)
+{
+    FirstRun test(2);
+    FleetSimulation &simulation = test.simulation;
+    test.machine->worker.runs[0].fails = true;
+    test.start_again();
+    simulation.disconnect(*test.machine);
+    test.machine->worker.is_cut = false;
+    simulation.advance(2000);
+    test.machine->worker.crash();
+    simulation.advance(1500);
+    for (int i = 0; i < 3; i++) {
+        simulation.connect(*test.machine);
+        simulation.advance(1500);
+        EXPECT_EQ(test.task()->failures, 1u);
+        simulation.disconnect(*test.machine);
+    }
+    EXPECT_EQ(test.effects(MB_FLEET_END_REPEATED), 2u);
+    simulation.fail_over(true);
+    simulation.advance(3000);
+    EXPECT_EQ(test.effects(MB_FLEET_END_REPEATED), 3u);
+    EXPECT_EQ(test.task()->failures, 1u);
+    EXPECT_EQ(simulation.outcome(short_id), MB_DAG_OPEN);
+    expect_no_violations(simulation);
+}
+
+/* A task that waits for an absent worker after a change of owner, and whose
+   success another worker reports. */
+struct AbsentWorker : FirstRun {
+    AbsentWorker() : FirstRun(2)
+    {
+        simulation.disconnect(*machine);
+        machine->frozen_until_us = simulation.now_us + 4000000;
+        simulation.advance(2500);
+        EXPECT_EQ(simulation.absences.size(), 1u);
+        simulation.fail_over(true);
+        simulation.advance(500);
+        EXPECT_EQ(task()->absent_workers, 1u);
+    }
+
+    void return_worker()
+    {
+        simulation.advance(1200);
+        simulation.connect(*machine);
+        simulation.advance(3000);
+    }
+};
+
+/* The success of the absent worker itself was ignored as the owner did not
+   start the run. */
+TEST(FleetSuccess, SuccessOfAnAbsentWorkerCountsAfterAChangeOfOwner)
+{
+    AbsentWorker test;
+    test.return_worker();
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(test.starts(), 1u);
+    expect_no_violations(test.simulation);
+}
+
+/* A success did not count while its task waited for an absent worker. */
+TEST(FleetSuccess, SuccessCountsWhileTheTaskWaitsForAnAbsentWorker)
+{
+    AbsentWorker test;
+    test.list_end(test.other_machine(), test.task_id(), 1, MB_RUN_DONE);
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    test.return_worker();
+    EXPECT_EQ(test.effects(MB_FLEET_END_COUNTED), 1u);
+    EXPECT_EQ(test.effects(MB_FLEET_END_JOB_CLOSED), 1u);
+    EXPECT_TRUE(test.machine->worker.ends.empty());
+    EXPECT_EQ(test.starts(), 1u);
+    expect_no_violations(test.simulation);
+}
