Acknowledge only ends that the worker has listed

Cause: the agent passed each acknowledgement of the owner on to its worker, and took all ends up to that number for stored. With a number above that of the latest end, the worker forgets its next ends before it has listed them, and the agent drops those that it gets.

What callers could see: a task that is done runs again and again, and its job does not end.

Evidence, before (FleetSuccess.SuccessCountsAfterAnAcknowledgementThatIsTooHigh):

test_fleet_successes.cc:543: Failure test.simulation.outcome(short_id) Which is: 0 (open) test_fleet_successes.cc:544: Failure test.starts() Which is: 3, expected 1 at 14435 ms: started after its success was acknowledged: ...0.0.0

Now an acknowledgement counts up to the ends that this process of the agent has received, and a list call acknowledges at most what the latest list contained. An end that was received and stored is still acknowledged, as it is in the list until then; so the worker forgets as much as before. A number that is too high is logged once.

Ends of unknown jobs, occurrences, steps and tasks, and an acknowledgement that goes back, were handled right before; both have tests now.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -266,7 +266,7 @@
                 report_time_us + order->lease_ms * (uint64_t)MB_US_PER_MS);
     }
     if (order->incarnation == agent->info.incarnation) {
-        agent->acknowledged = MAX(agent->acknowledged, order->acknowledged);
+        mb_agent_note_acknowledgement(agent, order->acknowledged);
         for (guint i = 0; i < order->stops->len; i++) {
             mb_agent_stop(agent,
                           &g_array_index(order->stops, mb_order_stop_t, i));
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -99,8 +99,11 @@
        worker, and until when they are kept. */
     GArray *former_ends;
     uint64_t former_ends_due_us;
-    uint64_t last_end;      /* highest number of an end received */
-    uint64_t acknowledged;  /* the owner has stored ends up to this number */
+    uint64_t last_end;     /* highest number of an end received */
+    uint64_t acknowledged; /* the owner has stored ends up to this number */
+    uint64_t listed_end; /* highest number in the latest list of the worker */
+    /* Latest acknowledgement of an owner that was too high, for the log. */
+    uint64_t excess_acknowledgement;
     bool list_pending;      /* a list call is not answered yet */
     uint64_t list_start_us; /* when the latest list call was sent */
     uint64_t list_token;    /* fencing token of that call */
--- a/lib/coordination/mb_agent_ends.c
+++ b/lib/coordination/mb_agent_ends.c
@@ -48,8 +48,10 @@
 #ifdef MB_MUTANT_AGENT_SUCCESS_BEFORE_EXPIRY_DROPPED
     bool expired = agent->lease_end_us < mb_clock_us(&agent->clock);
 #endif
+    agent->listed_end = 0;
     for (guint i = 0; i < ends->len; i++) {
         mb_report_end_t end = g_array_index(ends, mb_report_end_t, i);
+        agent->listed_end = MAX(agent->listed_end, end.number);
         if (end.number <= agent->last_end) {
             continue;
         }
@@ -68,6 +70,40 @@
     }
 }
 
+/* Notes up to which number the owner has stored the ends. One that goes back
+   is that of a new owner, which knows less. One above the ends that this
+   process has received does not count for later ones: it was meant for an
+   earlier process of the agent, or is wrong. */
+void
+mb_agent_note_acknowledgement(mb_agent_t *agent, uint64_t number)
+{
+    uint64_t received = MIN(number, agent->last_end);
+#ifdef MB_MUTANT_AGENT_ACKNOWLEDGES_UNLISTED
+    received = number;
+#endif
+    agent->acknowledged = MAX(agent->acknowledged, received);
+    if (number > agent->last_end && agent->last_end > 0 &&
+        number != agent->excess_acknowledgement) {
+        agent->excess_acknowledgement = number;
+        mb_log_warning(&agent->log,
+                       "acknowledgement of ends that were not received "
+                       "number=%" G_GUINT64_FORMAT
+                       " received=%" G_GUINT64_FORMAT " name=%.*s",
+                       number, agent->last_end, MB_STR_ARG(agent->info.name));
+    }
+}
+
+/* Returns up to which number the worker may forget its ends: only such that it
+   has listed, as it may have numbered later ones anew. */
+uint64_t
+mb_agent_acknowledgement(const mb_agent_t *agent)
+{
+#ifdef MB_MUTANT_AGENT_ACKNOWLEDGES_UNLISTED
+    return agent->acknowledged;
+#endif
+    return MIN(agent->acknowledged, agent->listed_end);
+}
+
 /* Returns whether an end tells what has become of the task: whether it is
    done, or an attempt has failed. */
 static bool
--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -70,6 +70,8 @@
 void mb_agent_ends_init(mb_agent_t *agent);
 void mb_agent_ends_finish(mb_agent_t *agent);
 void mb_agent_handle_ends(mb_agent_t *agent, const GArray *ends);
+void mb_agent_note_acknowledgement(mb_agent_t *agent, uint64_t number);
+uint64_t mb_agent_acknowledgement(const mb_agent_t *agent);
 void mb_agent_keep_former_ends(mb_agent_t *agent);
 bool mb_agent_has_end(const mb_agent_t *agent, const mb_order_stop_t *stop);
 void mb_agent_add_ends(mb_agent_t *agent);
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -103,6 +103,8 @@
     agent->known_since_us = mb_clock_us(&agent->clock);
     agent->last_end = 0;
     agent->acknowledged = 0;
+    agent->listed_end = 0;
+    agent->excess_acknowledgement = 0;
     agent->reported_end = 0;
     agent->has_clock = false;
     agent->call_failed_us = 0;
@@ -277,10 +279,10 @@
     agent->list_token = agent->token;
     agent->list_pending = true;
     agent->open_calls++;
-    if (!agent->executor.list(agent->executor.context, &call,
-                              may_acknowledge ? agent->acknowledged : 0,
-                              lease_end_ms,
-                              reachable ? MB_AGENT_LIST_WAIT_MS : 0)) {
+    if (!agent->executor.list(
+            agent->executor.context, &call,
+            may_acknowledge ? mb_agent_acknowledgement(agent) : 0,
+            lease_end_ms, reachable ? MB_AGENT_LIST_WAIT_MS : 0)) {
         agent->list_pending = false;
         agent->open_calls--;
         agent->list_due_us = now_us + MB_AGENT_RETRY_DELAY_MS * MB_US_PER_MS;
--- a/tests/unit/test_fleet_successes.cc
+++ b/tests/unit/test_fleet_successes.cc
@@ -445,3 +445,63 @@
     EXPECT_EQ(test.starts(), 1u);
     expect_no_violations(test.simulation);
 }
+
+/* The agent passed on an acknowledgement of ends that the worker had not
+   listed yet, and the worker forgot them. */
+TEST(FleetSuccess, SuccessCountsAfterAnAcknowledgementThatIsTooHigh)
+{
+    FirstRun test(1);
+    mb_agent_t *agent = test.machine->agent;
+    mb_order_t order = {};
+    g_autoptr(GArray) none = g_array_new(FALSE, FALSE, 1);
+    order.incarnation = test.machine->worker.started_ms;
+    order.sequence = agent->order_sequence;
+    order.starts = order.stops = order.throttles = none;
+    order.acknowledged = 1000;
+    mb_agent_order(agent, &order);
+    test.simulation.disconnect(*test.machine);
+    test.simulation.advance(1500);
+    test.simulation.connect(*test.machine);
+    test.simulation.advance(2000);
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(test.starts(), 1u);
+    EXPECT_TRUE(test.machine->worker.ends.empty());
+    expect_no_violations(test.simulation);
+}
+
+/* An acknowledgement that goes back, as that of a new owner does, made the
+   agent report ends again. */
+TEST(FleetSuccess, AcknowledgementThatGoesBackIsIgnored)
+{
+    FirstRun test(1);
+    test.simulation.advance(2000);
+    ASSERT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    ASSERT_EQ(test.machine->agent->acknowledged, 1u);
+    test.simulation.fail_over(true);
+    test.simulation.advance(1500);
+    EXPECT_EQ(test.machine->agent->acknowledged, 1u);
+    EXPECT_EQ(test.effects(MB_FLEET_END_COUNTED), 1u);
+    EXPECT_EQ(test.effects(MB_FLEET_END_JOB_CLOSED), 0u);
+}
+
+/* Ends of what does not exist were listed forever, or hid those after them. */
+TEST(FleetSuccess, EndsOfUnknownTasksAreOnlyAcknowledged)
+{
+    FirstRun test(1);
+    mb_dag_task_id_t unknown_job = test.task_id();
+    ASSERT_TRUE(mb_dag_id_parse(mb_str_from_cstr(long_id), &unknown_job.job));
+    mb_dag_task_id_t unknown_step = test.task_id();
+    unknown_step.step = UINT32_MAX;
+    test.machine->worker.is_cut = true;
+    test.list_end(test.machine, unknown_job, 1, MB_RUN_DONE);
+    test.list_end(test.machine, unknown_step, 1, MB_RUN_DONE);
+    test.list_end(test.machine, test.task_id(0, 1), 1, MB_RUN_FAILED);
+    test.list_end(test.machine, test.task_id(1), 1, MB_RUN_DONE);
+    test.reconnect_worker();
+    EXPECT_EQ(test.effects(MB_FLEET_END_JOB_UNKNOWN), 1u);
+    EXPECT_EQ(test.effects(MB_FLEET_END_TASK_UNKNOWN), 3u);
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(test.starts(), 1u);
+    EXPECT_TRUE(test.machine->worker.ends.empty());
+    expect_no_violations(test.simulation);
+}
