Report ends that are listed under the number of another one

Cause: the agent ignored each end whose number was not above the highest that it had received, without a line in the log. A worker that gives a number twice, changes an end that it has listed, or numbers its ends from 1 on again without a new incarnation loses successes that way.

What callers could see: tasks that are done run again, for numbers that go back until the former number is reached.

Now the agent compares such an end with the one that it keeps under the number, and with the number up to which the worker has answered an acknowledgement. An end that differs is logged once and reported without a number, as the ends of an earlier incarnation are; the owner counts each once by its run.

--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -95,13 +95,18 @@
     bool lapse_awaited;
     GPtrArray *runs; /* mb_agent_run_t */
     GArray *ends;    /* mb_report_end_t with owned checkpoints */
-    /* mb_report_end_t without checkpoints, of earlier incarnations of the
-       worker, and until when they are kept. */
+    /* mb_report_end_t without checkpoints and numbers, and until when they are
+       kept: those of earlier incarnations of the worker, and those that it
+       listed under the number of another end. */
     GArray *former_ends;
     uint64_t former_ends_due_us;
     uint64_t last_end;     /* highest number of an end received */
     uint64_t acknowledged; /* the owner has stored ends up to this number */
     uint64_t listed_end; /* highest number in the latest list of the worker */
+    uint64_t acknowledged_by_list; /* in the latest list call */
+    /* Highest such number that the worker has answered: it has forgotten the
+       ends up to it, and lists none of them again. */
+    uint64_t forgotten_end;
     /* Latest acknowledgement of an owner that was too high, for the log. */
     uint64_t excess_acknowledgement;
     bool list_pending;      /* a list call is not answered yet */
--- a/lib/coordination/mb_agent_ends.c
+++ b/lib/coordination/mb_agent_ends.c
@@ -2,10 +2,10 @@
    them. */
 #include "mb_agent_internal.h"
 
-/* How long the ends that a worker had listed before it started again are kept,
-   in milliseconds. The worker can't list them again, and the owner that has
-   got them may end before it has stored them: longer than a change of owner
-   takes. */
+/* How long the ends are kept that no owner can acknowledge, in milliseconds:
+   those that a worker had listed before it started again, and those that it
+   listed under the number of another end. The owner that has got them may end
+   before it has stored them: longer than a change of owner takes. */
 #define FORMER_ENDS_MS UINT64_C(30000)
 
 /* Initializes the ends of an agent. */
@@ -39,6 +39,89 @@
     g_array_unref(agent->former_ends);
 }
 
+/* Removes the run that has ended, if it is known. */
+static void
+remove_ended_run(mb_agent_t *agent, const mb_report_end_t *end)
+{
+    mb_agent_run_t *run = mb_agent_find_run(agent, &end->task, end->run);
+    if (run != NULL) {
+        mb_agent_remove_run(agent, run);
+    }
+}
+
+/* Returns whether two ends are of the same run and say the same of it. */
+static bool
+is_same_end(const mb_report_end_t *a, const mb_report_end_t *b)
+{
+    return a->run == b->run && a->how == b->how &&
+           mb_dag_task_id_equal(&a->task, &b->task);
+}
+
+/* Keeps an end that no owner can acknowledge, for a while. It is reported on
+   each connection, without its number and checkpoint. Returns false if it is
+   kept already, or if there are too many. */
+static bool
+keep_unnumbered_end(mb_agent_t *agent, const mb_report_end_t *end)
+{
+    mb_report_end_t kept = *end;
+    kept.number = MB_REPORT_END_FORMER;
+    kept.checkpoint = (mb_str_t){NULL, 0};
+    for (guint i = 0; i < agent->former_ends->len; i++) {
+        if (is_same_end(&g_array_index(agent->former_ends, mb_report_end_t, i),
+                        end)) {
+            return false;
+        }
+    }
+    if (agent->former_ends->len >= MB_ORDER_ROWS_MAX) {
+        return false;
+    }
+    g_array_append_val(agent->former_ends, kept);
+    agent->former_ends_due_us =
+        mb_clock_us(&agent->clock) + FORMER_ENDS_MS * MB_US_PER_MS;
+    return true;
+}
+
+/* Returns whether an end has the number of another one that the worker has
+   listed in its present life: one that is kept here and differs, or one that
+   it was told to forget. */
+static bool
+has_reused_number(const mb_agent_t *agent, const mb_report_end_t *end)
+{
+#ifdef MB_MUTANT_AGENT_REUSED_NUMBER_IGNORED
+    return false;
+#endif
+    for (guint i = 0; i < agent->ends->len; i++) {
+        const mb_report_end_t *known =
+            &g_array_index(agent->ends, mb_report_end_t, i);
+        if (known->number == end->number) {
+            return !is_same_end(known, end);
+        }
+    }
+    return end->number <= agent->forgotten_end;
+}
+
+/* Handles an end whose number is not new. Usually it is listed again until it
+   is acknowledged. If the number is that of another end, the owner decides
+   whether this one counts, too. */
+static void
+handle_listed_again(mb_agent_t *agent, const mb_report_end_t *end)
+{
+    if (!has_reused_number(agent, end) || !keep_unnumbered_end(agent, end)) {
+        return;
+    }
+    mb_log_warning(&agent->log,
+                   "worker listed an end under the number of another one "
+                   "name=%.*s number=%" G_GUINT64_FORMAT
+                   " latest=%" G_GUINT64_FORMAT " job=%.*s task=%u.%u.%u "
+                   "run=%" G_GUINT64_FORMAT " how=%s",
+                   MB_STR_ARG(agent->info.name), end->number, agent->last_end,
+                   MB_STR_ARG(mb_dag_id_view(&end->task.job)),
+                   end->task.occurrence, end->task.step, end->task.index,
+                   end->run, mb_run_end_name(end->how));
+    remove_ended_run(agent, end);
+    agent->report_due = true;
+}
+
 /* Handles the ends that are new. Each is reported as the worker lists it, also
    if the lease expired afterwards and the task may be running elsewhere: the
    owner decides whether it counts. */
@@ -53,16 +136,14 @@
         mb_report_end_t end = g_array_index(ends, mb_report_end_t, i);
         agent->listed_end = MAX(agent->listed_end, end.number);
         if (end.number <= agent->last_end) {
+            handle_listed_again(agent, &end);
             continue;
         }
         agent->last_end = end.number;
 #ifdef MB_MUTANT_AGENT_SUCCESS_BEFORE_EXPIRY_DROPPED
         end.how = expired ? MB_RUN_LEASE_EXPIRED : end.how;
 #endif
-        mb_agent_run_t *run = mb_agent_find_run(agent, &end.task, end.run);
-        if (run != NULL) {
-            mb_agent_remove_run(agent, run);
-        }
+        remove_ended_run(agent, &end);
         end.checkpoint.data =
             g_memdup2(end.checkpoint.data, end.checkpoint.len);
         g_array_append_val(agent->ends, end);
@@ -120,14 +201,10 @@
 {
 #ifndef MB_MUTANT_AGENT_FORMER_ENDS_DROPPED
     for (guint i = 0; i < agent->ends->len; i++) {
-        mb_report_end_t end = g_array_index(agent->ends, mb_report_end_t, i);
-        if (end.number > agent->acknowledged && is_outcome(&end) &&
-            agent->former_ends->len < MB_ORDER_ROWS_MAX) {
-            end.number = MB_REPORT_END_FORMER;
-            end.checkpoint = (mb_str_t){NULL, 0};
-            g_array_append_val(agent->former_ends, end);
-            agent->former_ends_due_us =
-                mb_clock_us(&agent->clock) + FORMER_ENDS_MS * MB_US_PER_MS;
+        const mb_report_end_t *end =
+            &g_array_index(agent->ends, mb_report_end_t, i);
+        if (end->number > agent->acknowledged && is_outcome(end)) {
+            (void)keep_unnumbered_end(agent, end);
         }
     }
 #endif
@@ -150,21 +227,11 @@
     return false;
 }
 
-/* Adds to the report the ends that were not reported on this connection yet,
-   as many as fit. The others follow in the next report. */
-void
-mb_agent_add_ends(mb_agent_t *agent)
+/* Adds to the report the numbered ends that were not reported on this
+   connection yet. Returns false if not all fit. */
+static bool
+add_numbered_ends(mb_agent_t *agent)
 {
-    while (agent->reported_former_ends < agent->former_ends->len) {
-        if (!mb_report_add_end(&agent->report,
-                               &g_array_index(agent->former_ends,
-                                              mb_report_end_t,
-                                              agent->reported_former_ends))) {
-            agent->report_due = true;
-            return;
-        }
-        agent->reported_former_ends++;
-    }
     for (guint i = 0; i < agent->ends->len; i++) {
         const mb_report_end_t *end =
             &g_array_index(agent->ends, mb_report_end_t, i);
@@ -172,11 +239,39 @@
             continue;
         }
         if (!mb_report_add_end(&agent->report, end)) {
-            agent->report_due = true;
-            return;
+            return false;
         }
         agent->reported_end = end->number;
     }
+    return true;
+}
+
+/* Does the same with the ends that have no number. */
+static bool
+add_unnumbered_ends(mb_agent_t *agent)
+{
+    while (agent->reported_former_ends < agent->former_ends->len) {
+        if (!mb_report_add_end(&agent->report,
+                               &g_array_index(agent->former_ends,
+                                              mb_report_end_t,
+                                              agent->reported_former_ends))) {
+            return false;
+        }
+        agent->reported_former_ends++;
+    }
+    return true;
+}
+
+/* Adds to the report the ends that were not reported on this connection yet,
+   as many as fit. The others follow in the next report. Those without a number
+   come last, so that the failure of a run that has succeeded before does not
+   count. */
+void
+mb_agent_add_ends(mb_agent_t *agent)
+{
+    if (!add_numbered_ends(agent) || !add_unnumbered_ends(agent)) {
+        agent->report_due = true;
+    }
 }
 
 /* Returns the number of ends that the owner has stored. */
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -104,6 +104,8 @@
     agent->last_end = 0;
     agent->acknowledged = 0;
     agent->listed_end = 0;
+    agent->acknowledged_by_list = 0;
+    agent->forgotten_end = 0;
     agent->excess_acknowledgement = 0;
     agent->reported_end = 0;
     agent->has_clock = false;
@@ -251,6 +253,8 @@
         agent->worker_clock_ms = answer->clock_ms;
         agent->worker_clock_read_us = now_us;
     }
+    agent->forgotten_end =
+        MAX(agent->forgotten_end, agent->acknowledged_by_list);
     mb_agent_handle_ends(agent, answer->ends);
     update_runs(agent, answer->runs);
 #ifndef MB_MUTANT_AGENT_CUT_LIST_BELIEVED
@@ -278,11 +282,12 @@
     agent->list_start_us = now_us;
     agent->list_token = agent->token;
     agent->list_pending = true;
+    agent->acknowledged_by_list =
+        may_acknowledge ? mb_agent_acknowledgement(agent) : 0;
     agent->open_calls++;
-    if (!agent->executor.list(
-            agent->executor.context, &call,
-            may_acknowledge ? mb_agent_acknowledgement(agent) : 0,
-            lease_end_ms, reachable ? MB_AGENT_LIST_WAIT_MS : 0)) {
+    if (!agent->executor.list(agent->executor.context, &call,
+                              agent->acknowledged_by_list, lease_end_ms,
+                              reachable ? MB_AGENT_LIST_WAIT_MS : 0)) {
         agent->list_pending = false;
         agent->open_calls--;
         agent->list_due_us = now_us + MB_AGENT_RETRY_DELAY_MS * MB_US_PER_MS;
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -115,8 +115,9 @@
     mb_str_t checkpoint;
 } mb_report_run_t;
 
-/* Number of an end that the worker listed before it started again. No owner
-   acknowledges it, and it may be reported repeatedly. */
+/* Number of an end that the worker listed before it started again, or under
+   the number of another end. No owner acknowledges it, and it may be reported
+   repeatedly. */
 #define MB_REPORT_END_FORMER UINT64_C(0)
 
 typedef struct mb_report_end {
--- a/tests/unit/test_fleet_successes.cc
+++ b/tests/unit/test_fleet_successes.cc
@@ -446,6 +446,83 @@
     expect_no_violations(test.simulation);
 }
 
+/* The agent ignored an end whose number another one had, so that the task was
+   done again. */
+TEST(FleetSuccess, SuccessCountsUnderTheNumberOfAnotherEnd)
+{
+    FirstRun test(1, 2);
+    test.machine->worker.is_cut = true;
+    test.simulation.advance(1500);
+    ASSERT_EQ(test.machine->worker.ends.size(), 2u);
+    test.machine->worker.ends[1].number = test.machine->worker.ends[0].number;
+    test.reconnect_worker();
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(test.starts(0) + test.starts(1), 2u);
+    EXPECT_TRUE(test.machine->worker.ends.empty());
+    expect_no_violations(test.simulation);
+}
+
+/* A worker changed an end that it had listed: a success was ignored after a
+   failure under the same number. */
+TEST(FleetSuccess, SuccessCountsAfterAFailureUnderTheSameNumber)
+{
+    FirstRun test(1);
+    FakeWorker &worker = test.machine->worker;
+    test.simulation.disconnect(*test.machine);
+    worker.runs[0].fails = true;
+    test.simulation.advance(1500);
+    ASSERT_EQ(worker.ends.size(), 1u);
+    worker.ends[0].how = MB_RUN_DONE;
+    test.simulation.advance(500);
+    test.simulation.connect(*test.machine);
+    test.simulation.advance(1000);
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(test.starts(), 1u);
+}
+
+/* The other way round: the failure changes nothing. */
+TEST(FleetSuccess, FailureAfterASuccessUnderTheSameNumberDoesNotCount)
+{
+    FirstRun test(1, 2);
+    FakeWorker &worker = test.machine->worker;
+    worker.runs[1].end_ms += 60000;
+    test.simulation.disconnect(*test.machine);
+    test.simulation.advance(1500);
+    ASSERT_EQ(worker.ends.size(), 1u);
+    worker.ends[0].how = MB_RUN_FAILED;
+    mb_dag_task_id_t id = worker.ends[0].task;
+    test.simulation.advance(500);
+    test.simulation.connect(*test.machine);
+    test.simulation.advance(1000);
+    const mb_dag_task_t *task = mb_dag_task(test.step_job(), 0, 0, id.index);
+    EXPECT_TRUE(task->done);
+    EXPECT_EQ(task->failures, 0u);
+    EXPECT_EQ(test.starts(id.index), 1u);
+    EXPECT_EQ(test.simulation.outcome(short_id), MB_DAG_OPEN);
+}
+
+/* A worker numbered its ends anew within one life: the agent ignored them, or
+   told the worker to forget them before they had been listed. */
+TEST(FleetSuccess, SuccessCountsAfterTheNumbersOfEndsGoBack)
+{
+    FirstRun test(1);
+    mb_dag_step_t step;
+    test.machine->worker.last_end_number = 50;
+    test.simulation.advance(2000);
+    ASSERT_EQ(test.simulation.outcome(short_id), MB_DAG_COMPLETED);
+    ASSERT_TRUE(test.machine->worker.ends.empty());
+    test.machine->worker.last_end_number = 0;
+    mb_dag_spec_t spec = one_step_job(&step, long_id, 3, 1000);
+    test.simulation.submit(spec);
+    test.simulation.advance(3000);
+    EXPECT_EQ(test.simulation.outcome(long_id), MB_DAG_COMPLETED);
+    for (uint32_t i = 0; i < step.count; i++) {
+        EXPECT_EQ(test.simulation.starts[format_task({spec.id, 0, 0, i})], 1u);
+    }
+    EXPECT_TRUE(test.machine->worker.ends.empty());
+    expect_no_violations(test.simulation);
+}
+
 /* The agent passed on an acknowledgement of ends that the worker had not
    listed yet, and the worker forgot them. */
 TEST(FleetSuccess, SuccessCountsAfterAnAcknowledgementThatIsTooHigh)
