--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -103,6 +103,10 @@
     agent->known_since_us = mb_clock_us(&agent->clock);
     agent->last_end = 0;
     agent->acknowledged = 0;
+    agent->listed_end = 0;
+    agent->acknowledged_by_list = 0;
+    agent->forgotten_end = 0;
+    agent->excess_acknowledgement = 0;
     agent->reported_end = 0;
     agent->has_clock = false;
     agent->call_failed_us = 0;
@@ -250,6 +254,8 @@
         agent->worker_clock_ms = answer->clock_ms;
         agent->worker_clock_read_us = now_us;
     }
+    agent->forgotten_end =
+        MAX(agent->forgotten_end, agent->acknowledged_by_list);
     mb_agent_handle_ends(agent, answer->ends);
     update_runs(agent, answer->runs);
 #ifndef MB_MUTANT_AGENT_CUT_LIST_BELIEVED
@@ -277,10 +283,11 @@
     agent->list_start_us = now_us;
     agent->list_token = agent->token;
     agent->list_pending = true;
+    agent->acknowledged_by_list =
+        may_acknowledge ? mb_agent_acknowledgement(agent) : 0;
     agent->open_calls++;
     if (!agent->executor.list(agent->executor.context, &call,
-                              may_acknowledge ? agent->acknowledged : 0,
-                              lease_end_ms,
+                              agent->acknowledged_by_list, lease_end_ms,
                               reachable ? MB_AGENT_LIST_WAIT_MS : 0)) {
         agent->list_pending = false;
         agent->open_calls--;
