Keep the acknowledgements of a restarted agent out of earlier leases

Cause: a worker that starts again may hold a lease by the clock of its earlier incarnation, up to 10 s long, while the owner counts on 4.8 s. Its agent awaits the end of that lease when the grant has ended, but a restarted agent has forgotten both. It passed on the acknowledgement of an end, within that lease, after the owner had started the task again.

What callers could see: a start of a task whose success counts (TWICE).

Why the fix works: an agent has no disk, but the clock of a worker begins with its incarnation, so it tells the worker's age. Leases by an earlier clock are sent while a grant lasts (6 s with margin) and are cut to 10 s; a worker whose clock is beyond 16 s holds none. A younger one that may have been there before the agent's process is taken for one that holds such a lease until then; if it lists runs or ends, it gets nothing meanwhile and its runs are stopped, as when a grant ends. A worker that starts after its agent, or that is older, is not affected (two tests). Cost: the restart of an agent beside a worker of at most 16 s stops the worker's runs.

may_hold_earlier_lease left out agent restarts beside such workers in two histories because of this fault. It is removed: the histories now restart agents at any time, which is stricter.

--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -89,9 +89,9 @@
     /* Until when the worker may hold a lease that was sent by the clock of its
        earlier incarnation; 0: it holds none. */
     uint64_t foreign_lease_end_us;
-    /* The owner's grant has ended during such a lease. Ends that it did not
-       store in time must not be acknowledged before that lease has ended as
-       well, so the worker gets nothing until then. */
+    /* The owner's grant has ended, or may have, during such a lease. Ends that
+       it did not store in time must not be acknowledged before that lease has
+       ended as well, so the worker gets nothing until then. */
     bool lapse_awaited;
     GPtrArray *runs; /* mb_agent_run_t */
     GArray *ends;    /* mb_report_end_t with owned checkpoints */
--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -83,6 +83,7 @@
 uint64_t mb_agent_lease_end_ms(mb_agent_t *agent);
 void mb_agent_note_foreign_lease(mb_agent_t *agent);
 bool mb_agent_lease_has_ended(const mb_agent_t *agent, uint64_t now_us);
+void mb_agent_check_former_lease(mb_agent_t *agent, uint64_t clock_ms);
 void mb_agent_lease_tick(mb_agent_t *agent, uint64_t now_us);
 
 /* mb_agent_worker.c */
--- a/lib/coordination/mb_agent_lease.c
+++ b/lib/coordination/mb_agent_lease.c
@@ -7,6 +7,13 @@
 /* A worker's clock may be slow by up to 1 / CLOCK_DRIFT_DIVISOR. */
 #define CLOCK_DRIFT_DIVISOR 50u
 
+/* Age of a worker from which on it holds no lease by the clock of its earlier
+   incarnation, in milliseconds by its own clock. An earlier process of the
+   agent that has not seen the restart sends such leases as long as its owner's
+   grant lasts, and the worker keeps each for the longest lease. */
+#define FOREIGN_LEASE_AGE_MAX_MS                                              \
+    (MB_AGENT_UNLISTED_MAX_MS + MB_EXECUTOR_LEASE_MAX_MS)
+
 /* Returns the lease end to send now, in the worker's clock, or 0 if no lease
    may be granted, and records it as the latest one sent. The worker read its
    clock before its answer arrived here, so the lease ends no later than the
@@ -24,15 +31,24 @@
            (agent->grant_end_us - agent->worker_clock_read_us) / MB_US_PER_MS;
 }
 
+/* Notes that the worker may hold a lease by the clock of an earlier
+   incarnation for up to `rest_ms` of its own clock. */
+static void
+note_foreign_lease(mb_agent_t *agent, uint64_t rest_ms)
+{
+    uint64_t rest_us = rest_ms * MB_US_PER_MS;
+    uint64_t end_us =
+        mb_clock_us(&agent->clock) + rest_us + rest_us / CLOCK_DRIFT_DIVISOR;
+    agent->foreign_lease_end_us = MAX(agent->foreign_lease_end_us, end_us);
+}
+
 /* Notes that a call with a lease by the clock of an earlier incarnation may
    have reached the worker, which then holds the lease for longer than the
    owner has granted it. */
 void
 mb_agent_note_foreign_lease(mb_agent_t *agent)
 {
-    uint64_t lease_us = MB_EXECUTOR_LEASE_MAX_MS * (uint64_t)MB_US_PER_MS;
-    agent->foreign_lease_end_us =
-        mb_clock_us(&agent->clock) + lease_us + lease_us / CLOCK_DRIFT_DIVISOR;
+    note_foreign_lease(agent, MB_EXECUTOR_LEASE_MAX_MS);
 }
 
 /* Returns whether the latest lease that was sent to the worker has certainly
@@ -81,21 +97,35 @@
     agent->complete_due = true;
 }
 
-/* Notes that the worker's lease must end, because the owner's grant has ended
-   and its tasks may be started elsewhere: an end that is acknowledged within
-   a lease counts, whoever has run the task again meanwhile. */
+/* Withholds acknowledgements, leases and starts from a worker that has runs or
+   ends until the lease of an earlier incarnation has ended: the owner's grant
+   has ended and its tasks may have been started elsewhere, and an end that is
+   acknowledged within a lease counts, whoever has run the task again
+   meanwhile. */
+static void
+await_lapse(mb_agent_t *agent)
+{
+    if (agent->lapse_awaited || agent->runs->len + agent->ends->len == 0) {
+        return;
+    }
+    agent->lapse_awaited = true;
+    mb_log_notice(&agent->log,
+                  "grant may have ended within a lease of an earlier "
+                  "incarnation, waiting for its end name=%.*s ends=%u runs=%u",
+                  MB_STR_ARG(agent->info.name), agent->ends->len,
+                  agent->runs->len);
+}
+
+/* Has all runs stopped. */
 static void
-await_lapse(mb_agent_t *agent, uint64_t now_us)
+stop_runs(mb_agent_t *agent)
 {
-    bool has_work = agent->runs->len + agent->ends->len > 0;
-    if (has_work && !agent->lapse_awaited &&
-        now_us < agent->foreign_lease_end_us) {
-        agent->lapse_awaited = true;
-        mb_log_notice(&agent->log,
-                      "grant ended within a lease of an earlier incarnation, "
-                      "waiting for its end name=%.*s ends=%u runs=%u",
-                      MB_STR_ARG(agent->info.name), agent->ends->len,
-                      agent->runs->len);
+    for (guint i = 0; i < agent->runs->len; i++) {
+        mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
+        if (!run->stop_wanted) {
+            run->stop_wanted = true;
+            run->stop_due_us = 0;
+        }
     }
 }
 
@@ -109,15 +139,43 @@
         return;
     }
 #ifndef MB_MUTANT_AGENT_LAPSE_NOT_AWAITED
-    await_lapse(agent, now_us);
+    if (now_us < agent->foreign_lease_end_us) {
+        await_lapse(agent);
+    }
 #endif
-    for (guint i = 0; i < agent->runs->len; i++) {
-        mb_agent_run_t *run = g_ptr_array_index(agent->runs, i);
-        if (!run->stop_wanted) {
-            run->stop_wanted = true;
-            run->stop_due_us = 0;
-        }
+    stop_runs(agent);
+}
+
+/* Returns whether a worker whose clock shows this time may have started before
+   this process of the agent, and may hold a lease by the clock of its earlier
+   incarnation that an earlier process of the agent has sent. */
+static bool
+may_hold_former_lease(const mb_agent_t *agent, uint64_t clock_ms)
+{
+    uint64_t agent_age_ms =
+        (mb_clock_us(&agent->clock) - agent->started_us) / MB_US_PER_MS;
+    uint64_t age_max_ms = clock_ms + clock_ms / (CLOCK_DRIFT_DIVISOR - 1) +
+                          MB_AGENT_CLOCK_TOLERANCE_MS;
+    return clock_ms < FOREIGN_LEASE_AGE_MAX_MS && age_max_ms >= agent_age_ms;
+}
+
+/* Handles the first lists that an incarnation of the worker returns, with the
+   time of its clock. An earlier process of the agent may have known of a lease
+   by the clock of an earlier incarnation, and that the owner's grant has
+   ended. A young worker that has runs or ends therefore gets nothing until
+   such a lease has ended, and its runs are stopped. */
+void
+mb_agent_check_former_lease(mb_agent_t *agent, uint64_t clock_ms)
+{
+#ifndef MB_MUTANT_AGENT_FORMER_LEASE_IGNORED
+    if (!may_hold_former_lease(agent, clock_ms)) {
+        return;
     }
+    note_foreign_lease(agent, MIN(FOREIGN_LEASE_AGE_MAX_MS - clock_ms,
+                                  MB_EXECUTOR_LEASE_MAX_MS));
+    await_lapse(agent);
+    stop_runs(agent);
+#endif
 }
 
 /* Ends what the leases of the worker don't cover any more. */
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -238,6 +238,7 @@
     if (agent->list_start_us > agent->call_failed_us) {
         agent->call_failed_us = 0;
     }
+    bool first = agent->last_list_us == 0;
     bool new_ends = has_new_ends(agent, answer);
     agent->list_due_us = now_us + MB_AGENT_LIST_GAP_MS *
                                       (uint64_t)MB_US_PER_MS *
@@ -257,6 +258,9 @@
     {
         remove_absent_runs(agent);
     }
+    if (first && answer->has_clock) {
+        mb_agent_check_former_lease(agent, answer->clock_ms);
+    }
     mb_agent_check_latency(agent, now_us);
 }
 
--- a/tests/unit/fleet_histories.h
+++ b/tests/unit/fleet_histories.h
@@ -85,14 +85,6 @@
     }
 }
 
-/* Tells whether a worker may hold a lease by the clock of its earlier life. An
-   agent that is restarted then forgets it, a fault in KNOWN-RED.txt. */
-static inline bool
-may_hold_earlier_lease(const FakeWorker &worker)
-{
-    return worker.clock_start_ms > 0 && worker.clock_ms() < 12000;
-}
-
 /* Cancellations that meet starts, lost answers, restarted agents, lost
    connections, workers that leave, and fail-overs. Guards against runs of a
    cancelled job that go on when the faults have ended. `start_faults`: what
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -234,6 +234,83 @@
     }
 }
 
+/* Guards against the acknowledgement of a success whose task has been started
+   again, in a lease by the clock of the worker's earlier incarnation: the
+   agent is restarted and does not know of that lease. */
+TEST(Fleet, RestartedAgentAcknowledgesNothingInAnEarlierLease)
+{
+    for (uint64_t i = 0; i < 60; i++) {
+        uint64_t offset_ms = i / 3 * 5;
+        uint64_t silent_ms = 1000 + i % 3 * 2250; /* before the restart */
+        SCOPED_TRACE("crash after " + std::to_string(offset_ms) +
+                     " ms, agent restarted after " +
+                     std::to_string(silent_ms) + " ms");
+        FleetSimulation simulation(2);
+        mb_dag_step_t first_step;
+        mb_dag_step_t second_step;
+        Machine &machine = *simulation.machines[0];
+        simulation.task_ms = 5;
+        simulation.fail_over();
+        simulation.advance(2500);
+        simulation.submit(one_step_job(&first_step, first_id, 200, 100));
+        simulation.advance(1000 + offset_ms);
+        machine.worker.crash();
+        simulation.advance(2000);
+        simulation.task_ms = 1500;
+        simulation.submit(one_step_job(&second_step, second_id, 2, 4000));
+        simulation.advance(200);
+        ASSERT_EQ(machine.worker.runs.size(), 1u);
+        simulation.fail_over(true); /* knows nothing of the crash */
+        simulation.disconnect(machine);
+        simulation.advance(silent_ms);
+        simulation.restart_agent(machine);
+        simulation.disconnect(machine);
+        simulation.advance(5500 - silent_ms);
+        simulation.task_ms = 60000;
+        simulation.connect(machine);
+        simulation.advance(10000);
+        expect_no_violations(simulation);
+    }
+}
+
+/* Guards against work that is thrown away: an agent that is restarted stops
+   the runs of a worker that has been there for too long to hold a lease of an
+   earlier incarnation. */
+TEST(Fleet, RestartedAgentKeepsTheRunsOfAWorkerThatIsNotYoung)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    simulation.task_ms = 3000;
+    simulation.fail_over();
+    simulation.advance(6500);
+    simulation.submit(one_step_job(&step, first_id, 2, 1000));
+    simulation.advance(500);
+    EXPECT_EQ(simulation.running(), 2u);
+    simulation.restart_agent(*simulation.machines[0]);
+    simulation.advance(4000);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(simulation.fleet.counts.starts, 2u);
+    expect_no_violations(simulation);
+}
+
+/* Guards against a worker that has just started and gets nothing for a while,
+   as if its agent had been restarted beside it. */
+TEST(Fleet, WorkerThatStartsAfterItsAgentHoldsNoEarlierLease)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    Machine &machine = *simulation.machines[0];
+    machine.worker.is_up = false;
+    simulation.fail_over();
+    simulation.advance(2000);
+    machine.worker.crash(); /* its clock begins now */
+    machine.worker.is_up = true;
+    simulation.submit(one_step_job(&step, first_id, 2, 1000));
+    simulation.advance(2500);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(machine.agent->foreign_lease_end_us, 0u);
+}
+
 /* Guards against two runs of a task: the agent gave up the runs of a worker
    that it can't reach, while they went on in a lease by the clock of the
    worker's earlier incarnation. */
@@ -1522,6 +1599,7 @@
 {
     run_random_history(92032);
     run_random_history(94403);
+    run_random_history(95170); /* and its agent was restarted meanwhile */
 }
 
 /* Answers to starts are lost; no start is carried out late. */
--- a/tests/unit/test_fleet_late_calls.cc
+++ b/tests/unit/test_fleet_late_calls.cc
@@ -34,9 +34,7 @@
         worker.is_cut = true;
         break;
     case 6:
-        if (!may_hold_earlier_lease(worker)) {
-            simulation.restart_agent(machine);
-        }
+        simulation.restart_agent(machine);
         break;
     case 7:
         if (simulation.random() % 3 == 0) {
--- a/tests/unit/test_fleet_two_owners.cc
+++ b/tests/unit/test_fleet_two_owners.cc
@@ -120,9 +120,7 @@
             machine.worker.is_cut = true;
             break;
         case 6:
-            if (!may_hold_earlier_lease(machine.worker)) {
-                restart(machine);
-            }
+            restart(machine);
             break;
         case 7:
             if (below(3) == 0) {
