Check in the histories of the fleet that no work is done again

WorkLedger keeps how each run ended at its worker and which process has heard of it, whatever the end is reported as and whatever its owner makes of it. An owner that was given the end of a successful run may not give its task a higher run number; nor may a later owner once the success is stored. When all faults have ended, each success that a worker listed to its agent counts at the owner; the cases in which it may be lost are listed at the ledger.

--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -22,16 +22,10 @@
 #include "mb_ownership.h"
 }
 
-struct FleetSimulation;
+#include "fleet_work_ledger.h"
 
-/* Returns the name of a task: job.occurrence.step.index. */
-static inline std::string
-format_task(const mb_dag_task_id_t &task)
-{
-    return std::string(task.job.text, MB_DAG_ID_LEN) + "." +
-           std::to_string(task.occurrence) + "." + std::to_string(task.step) +
-           "." + std::to_string(task.index);
-}
+struct FleetSimulation;
+struct Machine;
 
 static inline std::string
 to_std_string(mb_str_t text)
@@ -59,6 +53,7 @@
         uint64_t ended_us;  /* of the simulation's clock */
     };
     FleetSimulation *simulation;
+    Machine *machine;
     std::string name;
     std::string service = "service";
     uint64_t started_ms = 1;     /* also its incarnation */
@@ -146,6 +141,7 @@
     bool store_unanswered = false; /* the log does not answer */
     /* Tasks with an acknowledged success, which must not be started again. */
     std::set<std::string> acknowledged;
+    WorkLedger work;
     std::vector<std::string> violations;    /* of invariants */
     std::map<std::string, uint32_t> starts; /* number of starts by task */
     std::map<std::string, uint64_t> latest_start_us; /* by task */
@@ -160,6 +156,9 @@
     explicit FleetSimulation(uint32_t count, uint64_t seed = 1);
     ~FleetSimulation();
     void add_violation(const std::string &what);
+    void check_starts(const mb_order_t &order);
+    void check_lost_successes(uint64_t owner_token,
+                              mb_dag_table_t *owner_table);
     void add_machine();
     void init_agent(Machine &machine);
     mb_dag_job_t *submit(const mb_dag_spec_t &spec);
--- a/tests/unit/fleet_simulation_impl.h
+++ b/tests/unit/fleet_simulation_impl.h
@@ -53,6 +53,8 @@
                  simulation->add_violation("report can't be decoded");
                  return;
              }
+             simulation->work.report_arrives(
+                 token, &simulation->table, simulation->report_decoder.report);
              mb_fleet_handle_report(&simulation->fleet, number,
                                     &simulation->report_decoder.report);
              mb_fleet_flush(&simulation->fleet);
@@ -80,6 +82,7 @@
     FleetSimulation *simulation = static_cast<FleetSimulation *>(context);
     Machine *machine = simulation->machines[worker].get();
     mb_buf_t bytes = {};
+    simulation->check_starts(*order);
     mb_order_encode(&bytes, order);
     std::string copy(bytes.data, bytes.len);
     mb_buf_finish(&bytes);
@@ -121,6 +124,7 @@
     FleetSimulation *simulation = static_cast<FleetSimulation *>(context);
     auto group = simulation->group;
     uint64_t token = simulation->token;
+    auto heard = simulation->work.get_heard(token, group);
     simulation->group.clear();
     if (simulation->store_unanswered) {
         return;
@@ -133,6 +137,9 @@
                      simulation->progress[item.first] = item.second;
                  }
              }
+             if (ok) {
+                 simulation->work.progress_stored(heard);
+             }
              if (simulation->token == token) {
                  mb_fleet_progress_stored(&simulation->fleet, ok);
              }
@@ -224,9 +231,36 @@
                          " ms: " + what);
 }
 
+/* Checks that an order starts nothing that its owner knows to be done. */
+inline void
+FleetSimulation::check_starts(const mb_order_t &order)
+{
+    for (guint i = 0; i < order.starts->len; i++) {
+        const mb_order_start_t &start =
+            g_array_index(order.starts, mb_order_start_t, i);
+        std::string wrong = work.check_start(order.token, start);
+        if (!wrong.empty()) {
+            add_violation(wrong + format_task(start.task) + ", run " +
+                          std::to_string(start.run));
+        }
+    }
+}
+
+/* Checks, when all faults have ended, that the successes that workers have
+   listed count at the owner with this token and table. */
+inline void
+FleetSimulation::check_lost_successes(uint64_t owner_token,
+                                      mb_dag_table_t *owner_table)
+{
+    for (const std::string &lost : work.get_lost(owner_token, owner_table)) {
+        add_violation(lost);
+    }
+}
+
 inline void
 FleetSimulation::init_agent(Machine &machine)
 {
+    work.agent_restarted(machine.number, machine.worker.started_ms);
     mb_clock_t clock = {read_clock, this};
     mb_log_t log = make_log();
     mb_agent_callbacks_t callbacks = {send_report, &machine};
@@ -244,6 +278,8 @@
     auto machine = std::make_unique<Machine>();
     machine->simulation = this;
     machine->worker.simulation = this;
+    machine->number = (uint32_t)machines.size();
+    machine->worker.machine = machine.get();
     machine->worker.name = "worker-" + std::to_string(machines.size());
     init_agent(*machine);
     (void)mb_order_decoder_init(&machine->order_decoder);
@@ -257,6 +293,7 @@
 FleetSimulation::submit(const mb_dag_spec_t &spec)
 {
     mb_buf_t value = {};
+    work.add_job(spec);
     mb_dag_record_encode_job(&value, &spec);
     jobs[std::string(spec.id.text, MB_DAG_ID_LEN)] =
         std::string(value.data, value.len);
@@ -321,6 +358,7 @@
     token++;
     group.clear();
     load_log(&table, &fleet);
+    work.log_read(token);
     mb_fleet_become_owner(&fleet, token, former_leases_end_us);
     mb_fleet_set_active(&fleet, true);
     mb_fleet_confirm_ownership(&fleet, now_us);
@@ -450,6 +488,8 @@
     }
     for (auto &machine : machines) {
         FakeWorker &worker = machine->worker;
+        work.drop_unconnected(machine->number, now_us, machine->connections,
+                              machine->connected || machine->other_owner);
         if (worker.is_up) {
             worker.advance();
         }
--- a/tests/unit/fleet_simulation_worker.h
+++ b/tests/unit/fleet_simulation_worker.h
@@ -54,6 +54,7 @@
     runs.erase(runs.begin() + (long)index);
     ends.push_back({++last_end_number, run.task, run.run, how, false,
                     simulation->now_us});
+    simulation->work.run_ended(run.task, run.run, how);
     uint64_t &last_ended = ended_runs[format_task(run.task)];
     last_ended = std::max(last_ended, run.run);
 }
@@ -83,6 +84,9 @@
 inline void
 FakeWorker::crash()
 {
+    simulation->work.worker_restarted(machine->number, machine->agent,
+                                      simulation->now_us,
+                                      machine->connections);
     runs.clear();
     ends.clear();
     ended_runs.clear();
@@ -248,9 +252,11 @@
 /* Carries out a call of an agent after `delay_us`. Without a fault, the answer
    arrives then; otherwise it is lost, and the call times out. */
 static inline void
-complete_call(Machine *machine, const mb_executor_call_t *call,
-              std::function<void(mb_executor_answer_t *)> perform, char fault,
-              uint64_t delay_us)
+complete_call(
+    Machine *machine, const mb_executor_call_t *call,
+    std::function<void(mb_executor_answer_t *)> perform, char fault,
+    uint64_t delay_us,
+    std::function<void(const mb_executor_answer_t &)> received = nullptr)
 {
     FleetSimulation *simulation = machine->simulation;
     auto done = call->done;
@@ -258,6 +264,9 @@
     uint64_t timeout_us = call->timeout_ms * 1000ull;
     auto result = std::make_shared<mb_executor_answer_t>();
     auto answer = [=] {
+        if (received) {
+            received(*result);
+        }
         done(context, result.get());
         free_arrays(result.get());
     };
@@ -412,7 +421,15 @@
                  get_delay_us(machine->simulation, fault, 1000),
              take_call});
     }
-    complete_call(machine, call, perform, fault, 20000);
+    const mb_agent_t *agent = machine->agent;
+    auto received = [=](const mb_executor_answer_t &answer) {
+        if (machine->agent == agent) {
+            machine->simulation->work.answer_received(
+                machine->number, agent, answer, worker->started_ms,
+                machine->simulation->now_us, machine->connections);
+        }
+    };
+    complete_call(machine, call, perform, fault, 20000, received);
     return true;
 }
 
--- a/tests/unit/fleet_two_owners.h
+++ b/tests/unit/fleet_two_owners.h
@@ -30,6 +30,7 @@
         Machine *machine = self->simulation.machines[number].get();
         uint64_t connection = machine->connections;
         mb_buf_t bytes = {};
+        self->simulation.check_starts(*order);
         mb_order_encode(&bytes, order);
         std::string copy(bytes.data, bytes.len);
         mb_buf_finish(&bytes);
@@ -63,12 +64,14 @@
     {
         LaterOwner *self = self_of(context);
         auto group = self->group;
+        auto heard = self->simulation.work.get_heard(self->token, group);
         self->group.clear();
         self->simulation.events.push_back(
             {self->simulation.now_us + 8000, [=] {
                  for (const auto &item : group) {
                      self->simulation.progress[item.first] = item.second;
                  }
+                 self->simulation.work.progress_stored(heard);
                  mb_fleet_progress_stored(&self->fleet, true);
              }});
     }
@@ -147,6 +150,7 @@
         uint64_t lease_us = MB_OWNERSHIP_LEASE_MS * 1000ull;
         token = simulation.token + 1;
         simulation.load_log(&table, &fleet);
+        simulation.work.log_read(token);
         mb_fleet_become_owner(&fleet, token,
                               simulation.now_us + lease_us +
                                   mb_fleet_max_lease_us());
@@ -166,6 +170,8 @@
                      return;
                  }
                  ASSERT_TRUE(decode_report(bytes));
+                 simulation.work.report_arrives(token, &table,
+                                                report_decoder.report);
                  mb_fleet_handle_report(&fleet, from->number,
                                         &report_decoder.report);
                  mb_fleet_flush(&fleet);
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -1508,6 +1508,7 @@
         (void)snprintf(id, sizeof(id), "%016x", i + 1);
         EXPECT_EQ(simulation.outcome(id), MB_DAG_COMPLETED) << id;
     }
+    simulation.check_lost_successes(simulation.token, &simulation.table);
     expect_no_violations(simulation);
 }
 
--- a/tests/unit/test_fleet_late_calls.cc
+++ b/tests/unit/test_fleet_late_calls.cc
@@ -96,6 +96,7 @@
     for (const std::string &id : ids) {
         EXPECT_EQ(simulation.outcome(id.c_str()), MB_DAG_COMPLETED) << id;
     }
+    simulation.check_lost_successes(simulation.token, &simulation.table);
     expect_no_violations(simulation);
 }
 
--- a/tests/unit/test_fleet_two_owners.cc
+++ b/tests/unit/test_fleet_two_owners.cc
@@ -199,6 +199,7 @@
         end_faults();
         successor.advance(90000);
         expect_completed();
+        simulation.check_lost_successes(successor.token, &successor.table);
         expect_no_violations(simulation);
     }
 };
