Set up the tests of earlier leases in one place

The set-up of three tests of test_fleet.cc, a worker that may hold a lease by the clock of its earlier incarnation, stood in each of them. It is in EarlierLease now; the checks are unchanged. test_fleet: 58 tests passed.

--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -197,6 +197,30 @@
     expect_no_violations(simulation);
 }
 
+/* Two workers with one task each, of which the first may hold a lease by the
+   clock of its earlier incarnation: it started again `offset_ms` after a
+   second of list calls that short tasks make frequent. */
+struct EarlierLease {
+    FleetSimulation simulation{2};
+    Machine &machine = *simulation.machines[0];
+    mb_dag_step_t first_step;
+    mb_dag_step_t second_step;
+
+    EarlierLease(uint64_t offset_ms, uint32_t task_ms)
+    {
+        simulation.task_ms = 5;
+        simulation.fail_over();
+        simulation.advance(2500);
+        simulation.submit(one_step_job(&first_step, first_id, 200, 100));
+        simulation.advance(1000 + offset_ms);
+        machine.worker.crash();
+        simulation.advance(2000);
+        simulation.task_ms = task_ms;
+        simulation.submit(one_step_job(&second_step, second_id, 2, 4000));
+        simulation.advance(200);
+    }
+};
+
 /* Guards against the acknowledgement of a success whose task has been started
    again: it was within the grant of an earlier incarnation's lease, but not
    within that of the owner. */
@@ -207,20 +231,9 @@
         bool new_owner = i % 2 == 1; /* which knows nothing of the crash */
         SCOPED_TRACE("crash after " + std::to_string(offset_ms) +
                      " ms, new owner: " + std::to_string(new_owner));
-        FleetSimulation simulation(2);
-        mb_dag_step_t first_step;
-        mb_dag_step_t second_step;
-        Machine &machine = *simulation.machines[0];
-        simulation.task_ms = 5;
-        simulation.fail_over();
-        simulation.advance(2500);
-        simulation.submit(one_step_job(&first_step, first_id, 200, 100));
-        simulation.advance(1000 + offset_ms);
-        machine.worker.crash();
-        simulation.advance(2000);
-        simulation.task_ms = 1500;
-        simulation.submit(one_step_job(&second_step, second_id, 2, 4000));
-        simulation.advance(200);
+        EarlierLease test(offset_ms, 1500);
+        FleetSimulation &simulation = test.simulation;
+        Machine &machine = test.machine;
         ASSERT_EQ(machine.worker.runs.size(), 1u);
         if (new_owner) {
             simulation.fail_over(true);
@@ -241,20 +254,9 @@
 {
     for (uint64_t offset_ms = 0; offset_ms < 100; offset_ms += 5) {
         SCOPED_TRACE("crash after " + std::to_string(offset_ms) + " ms");
-        FleetSimulation simulation(2);
-        mb_dag_step_t first_step;
-        mb_dag_step_t second_step;
-        Machine &machine = *simulation.machines[0];
-        simulation.task_ms = 5;
-        simulation.fail_over();
-        simulation.advance(2500);
-        simulation.submit(one_step_job(&first_step, first_id, 200, 100));
-        simulation.advance(1000 + offset_ms);
-        machine.worker.crash();
-        simulation.advance(2000);
-        simulation.task_ms = 60000;
-        simulation.submit(one_step_job(&second_step, second_id, 2, 4000));
-        simulation.advance(200);
+        EarlierLease test(offset_ms, 60000);
+        FleetSimulation &simulation = test.simulation;
+        Machine &machine = test.machine;
         ASSERT_EQ(machine.worker.runs.size(), 1u);
         machine.worker.is_cut = true;
         simulation.machines[1]->worker.finish(0, MB_RUN_DONE);
@@ -270,20 +272,9 @@
 {
     for (uint64_t offset_ms = 0; offset_ms < 100; offset_ms += 5) {
         SCOPED_TRACE("crash after " + std::to_string(offset_ms) + " ms");
-        FleetSimulation simulation(2);
-        mb_dag_step_t first_step;
-        mb_dag_step_t second_step;
-        Machine &machine = *simulation.machines[0];
-        simulation.task_ms = 5;
-        simulation.fail_over();
-        simulation.advance(2500);
-        simulation.submit(one_step_job(&first_step, first_id, 200, 100));
-        simulation.advance(1000 + offset_ms);
-        machine.worker.crash();
-        simulation.advance(2000);
-        simulation.task_ms = 60000;
-        simulation.submit(one_step_job(&second_step, second_id, 2, 4000));
-        simulation.advance(200);
+        EarlierLease test(offset_ms, 60000);
+        FleetSimulation &simulation = test.simulation;
+        Machine &machine = test.machine;
         ASSERT_EQ(machine.worker.runs.size(), 1u);
         simulation.disconnect(machine);
         machine.frozen_until_us = simulation.now_us + 8000000;
