Log the reported and the expected latency beside best-effort work

Nothing in the log could tell estimates that are too high from work that does disturb a service.

At most three lines a second, with the workers in turn, tell the latency that the agent reports, the one that the headroom model expects, and the pair with the greatest part in the expected loss: slope, weight, samples of this owner, and whether a former owner's estimate was its first value.

Tests: FleetIdleJobs.LogsReportedAndExpectedLatency and .LogsLatenciesOfAllWorkersInTurn (12 workers, 21 to 27 lines in 8 s).

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -577,6 +577,7 @@
     mb_fleet_flush(fleet);
     if (fleet->active) {
         mb_fleet_log_waiting(fleet, now_us);
+        mb_fleet_log_latencies(fleet, now_us);
     }
 }
 
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -267,8 +267,11 @@
     GPtrArray *dirty_jobs; /* mb_dag_job_t whose progress is to be stored */
     mb_buf_t done_bits;    /* scratch buffers for progress records */
     GArray *progress_rows;
-    uint32_t running;           /* runs on all workers */
-    uint64_t waiting_logged_us; /* when waiting jobs were last looked for */
+    uint32_t running;             /* runs on all workers */
+    uint64_t waiting_logged_us;   /* when waiting jobs were last looked for */
+    uint64_t latencies_logged_us; /* when expected latencies were last logged
+                                   */
+    uint32_t latency_log_next; /* worker that is looked at first next time */
     mb_headroom_t headroom_model;
     mb_sizing_t sizing; /* run times per step and per queue */
     mb_fleet_counts_t counts;
--- a/lib/coordination/mb_fleet_headroom.c
+++ b/lib/coordination/mb_fleet_headroom.c
@@ -161,6 +161,50 @@
     mb_headroom_fit(&fleet->headroom_model, now_us);
 }
 
+/* Returns a best-effort run of a kind of work on a worker, or NULL. */
+static const mb_fleet_run_t *
+find_run_of_kind(const mb_fleet_worker_t *worker, uint64_t image_hash)
+{
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const mb_fleet_run_t *run =
+            &g_array_index(worker->runs, mb_fleet_run_t, i);
+        if (is_best_effort(run) && run->image_hash == image_hash) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+/* Returns what the model expects of a service task; see the header. Kinds of
+   work that have just ended are part of the loss, but not the worst one. */
+mb_fleet_expected_headroom_t
+mb_fleet_expected_headroom(const mb_fleet_t *fleet,
+                           const mb_fleet_worker_t *worker,
+                           const mb_fleet_run_t *service_run)
+{
+    const mb_headroom_t *model = &fleet->headroom_model;
+    const mb_headroom_load_t *load = &worker->recent_load;
+    mb_headroom_service_t service = get_service(service_run);
+    mb_fleet_expected_headroom_t expected = {
+        .undisturbed = mb_headroom_baseline(model, &service),
+        .loss = mb_headroom_loss(model, service.kind, load, 0)};
+    double worst_loss = -1;
+    for (uint32_t i = 0; i < load->count; i++) {
+        const mb_headroom_load_entry_t *entry = &load->entries[i];
+        const mb_fleet_run_t *run = find_run_of_kind(worker, entry->kind);
+        mb_headroom_estimate_t estimate =
+            mb_headroom_estimate(model, service.kind, entry->kind);
+        double loss = estimate.slope * entry->cpu_milli;
+        if (run != NULL && loss > worst_loss) {
+            worst_loss = loss;
+            expected.worst = run;
+            expected.worst_cpu_milli = entry->cpu_milli;
+            expected.worst_estimate = estimate;
+        }
+    }
+    return expected;
+}
+
 /* Returns the lowest headroom to expect of the service tasks on a worker if a
    best-effort task of an image that uses `cpu_milli` thousandths of a
    processor is added. Returns INFINITY if there are no service tasks. */
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -5,7 +5,9 @@
    - mb_fleet_schedule.c chooses what to start, in the order of
      mb_fleet_order.c and at the costs of mb_fleet_cost.c, which
      mb_fleet_candidates.c keeps while the tasks of one step are placed
-   - mb_fleet_waiting.c logs why tasks that have waited for long don't start
+   - mb_fleet_waiting.c logs why tasks that have waited for long don't start,
+     and mb_fleet_latency_log.c what the headroom model expects beside what is
+     reported
    - mb_fleet_majority.c tells whether most agents obey the owner
    - mb_fleet_absence.c keeps the records of absent workers, and the tasks that
      wait for them after a change of ownership
@@ -161,6 +163,9 @@
 /* mb_fleet_waiting.c */
 void mb_fleet_log_waiting(mb_fleet_t *fleet, uint64_t now_us);
 
+/* mb_fleet_latency_log.c */
+void mb_fleet_log_latencies(mb_fleet_t *fleet, uint64_t now_us);
+
 /* The workers that can take a task of one step, as a heap with the lowest cost
    first; among equal costs, the lowest number first. */
 typedef struct mb_fleet_candidate {
@@ -198,6 +203,21 @@
 void mb_fleet_learn_headroom(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                              const mb_report_t *report);
 void mb_fleet_set_throttles(mb_fleet_t *fleet, mb_fleet_worker_t *worker);
+/* What the headroom model expects of a service task with the recent
+   best-effort load of its worker. */
+typedef struct mb_fleet_expected_headroom {
+    double undisturbed; /* without best-effort work */
+    double loss;        /* by the recent best-effort load */
+    /* The kind of best-effort work with the greatest part in the loss. */
+    const mb_fleet_run_t *worst; /* one of its runs; NULL: there is none */
+    uint32_t worst_cpu_milli;
+    mb_headroom_estimate_t worst_estimate;
+} mb_fleet_expected_headroom_t;
+
+mb_fleet_expected_headroom_t
+mb_fleet_expected_headroom(const mb_fleet_t *fleet,
+                           const mb_fleet_worker_t *worker,
+                           const mb_fleet_run_t *service_run);
 double mb_fleet_min_headroom_with(const mb_fleet_t *fleet,
                                   const mb_fleet_worker_t *worker,
                                   uint64_t image_hash, uint32_t cpu_milli);
--- a/lib/coordination/mb_headroom.c
+++ b/lib/coordination/mb_headroom.c
@@ -73,6 +73,8 @@
     parameter_t slope;
     double prior; /* mean */
     double prior_weight;
+    uint32_t samples; /* since the model was initialized */
+    bool inherited;   /* imported from a former owner */
 } pair_t;
 
 /* The headroom of one service without best-effort work over time, at nodes
@@ -312,6 +314,7 @@
         pair_t *pair =
             get_pair(model, pair_key(service->kind, load->entries[i].kind));
         if (pair != NULL) {
+            pair->samples++;
             sample->terms[sample->count++] =
                 (load_term_t){pair, load->entries[i].cpu_milli / MILLI};
         }
@@ -524,6 +527,7 @@
 {
     pair_t *pair = get_pair(model, learned->key);
     if (pair != NULL) {
+        pair->inherited = true;
         pair->slope.value = CLAMP(learned->slope, 0.0, SLOPE_MAX);
         pair->prior = pair->slope.value;
         pair->prior_weight =
@@ -564,21 +568,34 @@
                                   .value;
 }
 
+/* Returns the estimate of a pair; see the header. */
+mb_headroom_estimate_t
+mb_headroom_estimate(const mb_headroom_t *model, uint64_t service_kind,
+                     uint64_t kind)
+{
+    uint64_t key = pair_key(service_kind, kind);
+    const pair_t *pair = g_hash_table_lookup(model->pairs, &key);
+    if (pair == NULL) {
+        return (mb_headroom_estimate_t){.slope = SLOPE_PRIOR,
+                                        .weight = SLOPE_PRIOR_WEIGHT};
+    }
+    return (mb_headroom_estimate_t){.slope = pair->slope.value,
+                                    .weight = pair->prior_weight +
+                                              pair->slope.weight,
+                                    .samples = pair->samples,
+                                    .inherited = pair->inherited};
+}
+
 /* Returns the slope of a pair plus a number of standard deviations; see the
    header. The variance is inversely proportional to the weight. */
 double
 mb_headroom_slope(const mb_headroom_t *model, uint64_t service_kind,
                   uint64_t kind, double deviations)
 {
-    uint64_t key = pair_key(service_kind, kind);
-    const pair_t *pair = g_hash_table_lookup(model->pairs, &key);
-    double weight = SLOPE_PRIOR_WEIGHT;
-    double mean = SLOPE_PRIOR;
-    if (pair != NULL) {
-        weight = pair->prior_weight + pair->slope.weight;
-        mean = pair->slope.value;
-    }
-    return mean + deviations * SLOPE_DEVIATION / sqrt(weight);
+    mb_headroom_estimate_t estimate =
+        mb_headroom_estimate(model, service_kind, kind);
+    return estimate.slope +
+           deviations * SLOPE_DEVIATION / sqrt(estimate.weight);
 }
 
 /* Returns the expected loss of headroom under a load; see the header. */
--- a/lib/coordination/mb_headroom.h
+++ b/lib/coordination/mb_headroom.h
@@ -57,6 +57,14 @@
     uint32_t weight; /* sum of sample weights, as confidence */
 } mb_headroom_pair_t;
 
+/* What the model knows of a pair, for the log. */
+typedef struct mb_headroom_estimate {
+    double slope;
+    double weight;
+    uint32_t samples; /* of this owner since it began */
+    bool inherited;   /* a former owner's estimate was its first value */
+} mb_headroom_estimate_t;
+
 typedef struct mb_headroom {
     GHashTable *pairs;     /* estimates by pair key */
     GHashTable *baselines; /* by service_id */
@@ -114,6 +122,10 @@
    together count as harmful. */
 double mb_headroom_slope(const mb_headroom_t *model, uint64_t service_kind,
                          uint64_t kind, double deviations);
+/* Returns the estimate of a pair, or the prior if it has no samples. */
+mb_headroom_estimate_t mb_headroom_estimate(const mb_headroom_t *model,
+                                            uint64_t service_kind,
+                                            uint64_t kind);
 /* Returns the headroom that a best-effort load is expected to take from a kind
    of service. `deviations` is as for mb_headroom_slope. */
 double mb_headroom_loss(const mb_headroom_t *model, uint64_t service_kind,
--- a/tests/unit/test_fleet_idle_jobs.cc
+++ b/tests/unit/test_fleet_idle_jobs.cc
@@ -88,6 +88,58 @@
     EXPECT_LE(log.count("task waits"), 18u);
 }
 
+/* Guards against a log that can't tell estimates that are too high from work
+   that does disturb a service. */
+TEST(FleetIdleJobs, LogsReportedAndExpectedLatency)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t steps[2];
+    LoggedLines log;
+    simulation.task_ms = 60000;
+    report_latencies(simulation, "batch");
+    simulation.fail_over();
+    log.attach(simulation);
+    simulation.advance(2500);
+    simulation.submit(service_job(&steps[0], service_id, 1500));
+    simulation.advance(2000);
+    EXPECT_EQ(log.count("latency beside best-effort work"), 0u);
+    simulation.submit(best_effort_job(&steps[1], waiting_id, 1, "batch"));
+    simulation.advance(4000);
+    EXPECT_GE(log.count("latency beside best-effort work"), 2u);
+    EXPECT_LE(log.count("latency beside best-effort work"), 4u);
+    EXPECT_GE(log.count("image=web beside=batch latency_ms=32 expected_ms=3"),
+              1u);
+    EXPECT_EQ(log.count("inherited=1"), 0u);
+}
+
+/* Guards against such lines that flood the log, or leave out workers. */
+TEST(FleetIdleJobs, LogsLatenciesOfAllWorkersInTurn)
+{
+    FleetSimulation simulation(12);
+    std::vector<mb_dag_step_t> steps(2);
+    LoggedLines log;
+    simulation.task_ms = 60000;
+    report_latencies(simulation, "other");
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_dag_spec_t service = service_job(&steps[0], service_id, 1500);
+    steps[0].count = 12;
+    steps[0].per_worker_max = 1;
+    simulation.submit(service);
+    simulation.advance(2000);
+    simulation.submit(best_effort_job(&steps[1], waiting_id, 12, "batch"));
+    steps[1].per_worker_max = 1;
+    simulation.advance(3000);
+    log.attach(simulation);
+    simulation.advance(8000);
+    EXPECT_GE(log.count("latency beside best-effort work"), 21u);
+    EXPECT_LE(log.count("latency beside best-effort work"), 27u);
+    for (const auto &machine : simulation.machines) {
+        EXPECT_GE(log.count("worker=" + machine->worker.name + " image=web"),
+                  1u);
+    }
+}
+
 /* Starts a service of `service_cpu` thousandths of a processor near its target
    and a best-effort job for each worker, and 2 s later two jobs more. All
    best-effort tasks declare 1500 thousandths of a processor. */
