Compute the use of all services, not of the first 32

Cause: mb_fleet_pools kept 32 services; get_pool returned NULL for further ones, which then counted as full, without a line in the log. What callers see: jobs of the 33rd and later services wait 8 s for a run in place of 1.2 s, each time nothing of them runs.

The pools are a hash table now, with one entry for each service that has a worker that counts, so bounded by MB_FLEET_WORKERS_MAX. Services without such a worker get no entry: they count as full anyway.

FleetIdleJobs.JobsOfOneOfManyServicesRunWithin3Seconds, 40 services, with the former limit (mutant FLEET_FEW_POOLS): simulation.running() Which is: 104 120u With the change it passes; the other tests of the file are unchanged, but for the one that computes the pools itself and now uses those of the fleet.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -60,6 +60,7 @@
     fleet->open_jobs = g_ptr_array_new();
     fleet->dirty_jobs = g_ptr_array_new();
     mb_headroom_init(&fleet->headroom_model);
+    mb_fleet_pools_init(&fleet->pools);
     mb_sizing_init(&fleet->sizing);
     fleet->progress_rows =
         g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
@@ -76,6 +77,7 @@
     g_ptr_array_unref(fleet->dirty_jobs);
     g_array_unref(fleet->progress_rows);
     mb_headroom_finish(&fleet->headroom_model);
+    mb_fleet_pools_finish(&fleet->pools);
     mb_sizing_finish(&fleet->sizing);
     mb_buf_finish(&fleet->done_bits);
 }
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -230,6 +230,11 @@
     mb_order_t pending_order; /* next order, collected until it is sent */
 } mb_fleet_worker_t;
 
+/* The capacity and the use of each service's workers (mb_fleet_pools.c). */
+typedef struct mb_fleet_pools {
+    GHashTable *by_service; /* mb_str_t -> mb_fleet_pool_t */
+} mb_fleet_pools_t;
+
 typedef struct mb_fleet {
     mb_dag_table_t *table; /* borrowed */
     mb_fleet_callbacks_t callbacks;
@@ -269,6 +274,7 @@
     GArray *progress_rows;
     uint32_t running;             /* runs on all workers */
     uint64_t waiting_logged_us;   /* when waiting jobs were last looked for */
+    mb_fleet_pools_t pools;       /* as of the start of the latest pass */
     uint64_t latencies_logged_us; /* when expected latencies were last logged
                                    */
     uint32_t latency_log_next; /* worker that is looked at first next time */
--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -342,12 +342,12 @@
     if (job->running > 0 || idle_us < IDLE_JOB_US) {
         return 0;
     }
-    if (mb_fleet_pools_use_milli(&inputs->pools, service) < SHARED_USE_MILLI &&
-        !mb_fleet_pools_job_in_time_waits(&inputs->pools, service)) {
+    if (mb_fleet_pools_use_milli(inputs->pools, service) < SHARED_USE_MILLI &&
+        !mb_fleet_pools_job_in_time_waits(inputs->pools, service)) {
         return COST_FORBIDDEN;
     }
     bool is_over = idle_us >= IDLE_JOB_LOADED_US ||
-                   mb_fleet_pools_declared_milli(&inputs->pools, service) <
+                   mb_fleet_pools_declared_milli(inputs->pools, service) <
                        LIGHT_LOAD_MILLI;
     return is_over ? COST_BEST_EFFORT_CROWDED : 0;
 }
@@ -383,7 +383,8 @@
 mb_fleet_cost_inputs(mb_fleet_t *fleet)
 {
     mb_fleet_cost_inputs_t inputs = {.fleet = fleet,
-                                     .now_us = mb_clock_us(&fleet->clock)};
-    mb_fleet_pools_compute(&inputs.pools, fleet, inputs.now_us);
+                                     .now_us = mb_clock_us(&fleet->clock),
+                                     .pools = &fleet->pools};
+    mb_fleet_pools_compute(&fleet->pools, fleet, inputs.now_us);
     return inputs;
 }
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -100,8 +100,7 @@
 void mb_fleet_abandon_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                            const char *reason);
 
-/* mb_fleet_pools.c. Services beyond MB_FLEET_POOLS_MAX count as full. */
-#define MB_FLEET_POOLS_MAX 32u
+/* mb_fleet_pools.c */
 
 /* The workers of one service: their capacity, and what is in use there. */
 typedef struct mb_fleet_pool {
@@ -115,11 +114,8 @@
                                task */
 } mb_fleet_pool_t;
 
-typedef struct mb_fleet_pools {
-    uint32_t count;
-    mb_fleet_pool_t pools[MB_FLEET_POOLS_MAX];
-} mb_fleet_pools_t;
-
+void mb_fleet_pools_init(mb_fleet_pools_t *pools);
+void mb_fleet_pools_finish(mb_fleet_pools_t *pools);
 void mb_fleet_pools_compute(mb_fleet_pools_t *pools, const mb_fleet_t *fleet,
                             uint64_t now_us);
 uint64_t mb_fleet_pools_use_milli(const mb_fleet_pools_t *pools,
@@ -134,7 +130,7 @@
 typedef struct mb_fleet_cost_inputs {
     mb_fleet_t *fleet;
     uint64_t now_us;
-    mb_fleet_pools_t pools; /* as of the start of the pass */
+    const mb_fleet_pools_t *pools; /* as of the start of the pass */
 } mb_fleet_cost_inputs_t;
 
 /* mb_fleet_cost.c. The cost is UINT64_MAX where a run must not be placed. A
--- a/lib/coordination/mb_fleet_pools.c
+++ b/lib/coordination/mb_fleet_pools.c
@@ -5,32 +5,58 @@
 
 #define MILLI 1000u
 
+/* GHashFunc over the names of services (mb_str_t). */
+static guint
+hash_service(gconstpointer key)
+{
+    return (guint)mb_str_hash(*(const mb_str_t *)key);
+}
+
+/* GEqualFunc over the names of services (mb_str_t). */
+static gboolean
+equal_service(gconstpointer a, gconstpointer b)
+{
+    return mb_str_equal(*(const mb_str_t *)a, *(const mb_str_t *)b);
+}
+
+/* Initializes a table without services. */
+void
+mb_fleet_pools_init(mb_fleet_pools_t *pools)
+{
+    pools->by_service =
+        g_hash_table_new_full(hash_service, equal_service, NULL, g_free);
+}
+
+/* Releases the table's memory. */
+void
+mb_fleet_pools_finish(mb_fleet_pools_t *pools)
+{
+    g_hash_table_destroy(pools->by_service);
+}
+
 /* Returns the pool of a service, or NULL if there is none. */
-static const mb_fleet_pool_t *
+static mb_fleet_pool_t *
 find_pool(const mb_fleet_pools_t *pools, mb_str_t service)
 {
-    for (uint32_t i = 0; i < pools->count; i++) {
-        if (mb_str_equal(pools->pools[i].service, service)) {
-            return &pools->pools[i];
-        }
-    }
-    return NULL;
+    return g_hash_table_lookup(pools->by_service, &service);
 }
 
-/* Returns the pool of a service, added if there is none. Returns NULL for a
-   further one when there are already MB_FLEET_POOLS_MAX. */
+/* Returns the pool of a service, added if there is none. Pools are added only
+   for workers, whose number is bounded. */
 static mb_fleet_pool_t *
 get_pool(mb_fleet_pools_t *pools, mb_str_t service)
 {
-    const mb_fleet_pool_t *found = find_pool(pools, service);
-    if (found != NULL) {
-        return &pools->pools[found - pools->pools];
-    }
-    if (pools->count == MB_FLEET_POOLS_MAX) {
+    mb_fleet_pool_t *pool = find_pool(pools, service);
+#ifdef MB_MUTANT_FLEET_FEW_POOLS
+    if (pool == NULL && g_hash_table_size(pools->by_service) >= 32) {
         return NULL;
     }
-    mb_fleet_pool_t *pool = &pools->pools[pools->count++];
-    *pool = (mb_fleet_pool_t){.service = service};
+#endif
+    if (pool == NULL) {
+        pool = g_new0(mb_fleet_pool_t, 1);
+        pool->service = service;
+        (void)g_hash_table_insert(pools->by_service, &pool->service, pool);
+    }
     return pool;
 }
 
@@ -58,16 +84,18 @@
            !mb_fleet_job_is_late(job, now_us);
 }
 
-/* Notes for which services jobs wait that can still be in time. */
+/* Notes for which services jobs wait that can still be in time. Those without
+   a worker don't matter: all of their capacity counts as in use. */
 static void
 note_jobs_in_time(mb_fleet_pools_t *pools, const mb_fleet_t *fleet,
                   uint64_t now_us)
 {
     for (guint i = 0; i < fleet->open_jobs->len; i++) {
         const mb_dag_job_t *job = g_ptr_array_index(fleet->open_jobs, i);
-        mb_fleet_pool_t *pool = is_waiting_in_time(job, now_us)
-                                    ? get_pool(pools, job->spec.policy.service)
-                                    : NULL;
+        mb_fleet_pool_t *pool =
+            is_waiting_in_time(job, now_us)
+                ? find_pool(pools, job->spec.policy.service)
+                : NULL;
         if (pool != NULL) {
             pool->job_in_time_waits = true;
         }
@@ -79,7 +107,7 @@
 mb_fleet_pools_compute(mb_fleet_pools_t *pools, const mb_fleet_t *fleet,
                        uint64_t now_us)
 {
-    pools->count = 0;
+    g_hash_table_remove_all(pools->by_service);
     for (guint i = 0; i < fleet->workers->len; i++) {
         const mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, i);
         mb_fleet_pool_t *pool =
--- a/tests/unit/test_fleet_idle_jobs.cc
+++ b/tests/unit/test_fleet_idle_jobs.cc
@@ -271,6 +271,39 @@
     EXPECT_EQ(count_running_jobs(simulation), 6u);
 }
 
+/* Guards against services that count as full because there are many. */
+TEST(FleetIdleJobs, JobsOfOneOfManyServicesRunWithin3Seconds)
+{
+    FleetSimulation simulation(40);
+    std::vector<mb_dag_step_t> steps(120);
+    std::vector<std::string> services;
+    simulation.task_ms = 60000;
+    report_near_target(simulation);
+    for (size_t i = 0; i < 40; i++) {
+        services.push_back("service-" + std::to_string(i));
+        simulation.machines[i]->worker.service = services[i];
+    }
+    simulation.fail_over();
+    simulation.advance(2500);
+    for (size_t i = 0; i < 120; i++) {
+        char id[MB_DAG_ID_LEN + 1];
+        (void)snprintf(id, sizeof(id), "%016zx", i + 1);
+        mb_dag_spec_t spec = i < 40
+                                 ? service_job(&steps[i], id, 1500)
+                                 : best_effort_job(&steps[i], id, 1, "batch");
+        spec.policy.service = mb_str_from_cstr(services[i % 40].c_str());
+        if (i < 40) {
+            steps[i].image =
+                spec.policy.service; /* disturbed in its own way */
+        }
+        simulation.submit(spec);
+        simulation.advance(i % 40 == 39 ? 2000 : 0);
+    }
+    simulation.advance(1000);
+    EXPECT_EQ(simulation.running(), 120u);
+    expect_no_violations(simulation);
+}
+
 /* HARM: guards against a service that misses its target for 4 s because every
    job without a run has got a task beside it. */
 TEST(FleetIdleJobs, AServiceBesideThemKeepsItsTarget)
@@ -309,7 +342,7 @@
 {
     FleetSimulation simulation(3);
     mb_dag_step_t steps[2];
-    mb_fleet_pools_t pools;
+    mb_fleet_pools_t &pools = simulation.fleet.pools;
     mb_str_t service = MB_STR_LIT("service");
     simulation.task_ms = 60000;
     simulation.fail_over();
