Keep the place of a run that is moved

Cause: a move began when some worker would have taken the slowed run, and nothing kept that place while the run was being stopped. Several runs were stopped for one place, other tasks took it, or the cost limit refused it afterwards.

A move now keeps the place on the worker with the lowest cost for up to 3 s, one at a time for each worker, and doesn't begin without one. Best-effort tasks are placed as if the task were there, and moved tasks start first in a pass. Tasks that are not best-effort come first as before. Members of a gang are not moved any more, as one can't be started alone.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -184,6 +184,7 @@
         worker->connected = connected;
         worker->may_have_former_runs =
             may_have_former_runs && !worker->removed;
+        worker->kept.until_us = 0;
         worker->incarnation = 0;
         worker->agent_incarnation = 0;
         worker->agent_known_since_us = 0;
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -152,6 +152,15 @@
     bool was_throttled;          /* it has been throttled at some time */
 } mb_fleet_run_t;
 
+/* The place on a worker that is kept for a task whose run elsewhere is being
+   stopped so that it goes on here. */
+typedef struct mb_fleet_kept_place {
+    uint64_t until_us; /* 0: none */
+    mb_dag_task_id_t task;
+    uint64_t image_hash;
+    mb_size_t size;
+} mb_fleet_kept_place_t;
+
 /* One worker and the connection to its agent. Text is owned. */
 typedef struct mb_fleet_worker {
     uint32_t number;  /* index in the fleet */
@@ -199,6 +208,7 @@
     GArray *runs;          /* mb_fleet_run_t, in no order */
     mb_size_t used;        /* declared by runs that are not best-effort */
     mb_size_t best_effort; /* declared by best-effort runs */
+    mb_fleet_kept_place_t kept;
     /* Declared by runs that this owner has not adopted and has stopped, as of
        the latest complete report. Best-effort runs declare no processors
        here. */
--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -159,14 +159,46 @@
     return false;
 }
 
-/* Tells whether a worker has the memory and the accelerators for a task. */
+/* Returns the place on a worker that is kept for another task than that of a
+   best-effort run, or NULL if there is none. Other tasks come first. */
+static const mb_fleet_kept_place_t *
+find_kept_place(const mb_fleet_cost_inputs_t *inputs,
+                const mb_fleet_worker_t *worker, const mb_fleet_run_t *run)
+{
+    mb_dag_task_id_t task = mb_fleet_run_task_id(run);
+    return run->job->steps[run->step].best_effort &&
+                   inputs->now_us < worker->kept.until_us &&
+                   !mb_dag_task_id_equal(&task, &worker->kept.task)
+               ? &worker->kept
+               : NULL;
+}
+
+/* Returns what best-effort tasks declare on a worker, for the placement of a
+   run: with the place that is kept there for another one. */
+static mb_size_t
+get_best_effort(const mb_fleet_cost_inputs_t *inputs,
+                const mb_fleet_worker_t *worker, const mb_fleet_run_t *run)
+{
+    const mb_fleet_kept_place_t *kept = find_kept_place(inputs, worker, run);
+    mb_size_t size = worker->best_effort;
+    if (kept != NULL) {
+        size.cpu_milli += kept->size.cpu_milli;
+        size.memory_mb += kept->size.memory_mb;
+        size.accelerators += kept->size.accelerators;
+    }
+    return size;
+}
+
+/* Tells whether a worker has the memory and the accelerators for a task beside
+   the best-effort tasks `best_effort`. */
 static bool
-fits_memory(const mb_fleet_worker_t *worker, const mb_size_t *size)
+fits_memory(const mb_fleet_worker_t *worker, const mb_size_t *best_effort,
+            const mb_size_t *size)
 {
-    return worker->used.memory_mb + worker->best_effort.memory_mb +
+    return worker->used.memory_mb + best_effort->memory_mb +
                    worker->orphaned.memory_mb + size->memory_mb <=
                worker->capacity.memory_mb &&
-           worker->used.accelerators + worker->best_effort.accelerators +
+           worker->used.accelerators + best_effort->accelerators +
                    worker->orphaned.accelerators + size->accelerators <=
                worker->capacity.accelerators;
 }
@@ -174,10 +206,13 @@
 /* Returns the load of a worker with an additional task, in thousandths of its
    processors, or COST_FORBIDDEN if the task does not fit. */
 static uint64_t
-load_with_task(const mb_fleet_worker_t *worker, const mb_dag_step_t *step)
+load_with_task(const mb_fleet_cost_inputs_t *inputs,
+               const mb_fleet_worker_t *worker, const mb_fleet_run_t *run)
 {
+    const mb_dag_step_t *step = &run->job->steps[run->step];
+    mb_size_t others = get_best_effort(inputs, worker, run);
     uint64_t capacity = worker->capacity.cpu_milli;
-    if (capacity == 0 || !fits_memory(worker, &step->size)) {
+    if (capacity == 0 || !fits_memory(worker, &others, &step->size)) {
         return COST_FORBIDDEN;
     }
     if (!step->best_effort) {
@@ -188,23 +223,26 @@
         return used > capacity ? COST_FORBIDDEN
                                : (used + best_effort) * MILLI / capacity;
     }
-    uint64_t used = (uint64_t)reserved_cpu_milli(worker) +
-                    worker->best_effort.cpu_milli + step->size.cpu_milli;
+    uint64_t used = (uint64_t)reserved_cpu_milli(worker) + others.cpu_milli +
+                    step->size.cpu_milli;
     return used * MILLI / capacity;
 }
 
 /* Tells whether the processors of a worker are declared to others than a
    further best-effort task. The first one of a worker may exceed them. */
 static bool
-is_crowded(const mb_fleet_worker_t *worker, const mb_dag_step_t *step)
+is_crowded(const mb_fleet_cost_inputs_t *inputs,
+           const mb_fleet_worker_t *worker, const mb_fleet_run_t *run)
 {
+    const mb_dag_step_t *step = &run->job->steps[run->step];
+    mb_size_t others = get_best_effort(inputs, worker, run);
     uint64_t capacity = worker->capacity.cpu_milli;
-    uint64_t used = (uint64_t)reserved_cpu_milli(worker) +
-                    worker->best_effort.cpu_milli + step->size.cpu_milli;
+    uint64_t used = (uint64_t)reserved_cpu_milli(worker) + others.cpu_milli +
+                    step->size.cpu_milli;
     uint64_t limit = has_service_task(worker)
                          ? capacity
                          : capacity * BEST_EFFORT_OVERCOMMIT_MILLI / MILLI;
-    return worker->best_effort.cpu_milli > 0 && used > limit;
+    return others.cpu_milli > 0 && used > limit;
 }
 
 /* Returns the cost of a best-effort task to the service tasks on a worker, in
@@ -212,10 +250,12 @@
 static uint64_t
 service_latency_cost(const mb_fleet_cost_inputs_t *inputs,
                      const mb_fleet_worker_t *worker,
-                     const mb_dag_step_t *step)
+                     const mb_fleet_run_t *run)
 {
+    const mb_dag_step_t *step = &run->job->steps[run->step];
     double headroom = mb_fleet_min_headroom_with(
-        inputs->fleet, worker, mb_str_hash(step->image), step->size.cpu_milli);
+        inputs->fleet, worker, find_kept_place(inputs, worker, run),
+        mb_str_hash(step->image), step->size.cpu_milli);
     return (uint64_t)(COST_LATENCY_AT_TARGET / MAX(headroom, HEADROOM_MIN));
 }
 
@@ -239,13 +279,14 @@
    fleet allows. */
 static uint64_t
 colocation_cost(const mb_fleet_cost_inputs_t *inputs,
-                const mb_fleet_worker_t *worker, const mb_dag_step_t *step)
+                const mb_fleet_worker_t *worker, const mb_fleet_run_t *run)
 {
+    const mb_dag_step_t *step = &run->job->steps[run->step];
     bool has_services = has_service_task(worker);
     if (step->best_effort) {
         return !has_services ? COST_BEST_EFFORT_WITHOUT_SERVICES
                              : COST_BEST_EFFORT_BESIDE_SERVICES +
-                                   service_latency_cost(inputs, worker, step);
+                                   service_latency_cost(inputs, worker, run);
     }
     if (has_services) {
         return step->latency_target_ms > 0 ? count_other_images(worker, step) *
@@ -292,7 +333,7 @@
     if (!accepts_starts(inputs, worker)) {
         return MB_FLEET_OBSTACLE_UNUSABLE;
     }
-    return load_with_task(worker, step) == COST_FORBIDDEN
+    return load_with_task(inputs, worker, run) == COST_FORBIDDEN
                ? MB_FLEET_OBSTACLE_ROOM
                : MB_FLEET_OBSTACLE_COST;
 }
@@ -310,19 +351,19 @@
         MB_FLEET_OBSTACLE_COST) {
         return COST_FORBIDDEN;
     }
-    uint64_t cost = load_with_task(worker, step);
+    uint64_t cost = load_with_task(inputs, worker, run);
     if (step->rack.len > 0 &&
         !mb_str_equal(mb_buf_view(&worker->rack), step->rack)) {
         cost += COST_OTHER_RACK;
     }
     if (step->best_effort &&
-        (is_crowded(worker, step) || is_throttled_by_agent(worker))) {
+        (is_crowded(inputs, worker, run) || is_throttled_by_agent(worker))) {
         /* The estimate of latencies is the expensive part of a pass, and does
            not change that this is the last choice. */
         cost += COST_BEST_EFFORT_CROWDED;
     }
     else {
-        cost += colocation_cost(inputs, worker, step);
+        cost += colocation_cost(inputs, worker, run);
     }
     if (task->last_failed_worker == worker->number + 1) {
         cost += COST_FAILED_HERE;
@@ -330,6 +371,20 @@
     return cost + worker->health.consecutive_failures * (uint64_t)COST_FAILURE;
 }
 
+/* Tells whether a kept place can still be used; see the header. The place was
+   chosen by its cost when the move began. An estimated latency that has risen
+   since does not void it: the run has been stopped, and the agent protects the
+   service. */
+bool
+mb_fleet_kept_place_is_usable(const mb_fleet_cost_inputs_t *inputs,
+                              const mb_fleet_worker_t *worker,
+                              const mb_fleet_run_t *run)
+{
+    return mb_fleet_placement_obstacle(inputs, worker, run) ==
+               MB_FLEET_OBSTACLE_COST &&
+           !is_crowded(inputs, worker, run) && !is_throttled_by_agent(worker);
+}
+
 /* Returns the limit for the best-effort tasks of a job without a run: none
    after a while, but it gets a place on a crowded worker only while little of
    its service is in use and no job there waits that can still be in time.
--- a/lib/coordination/mb_fleet_headroom.c
+++ b/lib/coordination/mb_fleet_headroom.c
@@ -207,10 +207,12 @@
 
 /* Returns the lowest headroom to expect of the service tasks on a worker if a
    best-effort task of an image that uses `cpu_milli` thousandths of a
-   processor is added. Returns INFINITY if there are no service tasks. */
+   processor is added, beside the one for which a place is kept there, unless
+   `kept` is NULL. Returns INFINITY if there are no service tasks. */
 double
 mb_fleet_min_headroom_with(const mb_fleet_t *fleet,
                            const mb_fleet_worker_t *worker,
+                           const mb_fleet_kept_place_t *kept,
                            uint64_t image_hash, uint32_t cpu_milli)
 {
     mb_headroom_load_t load = {0};
@@ -223,6 +225,9 @@
                                  get_full_speed_cpu_milli(run));
         }
     }
+    if (kept != NULL) {
+        mb_headroom_load_add(&load, kept->image_hash, kept->size.cpu_milli);
+    }
     mb_headroom_load_add(&load, image_hash, cpu_milli);
     for (guint i = 0; i < worker->runs->len; i++) {
         const mb_fleet_run_t *run =
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -142,6 +142,12 @@
 uint64_t mb_fleet_placement_cost_limit(const mb_fleet_cost_inputs_t *inputs,
                                        const mb_fleet_run_t *run);
 
+/* Tells whether a place that was kept for a best-effort run can still be used.
+ */
+bool mb_fleet_kept_place_is_usable(const mb_fleet_cost_inputs_t *inputs,
+                                   const mb_fleet_worker_t *worker,
+                                   const mb_fleet_run_t *run);
+
 /* Why a worker does not get a task. */
 typedef enum mb_fleet_obstacle {
     MB_FLEET_OBSTACLE_EXCLUDED, /* service, label, or tasks per worker */
@@ -216,6 +222,7 @@
                            const mb_fleet_run_t *service_run);
 double mb_fleet_min_headroom_with(const mb_fleet_t *fleet,
                                   const mb_fleet_worker_t *worker,
+                                  const mb_fleet_kept_place_t *kept,
                                   uint64_t image_hash, uint32_t cpu_milli);
 
 /* mb_fleet_estimate.c */
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -13,6 +13,10 @@
    another worker, in microseconds: a stop and a new start take most of a
    second. */
 #define MOVE_DELAY_US UINT64_C(700000)
+/* Time for which the place of a moved task is kept, in microseconds: several
+   intervals of orders and reports, in which its run is stopped and its end is
+   reported. */
+#define KEEP_PLACE_US UINT64_C(3000000)
 
 /* What a task asks for, as far as it decides which workers can take it. */
 typedef struct request {
@@ -113,32 +117,65 @@
     return best;
 }
 
-/* Stops a throttled run if another worker could take it within the cost limit.
-   Its task then waits and is started again from its checkpoint. */
-static void
-move_run(const pass_t *pass, mb_fleet_worker_t *worker, mb_fleet_run_t *run)
+/* Returns the worker with the lowest cost below the limit that a throttled run
+   can be moved to, or NULL. Each worker keeps one place at a time. */
+static mb_fleet_worker_t *
+choose_move_target(const pass_t *pass, const mb_fleet_worker_t *worker,
+                   const mb_fleet_run_t *run)
 {
-    mb_fleet_run_t moved = *run;
+    mb_fleet_worker_t *best = NULL;
+    uint64_t best_cost = mb_fleet_placement_cost_limit(&pass->inputs, run);
     for (guint i = 0; i < pass->inputs.fleet->workers->len; i++) {
         mb_fleet_worker_t *other = mb_fleet_get_worker(pass->inputs.fleet, i);
-        if (other != worker &&
-            mb_fleet_placement_cost(&pass->inputs, other, &moved) <
-                mb_fleet_placement_cost_limit(&pass->inputs, run)) {
-            mb_log_info(&pass->inputs.fleet->log,
-                        "moving a slowed run job=%.*s task=%u.%u.%u from=%.*s",
-                        MB_STR_ARG(mb_dag_id_view(&run->job->spec.id)),
-                        run->occurrence, run->step, run->index,
-                        MB_STR_ARG(mb_buf_view(&worker->name)));
-            pass->inputs.fleet->counts.moves++;
-            mb_fleet_stop_run(pass->inputs.fleet, worker, run);
-            return;
+        if (other == worker || pass->inputs.now_us < other->kept.until_us) {
+            continue;
+        }
+        uint64_t cost = mb_fleet_placement_cost(&pass->inputs, other, run);
+        if (cost < best_cost) {
+            best = other;
+            best_cost = cost;
         }
     }
+    return best;
+}
+
+/* Stops a throttled run if another worker takes it within the cost limit. Its
+   task is then started there from its checkpoint, in a place that is kept. */
+static void
+move_run(const pass_t *pass, mb_fleet_worker_t *worker, mb_fleet_run_t *run)
+{
+    mb_fleet_worker_t *target = choose_move_target(pass, worker, run);
+    if (target == NULL) {
+        return;
+    }
+    mb_log_info(&pass->inputs.fleet->log,
+                "moving a slowed run job=%.*s task=%u.%u.%u from=%.*s "
+                "to=%.*s",
+                MB_STR_ARG(mb_dag_id_view(&run->job->spec.id)),
+                run->occurrence, run->step, run->index,
+                MB_STR_ARG(mb_buf_view(&worker->name)),
+                MB_STR_ARG(mb_buf_view(&target->name)));
+#ifndef MB_MUTANT_FLEET_MOVE_KEEPS_NO_PLACE
+    target->kept = (mb_fleet_kept_place_t){
+        .until_us = pass->inputs.now_us + KEEP_PLACE_US,
+        .task = mb_fleet_run_task_id(run),
+        .image_hash = run->image_hash,
+        .size = run->job->steps[run->step].size};
+#endif
+    pass->inputs.fleet->counts.moves++;
+    mb_fleet_stop_run(pass->inputs.fleet, worker, run);
+}
+
+/* Tells whether runs of a step can be moved: those without checkpoints would
+   start from the beginning, and members of a gang only with all others. */
+static bool
+is_movable(const mb_dag_step_t *step)
+{
+    return step->checkpoints && !step->gang;
 }
 
 /* Moves runs that agents have severely throttled for a while to protect
-   service tasks. Only runs of steps with checkpoints are moved, as others
-   would start from the beginning. */
+   service tasks. */
 void
 mb_fleet_move_throttled_runs(mb_fleet_t *fleet)
 {
@@ -149,7 +186,7 @@
             mb_fleet_run_t *run =
                 &g_array_index(worker->runs, mb_fleet_run_t, i);
             if (run->throttled_since_us != 0 && !run->stopping &&
-                run->job->steps[run->step].checkpoints &&
+                is_movable(&run->job->steps[run->step]) &&
                 pass.inputs.now_us - run->throttled_since_us >=
                     MOVE_DELAY_US) {
                 move_run(&pass, worker, run);
@@ -242,6 +279,66 @@
     return true;
 }
 
+/* Finds the task for which a worker keeps a place. Returns false if its job or
+   the task is finished, so that the place is not needed. */
+static bool
+find_moved_task(const pass_t *pass, const mb_fleet_worker_t *worker,
+                mb_fleet_run_t *run)
+{
+    const mb_dag_task_id_t *id = &worker->kept.task;
+    mb_dag_job_t *job = mb_dag_find(pass->inputs.fleet->table, id->job);
+    if (job == NULL || job->outcome != MB_DAG_OPEN) {
+        return false;
+    }
+    *run = (mb_fleet_run_t){.job = job,
+                            .occurrence = id->occurrence,
+                            .step = id->step,
+                            .index = id->index};
+    return !mb_fleet_run_task(run)->done;
+}
+
+/* Starts the task for which a worker keeps a place, once its former run has
+   ended, and gives the place up afterwards, or when its time is over. */
+static void
+start_moved_task(pass_t *pass, mb_fleet_worker_t *worker)
+{
+    mb_fleet_run_t run;
+    if (pass->inputs.now_us >= worker->kept.until_us ||
+        !find_moved_task(pass, worker, &run)) {
+        worker->kept.until_us = 0;
+        return;
+    }
+    if ((run.job->inherited && !pass->inputs.fleet->former_runs_resolved) ||
+        mb_fleet_task_is_running(mb_fleet_run_task(&run)) ||
+        !is_startable(pass, mb_fleet_run_task(&run))) {
+        return;
+    }
+    worker->kept.until_us = 0;
+    if (!mb_fleet_kept_place_is_usable(&pass->inputs, worker, &run)) {
+        mb_log_info(&pass->inputs.fleet->log,
+                    "place of a moved task is gone job=%.*s task=%u.%u.%u "
+                    "worker=%.*s",
+                    MB_STR_ARG(mb_dag_id_view(&run.job->spec.id)),
+                    run.occurrence, run.step, run.index,
+                    MB_STR_ARG(mb_buf_view(&worker->name)));
+        return;
+    }
+    run.number = next_run_number(pass->inputs.fleet, mb_fleet_run_task(&run));
+    start_run(pass, worker, &run);
+}
+
+/* Starts moved tasks in the places that are kept for them. */
+static void
+start_moved_tasks(pass_t *pass)
+{
+    for (guint i = 0; i < pass->inputs.fleet->workers->len; i++) {
+        mb_fleet_worker_t *worker = mb_fleet_get_worker(pass->inputs.fleet, i);
+        if (worker->kept.until_us != 0) {
+            start_moved_task(pass, worker);
+        }
+    }
+}
+
 /* Starts the startable tasks of a step, up to the first one that finds no
    worker. Returns false if a task still waits: for a worker, or for the end of
    its retry delay. */
@@ -444,6 +541,7 @@
     fleet->counts.passes++;
     fleet->held_tasks = 0;
     mb_fleet_sort_jobs(fleet, pass.inputs.now_us);
+    start_moved_tasks(&pass);
     for (guint i = 0; i < fleet->open_jobs->len; i++) {
         mb_dag_job_t *job = g_ptr_array_index(fleet->open_jobs, i);
         bool blocked = job->inherited && !fleet->former_runs_resolved;
