--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -266,7 +266,7 @@
                 report_time_us + order->lease_ms * (uint64_t)MB_US_PER_MS);
     }
     if (order->incarnation == agent->info.incarnation) {
-        agent->acknowledged = MAX(agent->acknowledged, order->acknowledged);
+        mb_agent_note_acknowledgement(agent, order->acknowledged);
         for (guint i = 0; i < order->stops->len; i++) {
             mb_agent_stop(agent,
                           &g_array_index(order->stops, mb_order_stop_t, i));
@@ -298,12 +298,16 @@
 
 /* Tells whether the worker has left for good; see the header. A draining agent
    does not wait until its ends are acknowledged, because it is about to
-   exit. */
+   exit. Those of an earlier incarnation wait until they are forgotten. */
 bool
 mb_agent_worker_has_left(const mb_agent_t *agent)
 {
+    guint end_count = agent->ends->len;
+#ifndef MB_MUTANT_AGENT_LEAVES_WITH_FORMER_ENDS
+    end_count += agent->former_ends->len;
+#endif
     return agent->departed && agent->runs->len == 0 &&
-           (agent->ends->len == 0 || agent->draining);
+           (end_count == 0 || agent->draining);
 }
 
 /* Adds all runs to a complete report. Returns false if there are more than
--- a/lib/coordination/mb_agent_internal.h
+++ b/lib/coordination/mb_agent_internal.h
@@ -69,7 +69,10 @@
 /* mb_agent_ends.c */
 void mb_agent_ends_init(mb_agent_t *agent);
 void mb_agent_ends_finish(mb_agent_t *agent);
+mb_str_t mb_agent_usable_checkpoint(mb_str_t checkpoint);
 void mb_agent_handle_ends(mb_agent_t *agent, const GArray *ends);
+void mb_agent_note_acknowledgement(mb_agent_t *agent, uint64_t number);
+uint64_t mb_agent_acknowledgement(const mb_agent_t *agent);
 void mb_agent_keep_former_ends(mb_agent_t *agent);
 bool mb_agent_has_end(const mb_agent_t *agent, const mb_order_stop_t *stop);
 void mb_agent_add_ends(mb_agent_t *agent);
@@ -83,6 +86,7 @@
 uint64_t mb_agent_lease_end_ms(mb_agent_t *agent);
 void mb_agent_note_foreign_lease(mb_agent_t *agent);
 bool mb_agent_lease_has_ended(const mb_agent_t *agent, uint64_t now_us);
+void mb_agent_check_former_lease(mb_agent_t *agent, uint64_t clock_ms);
 void mb_agent_lease_tick(mb_agent_t *agent, uint64_t now_us);
 
 /* mb_agent_worker.c */
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -103,6 +103,10 @@
     agent->known_since_us = mb_clock_us(&agent->clock);
     agent->last_end = 0;
     agent->acknowledged = 0;
+    agent->listed_end = 0;
+    agent->acknowledged_by_list = 0;
+    agent->forgotten_end = 0;
+    agent->excess_acknowledgement = 0;
     agent->reported_end = 0;
     agent->has_clock = false;
     agent->call_failed_us = 0;
@@ -136,7 +140,8 @@
         run->progress = listed->progress;
         run->value = listed->value;
         run->last_listed_us = agent->list_start_us;
-        mb_buf_set(&run->checkpoint, listed->checkpoint);
+        mb_buf_set(&run->checkpoint,
+                   mb_agent_usable_checkpoint(listed->checkpoint));
     }
 }
 
@@ -238,6 +243,7 @@
     if (agent->list_start_us > agent->call_failed_us) {
         agent->call_failed_us = 0;
     }
+    bool first = agent->last_list_us == 0;
     bool new_ends = has_new_ends(agent, answer);
     agent->list_due_us = now_us + MB_AGENT_LIST_GAP_MS *
                                       (uint64_t)MB_US_PER_MS *
@@ -249,6 +255,8 @@
         agent->worker_clock_ms = answer->clock_ms;
         agent->worker_clock_read_us = now_us;
     }
+    agent->forgotten_end =
+        MAX(agent->forgotten_end, agent->acknowledged_by_list);
     mb_agent_handle_ends(agent, answer->ends);
     update_runs(agent, answer->runs);
 #ifndef MB_MUTANT_AGENT_CUT_LIST_BELIEVED
@@ -257,6 +265,9 @@
     {
         remove_absent_runs(agent);
     }
+    if (first && answer->has_clock) {
+        mb_agent_check_former_lease(agent, answer->clock_ms);
+    }
     mb_agent_check_latency(agent, now_us);
 }
 
@@ -276,10 +287,11 @@
     agent->list_start_us = now_us;
     agent->list_token = agent->token;
     agent->list_pending = true;
+    agent->acknowledged_by_list =
+        may_acknowledge ? mb_agent_acknowledgement(agent) : 0;
     agent->open_calls++;
     if (!agent->executor.list(agent->executor.context, &call,
-                              may_acknowledge ? agent->acknowledged : 0,
-                              lease_end_ms,
+                              agent->acknowledged_by_list, lease_end_ms,
                               reachable ? MB_AGENT_LIST_WAIT_MS : 0)) {
         agent->list_pending = false;
         agent->open_calls--;
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -144,8 +144,8 @@
     uint32_t target_throttle_percent;
     uint32_t ordered_throttle_percent;
     uint32_t progress; /* latest report, in percent */
-    /* Since when `progress` is known not to have changed. */
-    uint64_t progress_us;
+    /* Time for which `progress` has been watched without a change. */
+    uint64_t stalled_for_us;
     uint64_t progress_read_us;   /* latest report with a recent figure */
     uint64_t throttled_since_us; /* since when the agent has severely throttled
                                     it; 0: it is not severely throttled */
@@ -230,6 +230,11 @@
     mb_order_t pending_order; /* next order, collected until it is sent */
 } mb_fleet_worker_t;
 
+/* The capacity and the use of each service's workers (mb_fleet_pools.c). */
+typedef struct mb_fleet_pools {
+    GHashTable *by_service; /* mb_str_t -> mb_fleet_pool_t */
+} mb_fleet_pools_t;
+
 typedef struct mb_fleet {
     mb_dag_table_t *table; /* borrowed */
     mb_fleet_callbacks_t callbacks;
@@ -267,8 +272,12 @@
     GPtrArray *dirty_jobs; /* mb_dag_job_t whose progress is to be stored */
     mb_buf_t done_bits;    /* scratch buffers for progress records */
     GArray *progress_rows;
-    uint32_t running;           /* runs on all workers */
-    uint64_t waiting_logged_us; /* when waiting jobs were last looked for */
+    uint32_t running;             /* runs on all workers */
+    uint64_t waiting_logged_us;   /* when waiting jobs were last looked for */
+    mb_fleet_pools_t pools;       /* as of the start of the latest pass */
+    uint64_t latencies_logged_us; /* when expected latencies were last logged
+                                   */
+    uint32_t latency_log_next; /* worker that is looked at first next time */
     mb_headroom_t headroom_model;
     mb_sizing_t sizing; /* run times per step and per queue */
     mb_fleet_counts_t counts;
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -115,8 +115,9 @@
     mb_str_t checkpoint;
 } mb_report_run_t;
 
-/* Number of an end that the worker listed before it started again. No owner
-   acknowledges it, and it may be reported repeatedly. */
+/* Number of an end that the worker listed before it started again, or under
+   the number of another end. No owner acknowledges it, and it may be reported
+   repeatedly. */
 #define MB_REPORT_END_FORMER UINT64_C(0)
 
 typedef struct mb_report_end {
@@ -177,8 +178,8 @@
 bool mb_order_add_stop(mb_order_t *order, const mb_order_stop_t *stop);
 bool mb_order_add_throttle(mb_order_t *order,
                            const mb_order_throttle_t *throttle);
-/* Adds a row to a report, likewise. A run for which there is room only without
-   its checkpoint is added without it. */
+/* Adds a row to a report, likewise. A run or an end for which there is room
+   only without its checkpoint is added without it. */
 bool mb_report_add_run(mb_report_t *report, const mb_report_run_t *run);
 bool mb_report_add_end(mb_report_t *report, const mb_report_end_t *end);
 bool mb_report_add_refusal(mb_report_t *report,
--- a/tests/unit/fleet_work_ledger.h
+++ b/tests/unit/fleet_work_ledger.h
@@ -93,14 +93,20 @@
         jobs[std::string(spec.id.text, MB_DAG_ID_LEN)] = job;
     }
 
+    /* Returns the job of a task; one without steps if there is no such job. */
     const Job &get_job(const mb_dag_task_id_t &task) const
     {
-        return jobs.at(std::string(task.job.text, MB_DAG_ID_LEN));
+        static const Job none = {{}, UINT32_MAX};
+        auto job = jobs.find(std::string(task.job.text, MB_DAG_ID_LEN));
+        return job == jobs.end() ? none : job->second;
     }
 
+    /* Returns the step of a task; an empty one if there is no such step. */
     const mb_dag_step_t &get_step(const mb_dag_task_id_t &task) const
     {
-        return get_job(task).steps[task.step];
+        static const mb_dag_step_t none = {};
+        const Job &job = get_job(task);
+        return task.step < job.steps.size() ? job.steps[task.step] : none;
     }
 
     /* Returns the task at which the failures of a task are counted. */
@@ -132,7 +138,7 @@
         const Job &job = get_job(task);
         mb_dag_task_id_t earlier = task;
         for (uint32_t i = 0; i < job.steps.size(); i++) {
-            bool is_needed = (job.steps[task.step].depends_on >> i & 1) != 0;
+            bool is_needed = (get_step(task).depends_on >> i & 1) != 0;
             earlier.step = i;
             for (uint32_t k = 0; is_needed && k < job.steps[i].count; k++) {
                 earlier.index = k;
--- a/tests/unit/test_fleet_work_histories.cc
+++ b/tests/unit/test_fleet_work_histories.cc
@@ -102,9 +102,7 @@
                 simulation.now_us + below(CUT_MAX_MS) * 1000;
             break;
         case 8:
-            if (!may_hold_earlier_lease(worker)) {
-                simulation.restart_agent(machine);
-            }
+            simulation.restart_agent(machine);
             break;
         case 9:
             if (below(3) == 0) {
