--- a/tests/unit/test_fleet_end_reports.cc
+++ b/tests/unit/test_fleet_end_reports.cc
@@ -210,7 +210,7 @@
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t k = 0; k < job->steps[s].count; k++) {
                 std::string task = format_task({job->spec.id, 0, s, k});
-                EXPECT_EQ(simulation.succeeded.count(task), 1u) << task;
+                EXPECT_EQ(simulation.work.succeeded.count(task), 1u) << task;
             }
         }
     }
