Believe no complete report while its worker has unlisted ends

What callers could see: work done twice, and a start of a task whose success is acknowledged later (TWICE).

Cause: a worker lists 500 ends at a time. An agent that is restarted does not know the runs whose ends are not among them, so that its complete report has neither these runs nor their ends. The owner took the runs for lost, started their tasks again, and acknowledged the successes when they were listed.

Why it works: the report tells that the worker has further ends, and the owner concludes nothing from what is missing in it. The ends are applied and acknowledged meanwhile, so that the list gets shorter and the flag goes away.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -384,6 +384,7 @@
     report->order_sequence = agent->order_sequence;
     report->draining = agent->draining;
     report->figures_age_ms = get_figures_age_ms(agent, now_us);
+    report->ends_cut = agent->ends_cut;
     report->worker = agent->info;
     if (agent->departed || agent->info.name.len == 0 || agent->lapse_awaited ||
         !mb_agent_worker_reachable(agent, now_us)) {
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -100,6 +100,7 @@
        listed under the number of another end. */
     GArray *former_ends;
     uint64_t former_ends_due_us;
+    bool ends_cut;         /* the latest list did not contain all ends */
     uint64_t last_end;     /* highest number of an end received */
     uint64_t acknowledged; /* the owner has stored ends up to this number */
     uint64_t listed_end; /* highest number in the latest list of the worker */
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -101,6 +101,7 @@
     agent->departed = false;
     agent->worker_replaced = false;
     agent->known_since_us = mb_clock_us(&agent->clock);
+    agent->ends_cut = false;
     agent->last_end = 0;
     agent->acknowledged = 0;
     agent->listed_end = 0;
@@ -257,6 +258,7 @@
     }
     agent->forgotten_end =
         MAX(agent->forgotten_end, agent->acknowledged_by_list);
+    agent->ends_cut = answer->ends_cut;
     mb_agent_handle_ends(agent, answer->ends);
     update_runs(agent, answer->runs);
 #ifndef MB_MUTANT_AGENT_CUT_LIST_BELIEVED
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -97,11 +97,18 @@
 /* Concludes from a complete report that what it does not contain does not run
    there. Not before the agent's process is confirmed: an agent that was
    restarted may have obeyed a later owner, under which runs that are missing
-   here have ended, and tasks that seem to wait are done. */
+   here have ended, and tasks that seem to wait are done. Nor while the worker
+   has ends that it has not listed yet: an agent that was restarted does not
+   know of their runs. */
 static void
 settle_runs(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
             const mb_report_t *report)
 {
+#ifndef MB_MUTANT_FLEET_CUT_ENDS_IGNORED
+    if (report->ends_cut) {
+        return;
+    }
+#endif
     if (!mb_fleet_agent_confirmed(fleet, worker)) {
         worker->report_unsettled = has_all_runs(report, worker);
         return;
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -161,6 +161,9 @@
     /* Time since the worker has answered with the progress and the values of
        `runs`, which are repeated meanwhile. */
     uint32_t figures_age_ms;
+    /* The worker has more ends than it lists at a time. A run that is in none
+       of the arrays may be among them. */
+    bool ends_cut;
     bool draining; /* the agent is stopping */
     mb_worker_info_t worker;
     GArray *runs;     /* mb_report_run_t */
--- a/lib/protocol/mb_order_codec.c
+++ b/lib/protocol/mb_order_codec.c
@@ -347,13 +347,13 @@
 /* Appends a report as [highest fencing token, sequence, sequence of the latest
    order processed, whether it lists all runs, whether the agent drains,
    worker, runs, ends, refusals, incarnation of the agent, age of the figures
-   of the runs in ms]. */
+   of the runs in ms, whether the worker has further ends]. */
 void
 mb_report_encode(mb_buf_t *out, const mb_report_t *report)
 {
     msgpack_packer packer;
     mb_pack_init(&packer, out);
-    (void)msgpack_pack_array(&packer, 11);
+    (void)msgpack_pack_array(&packer, 12);
     (void)msgpack_pack_uint64(&packer, report->token);
     (void)msgpack_pack_uint64(&packer, report->sequence);
     (void)msgpack_pack_uint64(&packer, report->order_sequence);
@@ -365,6 +365,7 @@
     pack_refusals(&packer, report->refusals);
     (void)msgpack_pack_uint64(&packer, report->agent_incarnation);
     (void)msgpack_pack_uint32(&packer, report->figures_age_ms);
+    mb_pack_bool(&packer, report->ends_cut);
 }
 
 /* Validates and unpacks a message, and starts to read its array. Returns false
@@ -434,6 +435,7 @@
         reader.left > 0 ? mb_unpack_u64(&reader, UINT64_MAX) : 0;
     report->figures_age_ms =
         reader.left > 0 ? (uint32_t)mb_unpack_u64(&reader, UINT32_MAX) : 0;
+    report->ends_cut = reader.left > 0 && mb_unpack_bool(&reader);
     if (!mb_unpack_done(&reader)) {
         mb_error_set(error, MB_KIND_PROTOCOL,
                      "report has missing, extra or invalid fields");
--- a/tests/unit/test_fleet_work_histories.cc
+++ b/tests/unit/test_fleet_work_histories.cc
@@ -195,3 +195,14 @@
 {
     run_histories([](uint64_t seed) { WorkHistory(seed).run(); });
 }
+
+/* These seeds once failed: the owner started tasks again whose ends a worker
+   had not listed yet, as its agent had been restarted and knew nothing of
+   their runs. */
+TEST(FleetWorkHistory, SeedsOfRestartedAgentsBesideCutListsThatFailedOnce)
+{
+    for (uint64_t seed : {50180, 51155, 60108, 60238, 60823, 61418}) {
+        SCOPED_TRACE("MB_SEED=" + std::to_string(seed));
+        WorkHistory(seed).run();
+    }
+}
