--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -177,7 +177,7 @@
     agent->report_sequence = 0;
     agent->order_sequence = 0;
     agent->reported_end = agent->acknowledged;
-    agent->reported_former_ends = 0;
+    agent->reported_unnumbered_ends = 0;
     agent->complete_due = true;
     mb_report_clear(&agent->report);
     memset(agent->report_sent_us, 0, sizeof(agent->report_sent_us));
@@ -304,7 +304,7 @@
 {
     guint end_count = agent->ends->len;
 #ifndef MB_MUTANT_AGENT_LEAVES_WITH_FORMER_ENDS
-    end_count += agent->former_ends->len;
+    end_count += agent->unnumbered_ends->len;
 #endif
     return agent->departed && agent->runs->len == 0 &&
            (end_count == 0 || agent->draining);
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -98,8 +98,8 @@
     /* mb_report_end_t without checkpoints and numbers, and until when they are
        kept: those of earlier incarnations of the worker, and those that it
        listed under the number of another end. */
-    GArray *former_ends;
-    uint64_t former_ends_due_us;
+    GArray *unnumbered_ends;
+    uint64_t unnumbered_ends_due_us;
     bool ends_cut;         /* the latest list did not contain all ends */
     uint64_t last_end;     /* highest number of an end received */
     uint64_t acknowledged; /* the owner has stored ends up to this number */
@@ -130,8 +130,9 @@
     uint64_t report_sent_us[MB_AGENT_REPORT_TIMES_MAX];
     uint64_t last_report_us;
     uint64_t last_complete_us;
-    uint64_t reported_end;      /* ends up to this number were reported */
-    guint reported_former_ends; /* so many of the first ones were reported */
+    uint64_t reported_end; /* ends up to this number were reported */
+    /* So many of the unnumbered ends were reported on this connection. */
+    guint reported_unnumbered_ends;
     bool report_due;
     bool complete_due; /* the next report is to be complete */
     bool draining;
--- a/lib/coordination/mb_agent_ends.c
+++ b/lib/coordination/mb_agent_ends.c
@@ -6,14 +6,15 @@
    those that a worker had listed before it started again, and those that it
    listed under the number of another end. The owner that has got them may end
    before it has stored them: longer than a change of owner takes. */
-#define FORMER_ENDS_MS UINT64_C(30000)
+#define UNNUMBERED_ENDS_MS UINT64_C(30000)
 
 /* Initializes the ends of an agent. */
 void
 mb_agent_ends_init(mb_agent_t *agent)
 {
     agent->ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
-    agent->former_ends = g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
+    agent->unnumbered_ends =
+        g_array_new(FALSE, FALSE, sizeof(mb_report_end_t));
 }
 
 /* Releases the first ends of an array, and removes them. */
@@ -34,9 +35,9 @@
 mb_agent_ends_finish(mb_agent_t *agent)
 {
     remove_first_ends(agent->ends, agent->ends->len);
-    remove_first_ends(agent->former_ends, agent->former_ends->len);
+    remove_first_ends(agent->unnumbered_ends, agent->unnumbered_ends->len);
     g_array_unref(agent->ends);
-    g_array_unref(agent->former_ends);
+    g_array_unref(agent->unnumbered_ends);
 }
 
 /* Returns a checkpoint that a worker lists, or an empty text if it is longer
@@ -93,20 +94,21 @@
 keep_unnumbered_end(mb_agent_t *agent, const mb_report_end_t *end)
 {
     mb_report_end_t kept = *end;
-    kept.number = MB_REPORT_END_FORMER;
+    kept.number = MB_REPORT_END_UNNUMBERED;
     kept.checkpoint = (mb_str_t){NULL, 0};
-    for (guint i = 0; i < agent->former_ends->len; i++) {
-        if (is_same_end(&g_array_index(agent->former_ends, mb_report_end_t, i),
-                        end)) {
+    for (guint i = 0; i < agent->unnumbered_ends->len; i++) {
+        if (is_same_end(
+                &g_array_index(agent->unnumbered_ends, mb_report_end_t, i),
+                end)) {
             return false;
         }
     }
-    if (agent->former_ends->len >= MB_ORDER_ROWS_MAX) {
+    if (agent->unnumbered_ends->len >= MB_ORDER_ROWS_MAX) {
         return false;
     }
-    g_array_append_val(agent->former_ends, kept);
-    agent->former_ends_due_us =
-        mb_clock_us(&agent->clock) + FORMER_ENDS_MS * MB_US_PER_MS;
+    g_array_append_val(agent->unnumbered_ends, kept);
+    agent->unnumbered_ends_due_us =
+        mb_clock_us(&agent->clock) + UNNUMBERED_ENDS_MS * MB_US_PER_MS;
     return true;
 }
 
@@ -286,14 +288,14 @@
 static bool
 add_unnumbered_ends(mb_agent_t *agent)
 {
-    while (agent->reported_former_ends < agent->former_ends->len) {
-        if (!mb_report_add_end(&agent->report,
-                               &g_array_index(agent->former_ends,
-                                              mb_report_end_t,
-                                              agent->reported_former_ends))) {
+    while (agent->reported_unnumbered_ends < agent->unnumbered_ends->len) {
+        if (!mb_report_add_end(
+                &agent->report,
+                &g_array_index(agent->unnumbered_ends, mb_report_end_t,
+                               agent->reported_unnumbered_ends))) {
             return false;
         }
-        agent->reported_former_ends++;
+        agent->reported_unnumbered_ends++;
     }
     return true;
 }
@@ -328,8 +330,9 @@
 mb_agent_ends_tick(mb_agent_t *agent, uint64_t now_us)
 {
     remove_first_ends(agent->ends, count_acknowledged_ends(agent));
-    if (agent->former_ends->len > 0 && now_us >= agent->former_ends_due_us) {
-        remove_first_ends(agent->former_ends, agent->former_ends->len);
-        agent->reported_former_ends = 0;
+    if (agent->unnumbered_ends->len > 0 &&
+        now_us >= agent->unnumbered_ends_due_us) {
+        remove_first_ends(agent->unnumbered_ends, agent->unnumbered_ends->len);
+        agent->reported_unnumbered_ends = 0;
     }
 }
--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -301,8 +301,8 @@
 /* Applies an end that an earlier incarnation of the worker listed. It says
    nothing about the health of this one. */
 static void
-apply_former_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
-                 const mb_report_end_t *end)
+apply_unnumbered_end(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                     const mb_report_end_t *end)
 {
     mb_health_t health = worker->health;
     apply_end(fleet, worker, end);
@@ -320,8 +320,8 @@
     for (guint i = 0; i < report->ends->len; i++) {
         const mb_report_end_t *end =
             &g_array_index(report->ends, mb_report_end_t, i);
-        if (end->number == MB_REPORT_END_FORMER) {
-            apply_former_end(fleet, worker, end);
+        if (end->number == MB_REPORT_END_UNNUMBERED) {
+            apply_unnumbered_end(fleet, worker, end);
         }
         else if (end->number > worker->ends_applied) {
             worker->ends_applied = end->number;
--- a/lib/coordination/mb_order.h
+++ b/lib/coordination/mb_order.h
@@ -118,11 +118,11 @@
 /* Number of an end that the worker listed before it started again, or under
    the number of another end. No owner acknowledges it, and it may be reported
    repeatedly. */
-#define MB_REPORT_END_FORMER UINT64_C(0)
+#define MB_REPORT_END_UNNUMBERED UINT64_C(0)
 
 typedef struct mb_report_end {
     /* Rises by one with each end of a run on an incarnation of the worker,
-       from 1 on; or MB_REPORT_END_FORMER. */
+       from 1 on; or MB_REPORT_END_UNNUMBERED. */
     uint64_t number;
     mb_dag_task_id_t task;
     uint64_t run;
