Have three mutants be caught beside the newer guards

Cause: of 94 mutants on, AGENT_CUT_LIST_BELIEVED, AGENT_CLOCK_NOT_COMPARED and AGENT_INCARNATION_ASSUMED were not caught by test_fleet any more.

The first two mutants disable both guards now, so that the tests must still catch what happens without any; both are caught by test_fleet.

The code without a mutant is the same. That the first guard alone is needed is no longer shown for the first two.

--- a/lib/coordination/mb_agent_ends.c
+++ b/lib/coordination/mb_agent_ends.c
@@ -219,6 +219,9 @@
 {
 #ifdef MB_MUTANT_AGENT_ACKNOWLEDGES_UNLISTED
     return agent->acknowledged;
+#endif
+#ifdef MB_MUTANT_AGENT_CLOCK_NOT_COMPARED
+    return agent->acknowledged;
 #endif
     return MIN(agent->acknowledged, agent->listed_end);
 }
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -105,9 +105,11 @@
             const mb_report_t *report)
 {
 #ifndef MB_MUTANT_FLEET_CUT_ENDS_IGNORED
+#ifndef MB_MUTANT_AGENT_CUT_LIST_BELIEVED
     if (report->ends_cut) {
         return;
     }
+#endif
 #endif
     if (!mb_fleet_agent_confirmed(fleet, worker)) {
         worker->report_unsettled = has_all_runs(report, worker);
