--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# One of 16 submissions takes 4 times as long as the others (poison long, share
+# 0.0625): 240 s a task instead of 60 s. Its tasks must go on, on executors that
+# are sound and have room.
+set -u
+. "$(dirname "$0")/../common-2.sh"
+
+job=price/1a00000000000001
+tasks=8
+work_ms=60000
+[ "$trouble" != 0 ] && work_ms=240000
+start_deployment 2 8 a
+for i in $(seq 15); do
+  submit $((i % 2 + 1)) "price/$(printf '1b%014x' "$i")" '{"spec":"ms=60000,cpu=1000,mem=1000","steps":[{"count":2,"cpu":1000,"memory_limit_mb":1000,"estimated_ms":60000,"anti_affinity":1}]}'
+  sleep 0.15
+done
+submit 1 "$job" '{"spec":"ms='$work_ms',cpu=1000,mem=1000","steps":[{"count":'$tasks',"cpu":1000,"memory_limit_mb":1000,"estimated_ms":60000,"anti_affinity":1}]}'
+began=$(now)
+state=running
+while [ "$state" != completed ] && [ "$(now)" -lt $((began + 98000)) ]; do
+  sleep 2
+  state=$(job_state 2 "$job")
+done
+# The longest time in which nothing of the submission ran, from its first start
+# on, and how often a task was stopped.
+gap=$(awk -v now="$(now)" '
+  / start .*task=1a.*answer=200/ { if (last && open == 0 && $1 - last > gap) gap = $1 - last; open++; last = $1 }
+  / end .*task=1a/ { open--; last = $1; if ($0 ~ /how=done/) done++ }
+  END { if (open == 0 && done < '$tasks' && now - last > gap) gap = now - last; print gap + 0 }' "$record")
+stopped=$(grep -c ' end .*task=1a.*how=stopped' "$record")
+text="state=$state stops=$stopped longest_ms_with_nothing_running=$gap"
+# 3 s, and the 4 s before them that have to be calm.
+[ "$gap" -gt 7000 ] && verdict 1 "LOST broken: $text"
+[ "$trouble" != 0 ] || [ "$state" = completed ] || cannot "$text"
+verdict 0 "held: $text"
