--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds the stand-ins that the scripts of review/6 to review/10 start, into
-# target/review-2: the project's store, and standin-site of this review. Needs
+# target/review-2: the project's store, and those of this review. Needs
 # what the build of deploy/system.toml has left in target/, and its packages.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -18,4 +18,6 @@
 gcc $flags $includes tests/standins/store.c "${archives[@]}" $libraries -o "$out/standin-store"
 # shellcheck disable=SC2086
 gcc $flags review/standins-2/site.c $libraries -o "$out/standin-site"
-echo "built $out/standin-store and $out/standin-site"
+# shellcheck disable=SC2086
+gcc $flags review/standins-2/request.c $libraries -o "$out/standin-request"
+echo "built into $out"
--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -46,7 +46,7 @@
   exit "$1"
 }
 
-[ -x target/bin/magnoliabarrowd ] && [ -x target/review-2/standin-site ] ||
+[ -x target/bin/magnoliabarrowd ] && [ -x target/review-2/standin-request ] ||
   cannot "build first: the line build of deploy/system.toml, then review/build-2.sh"
 
 # Ports: the same on all machines of the deployment, whose addresses differ.
@@ -84,12 +84,19 @@
   return 1
 }
 
+# Sends a request and prints the status, 000 without a response; the body is then
+# in $dir/body: http TIMEOUT_MS METHOD URL [BODY].
+http() { target/review-2/standin-request "$dir/body" "$@"; }
+
+# Tells whether a URL answers with 200.
+answers() { [ "$(http 1000 GET "$1")" = 200 ]; }
+
 # Writes a configuration to the store, as the operator: write_config JSON.
 write_config() {
   local length=$((1 + 6 + ${#1}))
   note "config $1"
   printf "\\x00\\x00\\x$(printf %02x $((length / 256)))\\x$(printf %02x $((length % 256)))\\x06config%s" "$1" |
-    curl -s -o /dev/null --data-binary @- "http://$store/api/log-append?topic=keyed.op&part=0"
+    http 2000 POST "http://$store/api/log-append?topic=keyed.op&part=0" - > /dev/null
 }
 
 # Starts the store with a configuration of three queues, like those of
@@ -97,7 +104,7 @@
 start_store() {
   local routes=""
   start store target/review-2/standin-store -l "$store"
-  wait_until 10 curl -s -o /dev/null "http://$store/switch?down=0" || cannot "the store does not start"
+  wait_until 10 answers "http://$store/switch?down=0" || cannot "the store does not start"
   route() {
     routes="$routes${routes:+,}{\"name\":\"$1\",\"host\":\"desk.example\",\"path_prefix\":\"/$1/\",\"service\":\"order-desk\",\"priority\":$2,\"max_attempts\":$3,\"stretch_factor\":$4,\"target_latency_ms\":$5}"
   }
@@ -161,17 +168,15 @@
 crash() {
   local down=""
   [ "$2" -gt 0 ] && down="&down_ms=$2"
-  curl -s -m 3 -o /dev/null -X POST -d '' "http://$site_control/crash?i=$(($1 - 1))$down&kind=${3:-}"
+  http 3000 POST "http://$site_control/crash?i=$(($1 - 1))$down&kind=${3:-}" "" > /dev/null
 }
 
 # Sends a request as a consumer and prints the status; the body is then in
-# $dir/answer: request METHOD SCHEDULER PATH [BODY].
+# $dir/body: request METHOD SCHEDULER PATH [BODY].
 request() {
   local status
-  status=$(curl -s -m 4 -o "$dir/answer" -w '%{http_code}' -X "$1" -H 'Host: desk.example' \
-    -H 'Content-Type: application/json' -H 'Magnoliabarrow-Deadline-Ms: 3000' ${4:+-d "$4"} \
-    "http://127.0.1.$2:$((port_base + 1))/$3")
-  note "request $1 scheduler=$2 path=/$3 body=$(echo "${4:-}" | head -c 300) status=$status answer=$(head -c 200 "$dir/answer" 2> /dev/null)"
+  status=$(http 4000 "$1" "http://127.0.1.$2:$((port_base + 1))/$3" ${4:+"$4"})
+  note "request $1 scheduler=$2 path=/$3 body=$(echo "${4:-}" | head -c 300) status=$status answer=$(head -c 200 "$dir/body")"
   echo "$status"
 }
 
@@ -186,15 +191,15 @@
 # Prints the state of a job: job_state SCHEDULER PATH.
 job_state() {
   request GET "$1" "$2" > /dev/null
-  sed -n 's/.*"state":"\([a-z]*\)".*/\1/p' "$dir/answer"
+  sed -n 's/.*"state":"\([a-z]*\)".*/\1/p' "$dir/body"
 }
 
 # Tells whether a scheduler is ready.
-is_ready() { curl -fs -m 1 -o /dev/null "http://127.0.1.$1:$((port_base + 2))/api/ready"; }
+is_ready() { answers "http://127.0.1.$1:$((port_base + 2))/api/ready"; }
 
 # Tells whether a scheduler owns the fleet.
 owns_fleet() {
-  curl -s -m 1 "http://127.0.1.$1:$((port_base + 5))/metrics" | grep '^[a-z_]*fleet_owner 1' > /dev/null
+  answers "http://127.0.1.$1:$((port_base + 5))/metrics" && grep '^[a-z_]*fleet_owner 1' "$dir/body" > /dev/null
 }
 
 # Tells whether one of the schedulers 1 to COUNT owns the fleet.
