--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds the stand-ins that the scripts of review/6 to review/10 start, into
-# target/review-2: the project's store, and those of this review. Needs
+# target/review-2: those of this review, one of them the project's store. Needs
 # what the build of deploy/system.toml has left in target/, and its packages.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -15,7 +15,7 @@
   archives+=("$(find target -name "libmb_$layer.a" | head -n 1)")
 done
 # shellcheck disable=SC2086
-gcc $flags $includes tests/standins/store.c "${archives[@]}" $libraries -o "$out/standin-store"
+gcc $flags $includes review/standins-2/store.c "${archives[@]}" $libraries -o "$out/standin-store"
 # shellcheck disable=SC2086
 gcc $flags review/standins-2/site.c $libraries -o "$out/standin-site"
 # shellcheck disable=SC2086
