End only processes that still run in the review's scripts

Fault: cleanup in review/common-2.sh also killed ids of processes that had ended, agents and schedulers that a case stops and starts again, which by then could belong to another program. It takes the shell's list of its running and stopped jobs now.

--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -7,7 +7,6 @@
 record=$folder/record.txt
 trouble=${TROUBLE:-1}
 dir=$(mktemp -d)
-pids=()
 scheduler=()
 agent=()
 site_control=""
@@ -22,9 +21,10 @@
 
 # Ends every process that this script has started, and removes its files.
 cleanup() {
-  local status=$?
-  kill -CONT "${pids[@]}" 2> /dev/null
-  kill -KILL "${pids[@]}" 2> /dev/null
+  local status=$? running
+  { jobs -pr; jobs -ps; } > "$dir/jobs"
+  mapfile -t running < "$dir/jobs"
+  kill -KILL "${running[@]}" 2> /dev/null
   wait 2> /dev/null
   if [ "${KEEP:-0}" = 1 ]; then echo "logs: $dir" >&2; else rm -rf "$dir"; fi
   exit $status
@@ -70,7 +70,6 @@
   shift
   "$@" >> "$dir/$name.log" 2>&1 &
   started=$!
-  pids+=("$started")
 }
 
 # Waits up to SECONDS until a command succeeds: wait_until SECONDS COMMAND...
