--- a/review/standins-2/site.c
+++ b/review/standins-2/site.c
@@ -785,12 +785,15 @@
     (void)curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 1000L);
     (void)curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     (void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, stderr);
-    CURLcode code = curl_easy_perform(easy);
+    long status = 0;
+    if (curl_easy_perform(easy) == CURLE_OK) {
+        (void)curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    }
     g_mutex_lock(&lock);
     (void)fprintf(record,
                   "%lld heartbeat executor=%s kind=%s sequence=%lld "
-                  "result=%d\n",
-                  stamp_ms(), fields[2], kind, sequence, (int)code);
+                  "status=%ld\n",
+                  stamp_ms(), fields[2], kind, sequence, status);
     g_mutex_unlock(&lock);
     curl_slist_free_all(headers);
     free(text);
