Attribute failures to the job that fails everywhere, not to all its workers

What callers saw (LOST): with 8 sound workers and 30 of 128 processors in use, one submission whose six lasting tasks fail 250 ms after each start kept 11 of 12 submissions of another queue from ever being done.

Cause: a failure speaks against the job and against the worker, and the owner held each against the worker. Five in a row suspend one; as a task goes to another worker after it has failed, one bad job has all of them suspended. So did jobs whose runs stall, and services of a former owner that fail just after a change of owner, whose age was taken from their adoption.

Change: mb_attribution, one rule of evidence without network or clock. The failures of a step are held against the workers while it has failed on one only, is at work on as many others, has outlived the failures there or has worked shortly before; otherwise they are attributed to the job, and mb_health excuses them. Excuses are taken back if the job works after all.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -62,6 +62,7 @@
     mb_headroom_init(&fleet->headroom_model);
     mb_fleet_pools_init(&fleet->pools);
     mb_sizing_init(&fleet->sizing);
+    mb_fleet_evidence_init(fleet);
     fleet->progress_rows =
         g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
 }
@@ -79,6 +80,7 @@
     mb_headroom_finish(&fleet->headroom_model);
     mb_fleet_pools_finish(&fleet->pools);
     mb_sizing_finish(&fleet->sizing);
+    mb_fleet_evidence_finish(fleet);
     mb_buf_finish(&fleet->done_bits);
 }
 
@@ -236,6 +238,7 @@
     fleet->store_failed = false;
     (void)g_ptr_array_set_size(fleet->dirty_jobs, 0);
     (void)g_ptr_array_set_size(fleet->open_jobs, 0);
+    mb_fleet_evidence_clear(fleet);
     reset_workers(fleet, true);
     mb_fleet_hold_absent_tasks(fleet);
     add_jobs_of_table(fleet, true);
@@ -250,6 +253,7 @@
     fleet->is_owner = false;
     fleet->active = false;
     fleet->store_pending = false;
+    mb_fleet_evidence_clear(fleet);
     reset_workers(fleet, false);
     for (guint i = 0; i < fleet->workers->len; i++) {
         mb_fleet_reset_absence(mb_fleet_get_worker(fleet, i));
@@ -345,6 +349,7 @@
 void
 mb_fleet_job_removed(mb_fleet_t *fleet, mb_dag_job_t *job)
 {
+    mb_fleet_evidence_forget(fleet, job);
     (void)g_ptr_array_remove_fast(fleet->open_jobs, job);
     (void)g_ptr_array_remove_fast(fleet->dirty_jobs, job);
 }
@@ -545,6 +550,7 @@
             i++;
             continue;
         }
+        mb_fleet_evidence_forget(fleet, job);
         (void)g_ptr_array_remove_index_fast(fleet->open_jobs, i);
         fleet->jobs_unsorted = true;
     }
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -12,6 +12,7 @@
 #ifndef MB_FLEET_H
 #define MB_FLEET_H
 
+#include "mb_attribution.h"
 #include "mb_clock.h"
 #include "mb_dag.h"
 #include "mb_headroom.h"
@@ -108,10 +109,11 @@
     uint64_t end_effects[MB_FLEET_END_EFFECT_COUNT];
     uint64_t repeated_successes; /* of tasks that had succeeded before */
     uint64_t refusals[MB_REFUSAL_COUNT];
-    uint64_t lost_runs; /* runs given up without a reported end */
-    uint64_t stalls;    /* runs stopped because they made no progress */
-    uint64_t moves;     /* throttled runs stopped to go on elsewhere */
-    uint64_t passes;    /* scheduling passes */
+    uint64_t lost_runs;    /* runs given up without a reported end */
+    uint64_t stalls;       /* runs stopped because they made no progress */
+    uint64_t moves;        /* throttled runs stopped to go on elsewhere */
+    uint64_t faulty_steps; /* steps to which failures were attributed */
+    uint64_t passes;       /* scheduling passes */
 } mb_fleet_counts_t;
 
 /* One run, which holds resources of a worker. */
@@ -125,6 +127,9 @@
        connection; 0: sent on an earlier connection. */
     uint64_t start_sequence;
     uint64_t started_us; /* when this owner started or adopted it */
+    bool adopted;        /* another owner started it */
+    bool proven;         /* of a service: it has worked long enough to count as
+                            a success */
     bool confirmed;      /* the worker has confirmed that it runs */
     bool stopping;       /* a stop was ordered; it holds its resources until
                             its end is reported */
@@ -290,6 +295,10 @@
     uint32_t latency_log_next; /* worker that is looked at first next time */
     mb_headroom_t headroom_model;
     mb_sizing_t sizing; /* run times per step and per queue */
+    /* uint64_t (mb_fleet_step_key) -> step_evidence_t of
+       mb_fleet_attribution.c, both owned: steps of open jobs that have failed
+       under this owner. */
+    GHashTable *evidence;
     mb_fleet_counts_t counts;
 } mb_fleet_t;
 
--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -31,8 +31,8 @@
 /* A best-effort task on a worker without service tasks: best-effort tasks that
    disturb services need it more. */
 #define COST_BEST_EFFORT_WITHOUT_SERVICES 1000u
-/* For each consecutive failure of the worker, and on the worker where the task
-   failed last. */
+/* For each failure of the worker that no later start has made up for, and on
+   the worker where the task failed last. */
 #define COST_FAILURE 500u
 #define COST_FAILED_HERE 3000u
 /* The task must not be placed there. As a limit: any other cost is accepted.
@@ -338,6 +338,18 @@
                : MB_FLEET_OBSTACLE_COST;
 }
 
+/* Counts the failures of a worker that speak against placing a run there:
+   those that are held against the worker, and those of the same step. */
+static uint32_t
+count_failures(const mb_fleet_worker_t *worker, const mb_fleet_run_t *run)
+{
+    const mb_health_t *health = &worker->health;
+    return health->failure_count == health->consecutive_failures
+               ? health->failure_count
+               : mb_health_count_failures(
+                     health, mb_fleet_step_key(run->job, run->step));
+}
+
 /* Returns the cost of placing a run on a worker, or COST_FORBIDDEN if it must
    not be placed there. */
 uint64_t
@@ -368,7 +380,7 @@
     if (task->last_failed_worker == worker->number + 1) {
         cost += COST_FAILED_HERE;
     }
-    return cost + worker->health.consecutive_failures * (uint64_t)COST_FAILURE;
+    return cost + count_failures(worker, run) * (uint64_t)COST_FAILURE;
 }
 
 /* Tells whether a kept place can still be used; see the header. The place was
--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -2,11 +2,6 @@
    means for the task, its job and the worker. */
 #include "mb_fleet_internal.h"
 
-/* A service task that fails within this time after its start counts as a
-   failure of its worker, in microseconds. Longer than services take to start
-   up. */
-#define SERVICE_STARTUP_US UINT64_C(1000000)
-
 /* Returns the name of an effect for log lines, a static text. */
 const char *
 mb_fleet_end_effect_name(mb_fleet_end_effect_t effect)
@@ -59,7 +54,7 @@
     mb_dag_job_t *job = run->job;
     const mb_dag_step_t *step = &job->steps[run->step];
     const mb_dag_task_t *task = mb_fleet_run_task(run);
-    mb_health_succeeded(&worker->health, run->started_us);
+    mb_fleet_attribute_success(fleet, worker, run);
     if (step->long_running) {
         return MB_FLEET_END_COUNTED;
     }
@@ -87,24 +82,16 @@
     return MB_FLEET_END_COUNTED;
 }
 
-/* Notes a failure at the worker, and delays the next attempt. */
+/* Attributes a failure, and delays the next attempt. */
 static void
 note_failure(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
              const mb_fleet_run_t *run)
 {
-    uint64_t now_us = mb_clock_us(&fleet->clock);
     mb_dag_task_t *task = mb_fleet_run_task(run);
-    if (run->job->steps[run->step].long_running &&
-        now_us - run->started_us >= SERVICE_STARTUP_US) {
-        /* Service tasks never succeed and may fail at any time, so a failure
-           after the startup says little about the worker. */
-        mb_health_abandoned(&worker->health, run->started_us);
-    }
-    else {
-        mb_health_failed(&worker->health, run->started_us, now_us);
-    }
+    mb_fleet_attribute_failure(fleet, worker, run);
     task->last_failed_worker = worker->number + 1;
-    task->not_before_us = now_us + MB_FLEET_RETRY_DELAY_MS * MB_US_PER_MS;
+    task->not_before_us =
+        mb_clock_us(&fleet->clock) + MB_FLEET_RETRY_DELAY_MS * MB_US_PER_MS;
     mb_log_notice(&fleet->log,
                   "run failed job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
                   " worker=%.*s failures=%u of=%u",
@@ -227,6 +214,7 @@
                             .index = end->task.index,
                             .number = end->run,
                             .started_us = mb_clock_us(&fleet->clock),
+                            .adopted = true,
                             .resumed = true,
                             .confirmed = true};
 }
--- a/lib/coordination/mb_fleet_estimate.c
+++ b/lib/coordination/mb_fleet_estimate.c
@@ -18,14 +18,6 @@
     return mb_str_hash(job->spec.policy.queue);
 }
 
-/* Returns the key of the run times of a step in mb_sizing. */
-static uint64_t
-get_step_key(const mb_dag_job_t *job, uint32_t step)
-{
-    return mb_str_hash(mb_dag_id_view(&job->spec.id)) ^
-           ((step + 1) * UINT64_C(0x9e3779b97f4a7c15));
-}
-
 /* Learns from the run time of a successful run. Runs that were throttled,
    began at a checkpoint or were adopted are left out, as their run time says
    little about the work of a whole task. */
@@ -40,8 +32,8 @@
     mb_sizing_observe_run_time(&fleet->sizing, get_queue_key(run->job),
                                REFERENCE_MS, run_ms);
     mb_sizing_observe_run_time(&fleet->sizing,
-                               get_step_key(run->job, run->step), REFERENCE_MS,
-                               run_ms);
+                               mb_fleet_step_key(run->job, run->step),
+                               REFERENCE_MS, run_ms);
 }
 
 /* Returns the expected run time of the tasks of a step, in milliseconds: the
@@ -52,7 +44,7 @@
 expected_ms(const mb_fleet_t *fleet, const mb_dag_job_t *job, uint32_t step)
 {
     uint32_t declared_ms = job->steps[step].estimate_ms;
-    uint64_t step_key = get_step_key(job, step);
+    uint64_t step_key = mb_fleet_step_key(job, step);
     uint64_t queue_key = get_queue_key(job);
     if (mb_sizing_has_run_time(&fleet->sizing, step_key)) {
         return mb_sizing_estimate_run_ms(&fleet->sizing, step_key,
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -9,6 +9,8 @@
      and mb_fleet_latency_log.c what the headroom model expects beside what is
      reported
    - mb_fleet_majority.c tells whether most agents obey the owner
+   - mb_fleet_attribution.c tells whether failures of runs are held against the
+     workers or the step
    - mb_fleet_absence.c keeps the records of absent workers, and the tasks that
      wait for them after a change of ownership
    - mb_fleet_pools.c tells how much of each service's capacity is in use
@@ -26,6 +28,7 @@
 #define MB_FLEET_THROTTLE_UNKNOWN UINT32_MAX
 
 /* mb_fleet_state.c */
+uint64_t mb_fleet_step_key(const mb_dag_job_t *job, uint32_t step);
 mb_dag_task_t *mb_fleet_run_task(const mb_fleet_run_t *run);
 mb_dag_task_id_t mb_fleet_run_task_id(const mb_fleet_run_t *run);
 mb_fleet_run_t *mb_fleet_find_run(const mb_fleet_worker_t *worker,
@@ -60,6 +63,21 @@
                               const mb_fleet_worker_t *worker);
 void mb_fleet_update_absences(mb_fleet_t *fleet, uint64_t now_us);
 
+/* mb_fleet_attribution.c */
+void mb_fleet_evidence_init(mb_fleet_t *fleet);
+void mb_fleet_evidence_clear(mb_fleet_t *fleet);
+void mb_fleet_evidence_finish(mb_fleet_t *fleet);
+void mb_fleet_evidence_forget(mb_fleet_t *fleet, const mb_dag_job_t *job);
+void mb_fleet_attribute_failure(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                                const mb_fleet_run_t *run);
+void mb_fleet_attribute_unhealthy(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                                  const mb_fleet_run_t *run);
+void mb_fleet_attribute_invalid(mb_fleet_t *fleet, const mb_fleet_run_t *run);
+void mb_fleet_attribute_success(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                                const mb_fleet_run_t *run);
+void mb_fleet_attribute_work(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                             mb_fleet_run_t *run);
+
 /* mb_fleet_majority.c */
 void mb_fleet_majority_sent(mb_fleet_worker_t *worker, uint64_t now_us);
 void mb_fleet_majority_reported(mb_fleet_worker_t *worker,
--- a/lib/coordination/mb_fleet_refusals.c
+++ b/lib/coordination/mb_fleet_refusals.c
@@ -3,7 +3,8 @@
 
 /* Delays the next attempt after a worker refused a start, according to the
    reason. A worker that is unhealthy or did not answer counts as failed, and
-   the task may be started again at once, preferably elsewhere. */
+   the task may be started again at once, preferably elsewhere. A start that is
+   invalid is the fault of the step. */
 static void
 delay_after_refusal(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                     const mb_fleet_run_t *run, mb_refusal_t reason)
@@ -11,12 +12,13 @@
     uint64_t now_us = mb_clock_us(&fleet->clock);
     mb_dag_task_t *task = mb_fleet_run_task(run);
     if (reason == MB_REFUSAL_UNHEALTHY || reason == MB_REFUSAL_UNANSWERED) {
-        mb_health_failed(&worker->health, run->started_us, now_us);
+        mb_fleet_attribute_unhealthy(fleet, worker, run);
         task->last_failed_worker = worker->number + 1;
         return;
     }
     mb_health_abandoned(&worker->health, run->started_us);
     if (reason == MB_REFUSAL_INVALID) {
+        mb_fleet_attribute_invalid(fleet, run);
         task->not_before_us = now_us + MB_US_PER_S;
     }
     else {
--- a/lib/coordination/mb_fleet_reported_runs.c
+++ b/lib/coordination/mb_fleet_reported_runs.c
@@ -76,6 +76,7 @@
                           .index = entry->task.index,
                           .number = entry->run,
                           .started_us = mb_clock_us(&fleet->clock),
+                          .adopted = true,
                           .resumed = true,
                           .confirmed = true};
     (void)mb_fleet_add_run(fleet, worker, &run);
@@ -145,7 +146,7 @@
 }
 
 /* Stops a stalled run, one without progress that isn't severely throttled. Its
-   task goes on elsewhere, and the worker's health counts a failure. Gang
+   task goes on elsewhere, and the run counts as a failed one. Gang
    members are exempt because they wait for one another, and service tasks
    because they report no progress. A time without recent figures doesn't
    count. */
@@ -178,7 +179,7 @@
                   MB_STR_ARG(mb_dag_id_view(&run->job->spec.id)),
                   run->occurrence, run->step, run->index, run->number,
                   MB_STR_ARG(mb_buf_view(&worker->name)), run->progress);
-    mb_health_failed(&worker->health, run->started_us, now_us);
+    mb_fleet_attribute_failure(fleet, worker, run);
     mb_fleet_run_task(run)->last_failed_worker = worker->number + 1;
     fleet->counts.stalls++;
     mb_fleet_stop_run(fleet, worker, run);
@@ -221,6 +222,9 @@
         }
         update_throttle_state(fleet, run, entry->throttle_percent);
         check_progress(fleet, worker, run, entry, report);
+        if (mb_fleet_has_recent_figures(report)) {
+            mb_fleet_attribute_work(fleet, worker, run);
+        }
         if (run->job->steps[run->step].checkpoints) {
             mb_fleet_set_checkpoint(run, entry->checkpoint);
         }
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -24,6 +24,14 @@
     return mb_dag_task(run->job, run->occurrence, run->step, run->index);
 }
 
+/* Returns a number that identifies a step among all jobs. */
+uint64_t
+mb_fleet_step_key(const mb_dag_job_t *job, uint32_t step)
+{
+    return mb_str_hash(mb_dag_id_view(&job->spec.id)) ^
+           ((step + 1) * UINT64_C(0x9e3779b97f4a7c15));
+}
+
 /* Returns the id that names the task of a run in messages. */
 mb_dag_task_id_t
 mb_fleet_run_task_id(const mb_fleet_run_t *run)
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -27,6 +27,17 @@
 struct FleetSimulation;
 struct Machine;
 
+/* What becomes of the runs of a job that is at fault, on any worker. */
+struct BadJob {
+    enum {
+        FAILS,
+        STALLS,
+        INVALID
+    } how = FAILS; /* INVALID: starts are refused
+                    */
+    uint32_t fails_after_ms = 0;
+};
+
 static inline std::string
 to_std_string(mb_str_t text)
 {
@@ -41,7 +52,8 @@
         mb_dag_task_id_t task;
         uint64_t run; /* run number */
         uint64_t end_ms;
-        bool fails; /* ends as failed */
+        bool fails;          /* ends as failed */
+        bool stalls = false; /* makes no progress and never ends */
         uint32_t throttle_percent = 100;
     };
     struct End {
@@ -60,7 +72,10 @@
     uint64_t clock_start_ms = 0; /* its clock counts from here */
     bool is_up = true;       /* if not, it does nothing and answers no calls */
     bool stalled = false;    /* its runs make no progress and never end */
-    bool fails_runs = false; /* its runs fail 30 ms after their start */
+    bool fails_runs = false; /* its runs fail soon after their start */
+    uint64_t fails_after_ms = 30;
+    /* Starts of runs that fail because of it, and for no fault of the job. */
+    uint64_t failed_starts = 0;
     uint64_t lease_end_ms = 0;
     uint64_t last_end_number = 0;
     uint64_t token = 0; /* highest fencing token seen */
@@ -153,6 +168,7 @@
     uint32_t capacity_milli = 4000; /* processors of each worker */
     uint32_t task_ms = 300;
     std::map<std::string, uint32_t> job_task_ms; /* in place of task_ms */
+    std::map<std::string, BadJob> bad_jobs;      /* by id */
     uint32_t fail_percent = 0;                   /* of runs */
     /* Returns what a worker reports of a run: the latency of a service task in
        milliseconds, or the processors in use in thousandths. */
--- a/tests/unit/fleet_simulation_worker.h
+++ b/tests/unit/fleet_simulation_worker.h
@@ -73,7 +73,7 @@
 inline mb_run_end_t
 FakeWorker::get_due_end(const Run &run) const
 {
-    if (clock_ms() < run.end_ms || stalled) {
+    if (clock_ms() < run.end_ms || stalled || run.stalls) {
         return clock_ms() >= lease_end_ms ? MB_RUN_LEASE_EXPIRED
                                           : MB_RUN_END_COUNT;
     }
@@ -197,6 +197,13 @@
         answer.reason = MB_REFUSAL_OLD_RUN;
         return answer;
     }
+    std::string job(start.task.job.text, MB_DAG_ID_LEN);
+    auto bad_job = simulation->bad_jobs.find(job);
+    bool is_bad = bad_job != simulation->bad_jobs.end();
+    if (is_bad && bad_job->second.how == BadJob::INVALID) {
+        answer.reason = MB_REFUSAL_INVALID;
+        return answer;
+    }
     uint32_t used = get_declared_cpu(simulation, start.task);
     for (const Run &run : runs) {
         used += get_declared_cpu(simulation, run.task);
@@ -208,13 +215,21 @@
     extend_lease(new_lease_end_ms);
     bool run_fails =
         fails_runs || simulation->random() % 100 < simulation->fail_percent;
-    auto job_ms = simulation->job_task_ms.find(
-        std::string(start.task.job.text, MB_DAG_ID_LEN));
+    auto job_ms = simulation->job_task_ms.find(job);
     uint64_t task_ms = job_ms == simulation->job_task_ms.end()
                            ? simulation->task_ms
                            : job_ms->second;
-    uint64_t run_ms = fails_runs ? 30 : task_ms;
-    runs.push_back({start.task, start.run, now_ms + run_ms, run_fails, 100});
+    uint64_t run_ms = fails_runs ? fails_after_ms : task_ms;
+    bool stalls = is_bad && bad_job->second.how == BadJob::STALLS;
+    if (is_bad) {
+        run_fails = true;
+        run_ms = bad_job->second.fails_after_ms;
+    }
+    else {
+        failed_starts += fails_runs ? 1 : 0;
+    }
+    runs.push_back(
+        {start.task, start.run, now_ms + run_ms, run_fails, stalls, 100});
     simulation->starts[task]++;
     simulation->latest_start_us[task] = simulation->now_us;
     answer.result = MB_EXECUTOR_OK;
@@ -457,7 +472,7 @@
             row.value = worker->simulation->reported_value
                             ? worker->simulation->reported_value(*worker, run)
                             : 0;
-            row.progress = worker->stalled
+            row.progress = worker->stalled || run.stalls
                                ? 10
                                : worker->simulation->now_us / 20000 % 100;
             g_array_append_val(answer->runs, row);
--- a/tests/unit/test_fleet_successes.cc
+++ b/tests/unit/test_fleet_successes.cc
@@ -355,7 +355,7 @@
     Machine *other = simulation.machines[holder->number == 0 ? 1 : 0].get();
     uint64_t now_ms = other->worker.clock_ms();
     other->worker.runs.push_back(
-        {id, test.task()->last_run + 1, now_ms + 3000, false, 100});
+        {id, test.task()->last_run + 1, now_ms + 3000, false, false, 100});
     other->worker.extend_lease(now_ms + 10000);
     simulation.advance(1500);
     ASSERT_NE(test.task()->runs[0].number, 0u);
--- a/tests/unit/test_health.cc
+++ b/tests/unit/test_health.cc
@@ -147,3 +147,93 @@
     }
     EXPECT_EQ(health.state, MB_HEALTH_SUSPENDED);
 }
+
+static const uint64_t bad_work = 1;
+static const uint64_t good_work = 2;
+
+/* Guards against a worker that is suspended for the failures of faulty work,
+   or stays so when they turn out to be that, and against a worker that is
+   excused for good. */
+TEST(Health, ExcusedFailuresDoNotSuspend)
+{
+    mb_health_t health;
+    mb_health_init(&health);
+    for (int i = 0; i < 2 * MB_HEALTH_FAILURES_KEPT; i++) {
+        mb_health_started(&health, 1);
+        mb_health_work_failed(&health, bad_work, MB_CAUSE_WORK, 1, 2);
+        EXPECT_TRUE(mb_health_allows_start(&health, 2));
+    }
+    mb_health_set_excused(&health, bad_work, false, 3);
+    EXPECT_EQ(health.state, MB_HEALTH_SUSPENDED);
+    mb_health_set_excused(&health, bad_work, true, 4);
+    EXPECT_EQ(health.state, MB_HEALTH_HEALTHY);
+    EXPECT_EQ(health.consecutive_failures, 0u);
+}
+
+/* Guards against a faulty worker that is restored when failures of one piece
+   of work are excused, although it fails others too. */
+TEST(Health, FailuresOfOtherWorkStillSuspend)
+{
+    mb_health_t health;
+    mb_health_init(&health);
+    mb_health_work_failed(&health, bad_work, MB_CAUSE_UNCLEAR, 1, 2);
+    for (int i = 0; i < MB_HEALTH_FAILURES_MAX; i++) {
+        mb_health_work_failed(&health, good_work, MB_CAUSE_WORKERS, 1, 2);
+    }
+    ASSERT_EQ(health.state, MB_HEALTH_SUSPENDED);
+    EXPECT_TRUE(mb_health_is_suspended_by_others(&health, bad_work));
+    EXPECT_FALSE(mb_health_is_suspended_by_others(&health, good_work));
+    mb_health_set_excused(&health, bad_work, true, 3);
+    EXPECT_EQ(health.state, MB_HEALTH_SUSPENDED);
+}
+
+/* Guards against work that waits for minutes for a worker, because probes with
+   other work that may be at fault have failed there. */
+TEST(Health, ProbesWithDoubtfulWorkKeepTheIntervalShort)
+{
+    mb_health_t health;
+    uint64_t now = 1000;
+    suspend(&health, now);
+    for (int i = 0; i < 10; i++) {
+        now = health.next_probe_us;
+        ASSERT_TRUE(mb_health_is_probe_due(&health, now));
+        mb_health_started(&health, now);
+        mb_health_work_failed(&health, bad_work, MB_CAUSE_UNCLEAR, now, now);
+        EXPECT_LE(health.next_probe_us - now, MB_HEALTH_PROBE_UNCLEAR_MAX_US);
+    }
+}
+
+/* Guards against failures that are counted wrongly as starts fail, succeed and
+   are excused in any order. */
+RC_GTEST_PROP(Health, CountsTheFailuresThatAreNotExcused,
+              (const std::vector<uint8_t> &steps))
+{
+    mb_health_t health;
+    uint64_t now = 1;
+    mb_health_init(&health);
+    for (uint8_t step : steps) {
+        uint64_t source = 1 + step % 3;
+        uint64_t started = now - (step / 12) % 4;
+        now += 1000;
+        switch ((step / 3) % 4) {
+        case 0:
+            mb_health_work_failed(&health, source, MB_CAUSE_WORK, started,
+                                  now);
+            break;
+        case 1:
+            mb_health_succeeded(&health, started);
+            break;
+        case 2:
+            mb_health_set_excused(&health, source, step >= 128, now);
+            break;
+        default:
+            mb_health_work_failed(&health, source, MB_CAUSE_UNCLEAR, started,
+                                  now);
+        }
+        uint32_t charged = mb_health_count_failures(&health, UINT64_MAX);
+        RC_ASSERT(charged == health.consecutive_failures);
+        RC_ASSERT(health.failure_count <= MB_HEALTH_FAILURES_KEPT);
+        RC_ASSERT((health.state == MB_HEALTH_HEALTHY) ==
+                  (charged < MB_HEALTH_FAILURES_MAX));
+    }
+}
