Back off from tasks that fail again and again

Cause: service tasks have no maximum of attempts, runs that stall are not counted either, and the delay was constant.

Change: the delay doubles with each failure in a row, up to 2 s, or 5 s for service tasks. These are below the time after which a task that could run counts as lost (3 s, and 6 s after the last run of a service task). A service task that has run for 3 s begins anew.

--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -52,8 +52,13 @@
    for which a former owner may be active plus its leases. */
 #define MB_FLEET_REMOVE_AFTER_MS 1000u
 #define MB_FLEET_REMOVE_UNKNOWN_AFTER_MS 20000u
-/* Delay before a task is started again after a failure, in milliseconds. */
+/* Delay before a task is started again after a failure, in milliseconds. It
+   doubles with each further failure in a row, up to a maximum: a job shows
+   that it runs every few seconds while there is room, and so does each task of
+   a service, but a service may be away for longer. */
 #define MB_FLEET_RETRY_DELAY_MS 100u
+#define MB_FLEET_RETRY_DELAY_MAX_MS 2000u
+#define MB_FLEET_SERVICE_RETRY_DELAY_MAX_MS 5000u
 
 /* All callbacks are required and get `context` as first argument. */
 typedef struct mb_fleet_callbacks {
--- a/lib/coordination/mb_fleet_attribution.c
+++ b/lib/coordination/mb_fleet_attribution.c
@@ -317,6 +317,7 @@
     }
     if (is_proven(run, now_us)) {
         run->proven = true;
+        mb_fleet_reset_retries(run);
         mb_fleet_attribute_success(fleet, worker, run);
         return;
     }
--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -12,15 +12,6 @@
     return effect < MB_FLEET_END_EFFECT_COUNT ? names[effect] : "unknown";
 }
 
-/* Returns the task at which the failures of a run are counted. The members of
-   a gang succeed and fail together, so a gang counts at its first task. */
-static mb_dag_task_t *
-get_failure_counter(const mb_fleet_run_t *run)
-{
-    uint32_t index = run->job->steps[run->step].gang ? 0 : run->index;
-    return mb_dag_task(run->job, run->occurrence, run->step, index);
-}
-
 /* Marks the task of a run that has succeeded as done, and stops its other
    runs. */
 static void
@@ -87,18 +78,16 @@
 note_failure(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
              const mb_fleet_run_t *run)
 {
-    mb_dag_task_t *task = mb_fleet_run_task(run);
     mb_fleet_attribute_failure(fleet, worker, run);
-    task->last_failed_worker = worker->number + 1;
-    task->not_before_us =
-        mb_clock_us(&fleet->clock) + MB_FLEET_RETRY_DELAY_MS * MB_US_PER_MS;
+    mb_fleet_run_task(run)->last_failed_worker = worker->number + 1;
+    mb_fleet_delay_retry(fleet, run);
     mb_log_notice(&fleet->log,
                   "run failed job=%.*s task=%u.%u.%u run=%" G_GUINT64_FORMAT
                   " worker=%.*s failures=%u of=%u",
                   MB_STR_ARG(mb_dag_id_view(&run->job->spec.id)),
                   run->occurrence, run->step, run->index, run->number,
                   MB_STR_ARG(mb_buf_view(&worker->name)),
-                  get_failure_counter(run)->failures + 1u,
+                  mb_fleet_failure_counter(run)->failures + 1u,
                   run->job->spec.policy.max_attempts);
 }
 
@@ -109,7 +98,7 @@
 count_failure(mb_fleet_t *fleet, const mb_fleet_run_t *run)
 {
     mb_dag_job_t *job = run->job;
-    mb_dag_task_t *counter = get_failure_counter(run);
+    mb_dag_task_t *counter = mb_fleet_failure_counter(run);
     if (job->steps[run->step].long_running) {
         return MB_FLEET_END_COUNTED;
     }
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -10,7 +10,7 @@
      reported
    - mb_fleet_majority.c tells whether most agents obey the owner
    - mb_fleet_attribution.c tells whether failures of runs are held against the
-     workers or the step
+     workers or the step, and mb_fleet_retry.c when a task is tried again
    - mb_fleet_absence.c keeps the records of absent workers, and the tasks that
      wait for them after a change of ownership
    - mb_fleet_pools.c tells how much of each service's capacity is in use
@@ -78,6 +78,11 @@
 void mb_fleet_attribute_work(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                              mb_fleet_run_t *run);
 
+/* mb_fleet_retry.c */
+void mb_fleet_delay_retry(mb_fleet_t *fleet, const mb_fleet_run_t *run);
+void mb_fleet_reset_retries(const mb_fleet_run_t *run);
+mb_dag_task_t *mb_fleet_failure_counter(const mb_fleet_run_t *run);
+
 /* mb_fleet_majority.c */
 void mb_fleet_majority_sent(mb_fleet_worker_t *worker, uint64_t now_us);
 void mb_fleet_majority_reported(mb_fleet_worker_t *worker,
--- a/lib/coordination/mb_fleet_reported_runs.c
+++ b/lib/coordination/mb_fleet_reported_runs.c
@@ -181,6 +181,7 @@
                   MB_STR_ARG(mb_buf_view(&worker->name)), run->progress);
     mb_fleet_attribute_failure(fleet, worker, run);
     mb_fleet_run_task(run)->last_failed_worker = worker->number + 1;
+    mb_fleet_delay_retry(fleet, run);
     fleet->counts.stalls++;
     mb_fleet_stop_run(fleet, worker, run);
 }
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -124,7 +124,9 @@
 typedef struct mb_dag_task {
     char *checkpoint; /* owned; not NUL-terminated; NULL: none */
     uint16_t checkpoint_len;
-    uint16_t failures;       /* number of failed runs */
+    uint16_t failures; /* number of failed runs */
+    uint16_t retries;  /* failed runs in a row under this owner. The members of
+                          a gang count at its first task. */
     uint64_t checkpoint_run; /* number of the run that saved `checkpoint`; 0:
                                 unknown, read from the log */
     bool done;
--- a/tests/unit/test_fleet_attribution.cc
+++ b/tests/unit/test_fleet_attribution.cc
@@ -214,6 +214,25 @@
     }
 }
 
+/* Guards against a bad job that is started each 100 ms for good. */
+TEST(FleetAttribution, ABadJobBacksOff)
+{
+    for (uint32_t fails_after_ms : fail_times_ms) {
+        Scenario scenario;
+        scenario.bad_job.fails_after_ms = fails_after_ms;
+        scenario.bad_jobs = 1;
+        Result result = play(scenario);
+        uint32_t played_ms = scenario.good_jobs * interval_ms + last_wait_ms;
+        /* Six delays up to the longest one. */
+        uint32_t starts_max =
+            6 + played_ms / MB_FLEET_SERVICE_RETRY_DELAY_MAX_MS + 1;
+        EXPECT_LE(result.bad_starts, scenario.bad_tasks * starts_max);
+        /* A task of a service must not be away for longer than 6 s. */
+        EXPECT_GE(result.bad_starts,
+                  scenario.bad_tasks * played_ms / (6000 + fails_after_ms));
+    }
+}
+
 /* Guards against a worker that is suspended because services fail soon after
    a change of owner, which doesn't know for how long they have worked. */
 TEST(FleetAttribution, ServicesOfAFormerOwnerThatFailAreNoFailedStarts)
