Leave the probes of suspended workers to work that has not failed

What callers saw: with one worker that has the label, or while all are suspended, a bad job of a more urgent queue keeps another queue from being done.

Cause: a suspended worker gets one start at a time as its probe, in the order of the jobs. The tasks of a bad job are always waiting and come first; their failure then doubles the time to the next probe, up to 300 s.

Change: a step whose failures are not explained by its workers gets a probe only if no other task takes it in the same pass.

--- a/lib/coordination/mb_fleet_attribution.c
+++ b/lib/coordination/mb_fleet_attribution.c
@@ -72,6 +72,16 @@
     return evidence;
 }
 
+/* Returns the cause of the failures of a run's step so far. */
+static mb_attribution_cause_t
+get_cause(const mb_fleet_t *fleet, const mb_fleet_run_t *run)
+{
+    const step_evidence_t *evidence = find_evidence(fleet, run);
+    return evidence == NULL ? MB_CAUSE_NONE
+                            : mb_attribution_cause(&evidence->attribution,
+                                                   mb_clock_us(&fleet->clock));
+}
+
 /* Logs that a worker was suspended or restored, if its health was `before`. */
 static void
 log_health_change(const mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
@@ -330,3 +340,12 @@
         (void)apply_change(fleet, evidence, before);
     }
 }
+
+/* Tells whether failures of the step of a run are not explained by their
+   workers. Such a step is a bad probe: its failure would show little. */
+bool
+mb_fleet_step_may_be_faulty(const mb_fleet_t *fleet, const mb_fleet_run_t *run)
+{
+    mb_attribution_cause_t cause = get_cause(fleet, run);
+    return cause == MB_CAUSE_UNCLEAR || cause == MB_CAUSE_WORK;
+}
--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -125,6 +125,21 @@
            !mb_health_suspended(&worker->health, inputs->now_us);
 }
 
+/* Tells whether a start of a run would take the probe of a suspended worker
+   from other work. Work that may be faulty itself would take it again and
+   again, and show little by its failure. */
+static bool
+is_probe_reserved(const mb_fleet_cost_inputs_t *inputs,
+                  const mb_fleet_worker_t *worker, const mb_fleet_run_t *run)
+{
+#ifdef MB_MUTANT_FLEET_PROBES_NOT_RESERVED
+    return false;
+#endif
+    return inputs->probes_reserved &&
+           mb_health_is_probe_due(&worker->health, inputs->now_us) &&
+           mb_fleet_step_may_be_faulty(inputs->fleet, run);
+}
+
 /* Returns the processors of a worker that best-effort tasks must leave to
    others, in thousandths: as expected to be used by long-running service
    tasks, with or without a latency target, and as declared by other tasks. */
@@ -330,7 +345,8 @@
          count_step_runs(worker, run) >= step->per_worker_max)) {
         return MB_FLEET_OBSTACLE_EXCLUDED;
     }
-    if (!accepts_starts(inputs, worker)) {
+    if (!accepts_starts(inputs, worker) ||
+        is_probe_reserved(inputs, worker, run)) {
         return MB_FLEET_OBSTACLE_UNUSABLE;
     }
     return load_with_task(inputs, worker, run) == COST_FORBIDDEN
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -77,6 +77,8 @@
                                 const mb_fleet_run_t *run);
 void mb_fleet_attribute_work(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                              mb_fleet_run_t *run);
+bool mb_fleet_step_may_be_faulty(const mb_fleet_t *fleet,
+                                 const mb_fleet_run_t *run);
 
 /* mb_fleet_retry.c */
 void mb_fleet_delay_retry(mb_fleet_t *fleet, const mb_fleet_run_t *run);
@@ -155,6 +157,8 @@
     mb_fleet_t *fleet;
     uint64_t now_us;
     const mb_fleet_pools_t *pools; /* as of the start of the pass */
+    /* Suspended workers are probed only with work that has not failed. */
+    bool probes_reserved;
 } mb_fleet_cost_inputs_t;
 
 /* mb_fleet_cost.c. The cost is UINT64_MAX where a run must not be placed. A
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -37,6 +37,10 @@
     uint32_t hopeless_count;
     request_t hopeless[HOPELESS_MAX];
     mb_fleet_candidates_t candidates;
+    /* mb_dag_job_t with a waiting step that may be faulty, in the order of the
+       pass. Such a step probes a suspended worker only if nothing else
+       does. */
+    GPtrArray *doubtful_jobs;
 } pass_t;
 
 /* Returns what the tasks of a run's step ask for. */
@@ -84,13 +88,15 @@
 }
 
 /* Remembers that no worker takes the task of a run. A step with a maximum
-   number of tasks per worker, or a task that has failed on a worker before,
-   may have found none for that reason, which says nothing about others. */
+   number of tasks per worker or that may be faulty, or a task that has failed
+   on a worker before, may have found none for that reason, which says nothing
+   about others. */
 static void
 add_hopeless(pass_t *pass, const mb_fleet_run_t *run)
 {
     if (run->job->steps[run->step].per_worker_max == 0 &&
         mb_fleet_run_task(run)->last_failed_worker == 0 &&
+        !mb_fleet_step_may_be_faulty(pass->inputs.fleet, run) &&
         pass->hopeless_count < HOPELESS_MAX) {
         pass->hopeless[pass->hopeless_count++] = get_request(pass, run);
     }
@@ -488,8 +494,13 @@
 static bool
 start_step(pass_t *pass, mb_fleet_run_t *run)
 {
-    return run->job->steps[run->step].gang ? start_gang(pass, run)
-                                           : start_tasks(pass, run);
+    bool none_waits = run->job->steps[run->step].gang ? start_gang(pass, run)
+                                                      : start_tasks(pass, run);
+    if (!none_waits && pass->inputs.probes_reserved &&
+        mb_fleet_step_may_be_faulty(pass->inputs.fleet, run)) {
+        g_ptr_array_add(pass->doubtful_jobs, run->job);
+    }
+    return none_waits;
 }
 
 /* Starts what can be started of a job. `needs_scheduling` stays set if the
@@ -530,13 +541,48 @@
     return count - MIN(count, job->running);
 }
 
+/* Tells whether a suspended worker waits for a probe. */
+static bool
+is_any_probe_due(const pass_t *pass)
+{
+    for (guint i = 0; i < pass->inputs.fleet->workers->len; i++) {
+        if (mb_health_is_probe_due(
+                &mb_fleet_get_worker(pass->inputs.fleet, i)->health,
+                pass->inputs.now_us)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Lets steps that may be faulty probe the suspended workers that no other work
+   has probed in this pass. */
+static void
+start_doubtful_jobs(pass_t *pass)
+{
+    pass->inputs.probes_reserved = false;
+    if (pass->doubtful_jobs->len == 0 || !is_any_probe_due(pass)) {
+        return;
+    }
+    for (guint i = 0; i < pass->doubtful_jobs->len; i++) {
+        mb_dag_job_t *job = g_ptr_array_index(pass->doubtful_jobs, i);
+        /* A job is listed once for each of its steps. */
+        if (i == 0 || job != g_ptr_array_index(pass->doubtful_jobs, i - 1)) {
+            start_job(pass, job);
+        }
+    }
+}
+
 /* Runs one scheduling pass over the open jobs. Jobs that the former owner knew
    are skipped while a worker may run any of their tasks: one that has neither
    reported nor a record of what may run there. */
 void
 mb_fleet_schedule(mb_fleet_t *fleet)
 {
-    pass_t pass = {.inputs = mb_fleet_cost_inputs(fleet)};
+    g_autoptr(GPtrArray) doubtful_jobs = g_ptr_array_new();
+    pass_t pass = {.inputs = mb_fleet_cost_inputs(fleet),
+                   .doubtful_jobs = doubtful_jobs};
+    pass.inputs.probes_reserved = true;
     mb_fleet_candidates_init(&pass.candidates);
     fleet->counts.passes++;
     fleet->held_tasks = 0;
@@ -554,5 +600,6 @@
         }
         start_job(&pass, job);
     }
+    start_doubtful_jobs(&pass);
     mb_fleet_candidates_finish(&pass.candidates);
 }
--- a/tests/unit/test_fleet_attribution.cc
+++ b/tests/unit/test_fleet_attribution.cc
@@ -16,7 +16,8 @@
     uint32_t bad_jobs = 0;
     uint32_t bad_tasks = 6; /* of each bad job */
     BadJob bad_job = {BadJob::FAILS, 250};
-    bool bad_jobs_last = true; /* they are services */
+    bool bad_jobs_last = true;       /* they are services */
+    uint32_t good_jobs_after_ms = 0; /* from the bad ones to the first */
     uint32_t good_jobs = 6;
     uint32_t good_tasks = 8; /* of each good job */
     bool good_jobs_last = false;
@@ -111,6 +112,7 @@
         submit(simulation, id, scenario.bad_tasks, 250, scenario.bad_jobs_last,
                0);
     }
+    simulation.advance(scenario.good_jobs_after_ms);
     for (uint32_t i = 0; i < scenario.good_jobs; i++) {
         std::string id = make_id('a', i);
         simulation.job_task_ms[id] =
@@ -187,6 +189,20 @@
     }
 }
 
+/* Guards against a bad job that takes each probe of the only worker. */
+TEST(FleetAttribution, ABadJobLeavesTheProbesToOthers)
+{
+    for (uint32_t fails_after_ms : fail_times_ms) {
+        Scenario scenario;
+        scenario.workers = 1;
+        scenario.good_jobs_after_ms = 3000;
+        scenario.bad_job.fails_after_ms = fails_after_ms;
+        scenario.bad_jobs = 2;
+        Result result = play(scenario);
+        EXPECT_EQ(result.waiting, 0u) << describe(scenario);
+    }
+}
+
 /* Guards against work that is given to workers which fail all of it, also
    beside jobs that fail everywhere. */
 TEST(FleetAttribution, WorkersThatFailAllAreLeftAlone)
