Move the evidence on failed work out of the fleet

mb_evidence keeps what is known of each piece of work that has failed and applies the rule of mb_attribution; the fleet tells it of runs and applies its results to the workers, through callbacks. The owner of a shard makes the same guess about its jobs and is to use the same code. A suspension is logged once however it comes about. The unit tests pass unchanged.

--- a/lib/coordination/mb_attribution.c
+++ b/lib/coordination/mb_attribution.c
@@ -11,7 +11,7 @@
 
 /* Tells whether the work has failed on a worker. */
 static bool
-has_failed_on(const mb_attribution_t *attribution, uint32_t worker)
+has_failed_on(const mb_attribution_t *attribution, uint64_t worker)
 {
     for (uint32_t i = 0; i < attribution->failed_count; i++) {
         if (attribution->failed_workers[i] == worker) {
@@ -23,7 +23,7 @@
 
 /* Removes the run on a worker from those without an outcome. */
 static void
-remove_pending(mb_attribution_t *attribution, uint32_t worker)
+remove_pending(mb_attribution_t *attribution, uint64_t worker)
 {
     for (uint32_t i = 0; i < attribution->pending_count; i++) {
         if (attribution->pending[i].worker == worker) {
@@ -36,7 +36,7 @@
 
 /* Records a failed run; see the header. */
 void
-mb_attribution_failed(mb_attribution_t *attribution, uint32_t worker,
+mb_attribution_failed(mb_attribution_t *attribution, uint64_t worker,
                       uint64_t started_us, uint64_t worked_us)
 {
     attribution->first_start_us =
@@ -55,7 +55,7 @@
 
 /* Records a run without an outcome; see the header. */
 bool
-mb_attribution_pending(mb_attribution_t *attribution, uint32_t worker,
+mb_attribution_pending(mb_attribution_t *attribution, uint64_t worker,
                        uint64_t started_us)
 {
     if (started_us < attribution->first_start_us ||
--- a/lib/coordination/mb_attribution.h
+++ b/lib/coordination/mb_attribution.h
@@ -35,7 +35,7 @@
 
 /* A run without an outcome that was started with the failed ones. */
 typedef struct mb_attribution_run {
-    uint32_t worker;
+    uint64_t worker;
     uint64_t started_us;
 } mb_attribution_run_t;
 
@@ -45,7 +45,7 @@
     /* Workers on which it has failed since it last worked, and one run on each
        of some others. */
     uint32_t failed_count;
-    uint32_t failed_workers[MB_ATTRIBUTION_WORKERS_MAX];
+    uint64_t failed_workers[MB_ATTRIBUTION_WORKERS_MAX];
     uint32_t pending_count;
     mb_attribution_run_t pending[MB_ATTRIBUTION_WORKERS_MAX];
     /* Earliest and latest start of the failed runs. */
@@ -63,12 +63,12 @@
 void mb_attribution_init(mb_attribution_t *attribution);
 /* A run that was started at `started_us` has failed on a worker, after it had
    worked for `worked_us`. */
-void mb_attribution_failed(mb_attribution_t *attribution, uint32_t worker,
+void mb_attribution_failed(mb_attribution_t *attribution, uint64_t worker,
                            uint64_t started_us, uint64_t worked_us);
 /* A run without an outcome is on a worker. To be called after the first
    failure for the runs that were not started before. Returns false if no more
    are kept. */
-bool mb_attribution_pending(mb_attribution_t *attribution, uint32_t worker,
+bool mb_attribution_pending(mb_attribution_t *attribution, uint64_t worker,
                             uint64_t started_us);
 /* A run has failed on a worker that fails other work too. */
 void mb_attribution_failed_on_faulty(mb_attribution_t *attribution);
--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -80,7 +80,7 @@
     mb_headroom_finish(&fleet->headroom_model);
     mb_fleet_pools_finish(&fleet->pools);
     mb_sizing_finish(&fleet->sizing);
-    mb_fleet_evidence_finish(fleet);
+    mb_evidence_finish(&fleet->evidence);
     mb_buf_finish(&fleet->done_bits);
 }
 
@@ -238,7 +238,7 @@
     fleet->store_failed = false;
     (void)g_ptr_array_set_size(fleet->dirty_jobs, 0);
     (void)g_ptr_array_set_size(fleet->open_jobs, 0);
-    mb_fleet_evidence_clear(fleet);
+    mb_evidence_clear(&fleet->evidence);
     reset_workers(fleet, true);
     mb_fleet_hold_absent_tasks(fleet);
     add_jobs_of_table(fleet, true);
@@ -253,7 +253,7 @@
     fleet->is_owner = false;
     fleet->active = false;
     fleet->store_pending = false;
-    mb_fleet_evidence_clear(fleet);
+    mb_evidence_clear(&fleet->evidence);
     reset_workers(fleet, false);
     for (guint i = 0; i < fleet->workers->len; i++) {
         mb_fleet_reset_absence(mb_fleet_get_worker(fleet, i));
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -12,9 +12,9 @@
 #ifndef MB_FLEET_H
 #define MB_FLEET_H
 
-#include "mb_attribution.h"
 #include "mb_clock.h"
 #include "mb_dag.h"
+#include "mb_evidence.h"
 #include "mb_headroom.h"
 #include "mb_health.h"
 #include "mb_log.h"
@@ -229,6 +229,7 @@
     mb_headroom_load_t recent_load;
     uint64_t recent_load_us;
     mb_health_t health;
+    bool suspension_logged;   /* the log has it as suspended */
     uint64_t reported_us;     /* time of the latest report, or when the worker
                                  was added */
     uint64_t report_sequence; /* its sequence number; 0: none on this
@@ -300,10 +301,9 @@
     uint32_t latency_log_next; /* worker that is looked at first next time */
     mb_headroom_t headroom_model;
     mb_sizing_t sizing; /* run times per step and per queue */
-    /* uint64_t (mb_fleet_step_key) -> step_evidence_t of
-       mb_fleet_attribution.c, both owned: steps of open jobs that have failed
-       under this owner. */
-    GHashTable *evidence;
+    /* On steps of open jobs that have failed under this owner; the source is
+       mb_fleet_step_key. */
+    mb_evidence_t evidence;
     mb_fleet_counts_t counts;
 } mb_fleet_t;
 
--- a/lib/coordination/mb_fleet_attribution.c
+++ b/lib/coordination/mb_fleet_attribution.c
@@ -1,96 +1,50 @@
-/* Tells by the outcomes of runs whether failures are held against the workers
-   or against a step, whose tasks are assumed to behave alike. The rule is that
-   of mb_attribution. A new owner begins without evidence. */
+/* Attributes the failures of runs to their workers or to their step, whose
+   tasks are assumed to behave alike, by the rule of mb_evidence. A new owner
+   begins without evidence. */
 #include "mb_fleet_internal.h"
 
-/* The evidence on a step that has failed. */
-typedef struct step_evidence {
-    mb_attribution_t attribution;
-    const mb_dag_job_t *job; /* borrowed; open */
-    uint32_t step;
-} step_evidence_t;
-
-/* Initializes the evidence. */
-void
-mb_fleet_evidence_init(mb_fleet_t *fleet)
-{
-    fleet->evidence =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-}
-
-/* Drops the evidence on all steps, at a change of ownership. */
-void
-mb_fleet_evidence_clear(mb_fleet_t *fleet)
+/* Returns the work that a run is of. */
+static mb_evidence_work_t
+get_work(const mb_fleet_run_t *run)
 {
-    g_hash_table_remove_all(fleet->evidence);
+    return (mb_evidence_work_t){.source =
+                                    mb_fleet_step_key(run->job, run->step),
+                                .job = run->job,
+                                .step = run->step};
 }
 
-/* Releases the evidence. */
-void
-mb_fleet_evidence_finish(mb_fleet_t *fleet)
-{
-    g_hash_table_destroy(fleet->evidence);
-}
-
-/* Drops the evidence on a job that is not open any more. What is held against
-   workers stays. */
-void
-mb_fleet_evidence_forget(mb_fleet_t *fleet, const mb_dag_job_t *job)
-{
-    for (uint32_t i = 0;
-         i < job->spec.step_count && g_hash_table_size(fleet->evidence) > 0;
-         i++) {
-        uint64_t key = mb_fleet_step_key(job, i);
-        (void)g_hash_table_remove(fleet->evidence, &key);
-    }
-}
-
-/* Returns the evidence on the step of a run; NULL if it has not failed. */
-static step_evidence_t *
-find_evidence(const mb_fleet_t *fleet, const mb_fleet_run_t *run)
-{
-    if (g_hash_table_size(fleet->evidence) == 0) {
-        return NULL;
-    }
-    uint64_t key = mb_fleet_step_key(run->job, run->step);
-    return g_hash_table_lookup(fleet->evidence, &key);
-}
-
-/* Returns the evidence on the step of a run; adds it if there is none. */
-static step_evidence_t *
-ensure_evidence(mb_fleet_t *fleet, const mb_fleet_run_t *run)
+/* Returns for how long a run is known to have worked: until its progress last
+   changed, if it reports any. */
+static uint64_t
+get_worked_us(const mb_fleet_run_t *run, uint64_t now_us)
 {
-    step_evidence_t *evidence = find_evidence(fleet, run);
-    if (evidence == NULL) {
-        uint64_t key = mb_fleet_step_key(run->job, run->step);
-        evidence = g_new(step_evidence_t, 1);
-        *evidence = (step_evidence_t){.job = run->job, .step = run->step};
-        mb_attribution_init(&evidence->attribution);
-        (void)g_hash_table_insert(fleet->evidence,
-                                  g_memdup2(&key, sizeof(key)), evidence);
-    }
-    return evidence;
+    const mb_dag_step_t *step = &run->job->steps[run->step];
+    uint64_t age_us = now_us - run->started_us;
+    bool has_progress = !step->long_running && !step->gang;
+    return age_us - (has_progress ? MIN(age_us, run->stalled_for_us) : 0);
 }
 
-/* Returns the cause of the failures of a run's step so far. */
-static mb_attribution_cause_t
-get_cause(const mb_fleet_t *fleet, const mb_fleet_run_t *run)
+/* Returns what the evidence needs to know of a run. */
+static mb_evidence_run_t
+get_evidence_run(const mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                 const mb_fleet_run_t *run)
 {
-    const step_evidence_t *evidence = find_evidence(fleet, run);
-    return evidence == NULL ? MB_CAUSE_NONE
-                            : mb_attribution_cause(&evidence->attribution,
-                                                   mb_clock_us(&fleet->clock));
+    return (mb_evidence_run_t){
+        .work = get_work(run),
+        .worker = worker->number,
+        .health = &worker->health,
+        .started_us = run->started_us,
+        .worked_us = get_worked_us(run, mb_clock_us(&fleet->clock))};
 }
 
-/* Logs that a worker was suspended or restored, if its health was `before`. */
+/* Logs that a worker was suspended or restored since the last line. */
 static void
-log_health_change(const mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
-                  mb_health_state_t before)
+log_health_change(const mb_fleet_t *fleet, mb_fleet_worker_t *worker)
 {
     const mb_health_t *health = &worker->health;
-    bool was_suspended = before != MB_HEALTH_HEALTHY;
     bool is_suspended = health->state != MB_HEALTH_HEALTHY;
-    if (was_suspended != is_suspended) {
+    if (worker->suspension_logged != is_suspended) {
+        worker->suspension_logged = is_suspended;
         mb_log_notice(&fleet->log,
                       "worker %s worker=%.*s failures=%u excused=%u",
                       is_suspended ? "suspended" : "restored",
@@ -100,89 +54,39 @@
     }
 }
 
-/* Excuses the failures of a step at all workers, or holds them against the
-   workers, if the cause was `before` and has changed. Returns the cause. */
-static mb_attribution_cause_t
-apply_change(mb_fleet_t *fleet, const step_evidence_t *evidence,
-             mb_attribution_cause_t before)
+/* Callback of the evidence: excuses the failures of a step at all workers, or
+   holds them against the workers again. */
+static void
+on_cause_changed(void *context, const mb_evidence_work_t *work,
+                 mb_attribution_cause_t from, mb_attribution_cause_t to)
 {
-    uint64_t now_us = mb_clock_us(&fleet->clock);
-    uint64_t key = mb_fleet_step_key(evidence->job, evidence->step);
-    mb_attribution_cause_t after =
-        mb_attribution_cause(&evidence->attribution, now_us);
-    bool is_excused = after == MB_CAUSE_WORK;
-    if ((before == MB_CAUSE_WORK) == is_excused) {
-        return after;
+    mb_fleet_t *fleet = context;
+    const mb_dag_job_t *job = work->job;
+    bool is_excused = to == MB_CAUSE_WORK;
+    if ((from == MB_CAUSE_WORK) == is_excused) {
+        return;
     }
     mb_log_notice(&fleet->log,
-                  "cause of failures changed job=%.*s step=%u from=%s to=%s "
-                  "workers=%u",
-                  MB_STR_ARG(mb_dag_id_view(&evidence->job->spec.id)),
-                  evidence->step, mb_attribution_cause_name(before),
-                  mb_attribution_cause_name(after),
-                  evidence->attribution.failed_count);
+                  "cause of failures changed job=%.*s step=%u from=%s to=%s",
+                  MB_STR_ARG(mb_dag_id_view(&job->spec.id)), work->step,
+                  mb_attribution_cause_name(from),
+                  mb_attribution_cause_name(to));
     fleet->counts.faulty_steps += is_excused;
     for (guint i = 0; i < fleet->workers->len; i++) {
         mb_fleet_worker_t *worker = mb_fleet_get_worker(fleet, i);
-        mb_health_state_t state = worker->health.state;
-        mb_health_set_excused(&worker->health, key, is_excused, now_us);
-        log_health_change(fleet, worker, state);
+        mb_health_set_excused(&worker->health, work->source, is_excused,
+                              mb_clock_us(&fleet->clock));
+        log_health_change(fleet, worker);
     }
     fleet->schedule_due = true;
-    return after;
-}
-
-/* Returns for how long a run is known to have worked: until its progress last
-   changed, if it reports any. */
-static uint64_t
-get_worked_us(const mb_fleet_run_t *run, uint64_t now_us)
-{
-    const mb_dag_step_t *step = &run->job->steps[run->step];
-    uint64_t age_us = now_us - run->started_us;
-    bool has_progress = !step->long_running && !step->gang;
-    return age_us - (has_progress ? MIN(age_us, run->stalled_for_us) : 0);
-}
-
-/* Tells whether a service task has worked for so long that its failure says
-   nothing about its start: services never succeed and may fail at any time. Of
-   a run that was adopted it is not known for how long it has. */
-static bool
-is_proven(const mb_fleet_run_t *run, uint64_t now_us)
-{
-    return run->job->steps[run->step].long_running &&
-           (run->adopted || now_us - run->started_us >= MB_HEALTH_PROVEN_US);
 }
 
-/* Tells the evidence of a step that has just failed on which other workers its
-   runs are. */
-static void
-add_pending_runs(const mb_fleet_t *fleet, step_evidence_t *evidence,
-                 const mb_fleet_run_t *failed)
-{
-    mb_fleet_run_t other = *failed;
-    bool has_room = true;
-    for (other.index = 0;
-         has_room && other.index < failed->job->steps[failed->step].count;
-         other.index++) {
-        const mb_dag_run_t *copy = &mb_fleet_run_task(&other)->runs[0];
-        if (copy->number == 0) {
-            continue;
-        }
-        mb_dag_task_id_t id = mb_fleet_run_task_id(&other);
-        const mb_fleet_run_t *run = mb_fleet_find_run(
-            mb_fleet_get_worker(fleet, copy->worker), &id, copy->number);
-        if (run != NULL && !run->adopted && !run->stopping) {
-            has_room = mb_attribution_pending(&evidence->attribution,
-                                              copy->worker, run->started_us);
-        }
-    }
-}
-
-/* Tells whether at least half of the workers are suspended. Then the work is
-   more likely to be at fault than the workers. */
+/* Callback of the evidence: tells whether at least half of the workers are
+   suspended. */
 static bool
-are_most_suspended(const mb_fleet_t *fleet)
+are_most_suspended(void *context)
 {
+    const mb_fleet_t *fleet = context;
     uint64_t now_us = mb_clock_us(&fleet->clock);
     guint ready = 0;
     guint suspended = 0;
@@ -196,30 +100,72 @@
     return 2 * suspended >= ready;
 }
 
-/* Adds a failure to the evidence on a step. On a worker that fails other work
-   too, it says little about the step. Returns what it shows of the worker. */
-static mb_attribution_cause_t
-add_failure(mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
-            const mb_fleet_run_t *run)
+/* Returns the run of a task; NULL if it has none, and of those that were
+   adopted, as it is not known when they began. */
+static const mb_fleet_run_t *
+find_own_run(const mb_fleet_t *fleet, const mb_fleet_run_t *task)
 {
-    uint64_t now_us = mb_clock_us(&fleet->clock);
-    uint64_t key = mb_fleet_step_key(run->job, run->step);
-    step_evidence_t *evidence = ensure_evidence(fleet, run);
-    mb_attribution_t *attribution = &evidence->attribution;
-    mb_attribution_cause_t before = mb_attribution_cause(attribution, now_us);
-    if (before != MB_CAUSE_WORK &&
-        mb_health_is_suspended_by_others(&worker->health, key) &&
-        !are_most_suspended(fleet)) {
-        mb_attribution_failed_on_faulty(attribution);
-        return before == MB_CAUSE_NONE ? MB_CAUSE_WORKERS : before;
+    const mb_dag_run_t *copy = &mb_fleet_run_task(task)->runs[0];
+    if (copy->number == 0) {
+        return NULL;
     }
-    bool is_first = attribution->failed_count == 0;
-    mb_attribution_failed(attribution, worker->number, run->started_us,
-                          get_worked_us(run, now_us));
-    if (is_first) {
-        add_pending_runs(fleet, evidence, run);
+    mb_dag_task_id_t id = mb_fleet_run_task_id(task);
+    const mb_fleet_run_t *run = mb_fleet_find_run(
+        mb_fleet_get_worker(fleet, copy->worker), &id, copy->number);
+    return run == NULL || run->adopted || run->stopping ? NULL : run;
+}
+
+/* Callback of the evidence: tells on which workers the runs of a step are. */
+static void
+add_pending_runs(void *context, const mb_evidence_work_t *work,
+                 mb_attribution_t *attribution)
+{
+    const mb_fleet_t *fleet = context;
+    mb_dag_job_t *job =
+        mb_dag_find(fleet->table, ((const mb_dag_job_t *)work->job)->spec.id);
+    mb_fleet_run_t task = {.job = job, .step = work->step};
+    bool has_room = true;
+    for (; has_room && task.occurrence < job->occurrence_count;
+         task.occurrence++) {
+        for (task.index = 0;
+             has_room && task.index < job->steps[work->step].count;
+             task.index++) {
+            const mb_fleet_run_t *run = find_own_run(fleet, &task);
+            has_room = run == NULL ||
+                       mb_attribution_pending(
+                           attribution, mb_fleet_run_task(run)->runs[0].worker,
+                           run->started_us);
+        }
+    }
+}
+
+/* Initializes the evidence. */
+void
+mb_fleet_evidence_init(mb_fleet_t *fleet)
+{
+    mb_evidence_callbacks_t callbacks = {on_cause_changed, are_most_suspended,
+                                         add_pending_runs, fleet};
+    mb_evidence_init(&fleet->evidence, &callbacks, &fleet->clock);
+}
+
+/* Drops the evidence on a job that is not open any more. What is held against
+   workers stays. */
+void
+mb_fleet_evidence_forget(mb_fleet_t *fleet, const mb_dag_job_t *job)
+{
+    for (uint32_t i = 0; i < job->spec.step_count; i++) {
+        mb_evidence_forget(&fleet->evidence, mb_fleet_step_key(job, i));
     }
-    return apply_change(fleet, evidence, before);
+}
+
+/* Tells whether a service task has worked for so long that its failure says
+   nothing about its start: services never succeed and may fail at any time. Of
+   a run that was adopted it is not known for how long it has. */
+static bool
+is_proven(const mb_fleet_run_t *run, uint64_t now_us)
+{
+    return run->job->steps[run->step].long_running &&
+           (run->adopted || now_us - run->started_us >= MB_HEALTH_PROVEN_US);
 }
 
 /* Attributes the failure of a run, or a run without progress, to its worker or
@@ -228,17 +174,13 @@
 mb_fleet_attribute_failure(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                            const mb_fleet_run_t *run)
 {
-    uint64_t now_us = mb_clock_us(&fleet->clock);
-    if (is_proven(run, now_us)) {
+    mb_evidence_run_t failed = get_evidence_run(fleet, worker, run);
+    if (is_proven(run, mb_clock_us(&fleet->clock))) {
         mb_health_abandoned(&worker->health, run->started_us);
         return;
     }
-    mb_attribution_cause_t cause = add_failure(fleet, worker, run);
-    mb_health_state_t state = worker->health.state;
-    mb_health_work_failed(&worker->health,
-                          mb_fleet_step_key(run->job, run->step), cause,
-                          run->started_us, now_us);
-    log_health_change(fleet, worker, state);
+    mb_evidence_failed(&fleet->evidence, &failed);
+    log_health_change(fleet, worker);
 }
 
 /* Holds a start that a worker has refused as unhealthy, or has not answered,
@@ -247,60 +189,17 @@
 mb_fleet_attribute_unhealthy(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                              const mb_fleet_run_t *run)
 {
-    mb_health_state_t state = worker->health.state;
     mb_health_failed(&worker->health, run->started_us,
                      mb_clock_us(&fleet->clock));
-    log_health_change(fleet, worker, state);
-}
-
-/* Notes that a step is certainly at fault itself. */
-static void
-refute(mb_fleet_t *fleet, step_evidence_t *evidence)
-{
-    mb_attribution_cause_t before = mb_attribution_cause(
-        &evidence->attribution, mb_clock_us(&fleet->clock));
-    mb_attribution_refuted(&evidence->attribution);
-    (void)apply_change(fleet, evidence, before);
+    log_health_change(fleet, worker);
 }
 
 /* Attributes the refusal of a start as invalid to its step. */
 void
 mb_fleet_attribute_invalid(mb_fleet_t *fleet, const mb_fleet_run_t *run)
 {
-    refute(fleet, ensure_evidence(fleet, run));
-}
-
-/* Attributes the failures of other steps on a worker to these steps, if their
-   runs were started up to that of a run that has worked there. */
-static void
-refute_other_steps(mb_fleet_t *fleet, const mb_fleet_worker_t *worker,
-                   const mb_fleet_run_t *worked)
-{
-    uint64_t own_key = mb_fleet_step_key(worked->job, worked->step);
-    const mb_health_t health = worker->health;
-    for (uint32_t i = 0; i < health.failure_count; i++) {
-        const mb_health_failure_t *failure = &health.failures[i];
-        step_evidence_t *evidence =
-            g_hash_table_lookup(fleet->evidence, &failure->source);
-        if (evidence != NULL && failure->source != own_key &&
-            failure->started_us <= worked->started_us) {
-            refute(fleet, evidence);
-        }
-    }
-}
-
-/* Notes that a step works: failures before were those of the workers, and are
-   no longer excused. */
-static void
-note_step_worked(mb_fleet_t *fleet, const mb_fleet_run_t *run)
-{
-    step_evidence_t *evidence = find_evidence(fleet, run);
-    if (evidence != NULL) {
-        mb_attribution_cause_t before = mb_attribution_cause(
-            &evidence->attribution, mb_clock_us(&fleet->clock));
-        mb_attribution_worked(&evidence->attribution, run->started_us);
-        (void)apply_change(fleet, evidence, before);
-    }
+    mb_evidence_work_t work = get_work(run);
+    mb_evidence_invalid(&fleet->evidence, &work);
 }
 
 /* Counts the success of a run for its worker and its step. */
@@ -308,11 +207,9 @@
 mb_fleet_attribute_success(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                            const mb_fleet_run_t *run)
 {
-    note_step_worked(fleet, run);
-    refute_other_steps(fleet, worker, run);
-    mb_health_state_t state = worker->health.state;
-    mb_health_succeeded(&worker->health, run->started_us);
-    log_health_change(fleet, worker, state);
+    mb_evidence_run_t worked = get_evidence_run(fleet, worker, run);
+    mb_evidence_succeeded(&fleet->evidence, &worked);
+    log_health_change(fleet, worker);
 }
 
 /* Notes that a run is at work, as its worker has just reported. A service task
@@ -321,31 +218,24 @@
 mb_fleet_attribute_work(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                         mb_fleet_run_t *run)
 {
-    uint64_t now_us = mb_clock_us(&fleet->clock);
     if (run->adopted || run->proven || !run->confirmed || run->stopping) {
         return;
     }
-    if (is_proven(run, now_us)) {
+    if (is_proven(run, mb_clock_us(&fleet->clock))) {
         run->proven = true;
         mb_fleet_reset_retries(run);
         mb_fleet_attribute_success(fleet, worker, run);
         return;
     }
-    step_evidence_t *evidence = find_evidence(fleet, run);
-    if (evidence != NULL) {
-        mb_attribution_cause_t before =
-            mb_attribution_cause(&evidence->attribution, now_us);
-        mb_attribution_survived(&evidence->attribution, run->started_us,
-                                get_worked_us(run, now_us));
-        (void)apply_change(fleet, evidence, before);
-    }
+    mb_evidence_run_t at_work = get_evidence_run(fleet, worker, run);
+    mb_evidence_survived(&fleet->evidence, &at_work);
 }
 
-/* Tells whether failures of the step of a run are not explained by their
-   workers. Such a step is a bad probe: its failure would show little. */
+/* Tells whether the step of a run may be faulty itself, so that it should not
+   probe a suspended worker. */
 bool
 mb_fleet_step_may_be_faulty(const mb_fleet_t *fleet, const mb_fleet_run_t *run)
 {
-    mb_attribution_cause_t cause = get_cause(fleet, run);
-    return cause == MB_CAUSE_UNCLEAR || cause == MB_CAUSE_WORK;
+    return mb_evidence_may_be_faulty(&fleet->evidence,
+                                     mb_fleet_step_key(run->job, run->step));
 }
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -65,8 +65,6 @@
 
 /* mb_fleet_attribution.c */
 void mb_fleet_evidence_init(mb_fleet_t *fleet);
-void mb_fleet_evidence_clear(mb_fleet_t *fleet);
-void mb_fleet_evidence_finish(mb_fleet_t *fleet);
 void mb_fleet_evidence_forget(mb_fleet_t *fleet, const mb_dag_job_t *job);
 void mb_fleet_attribute_failure(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                                 const mb_fleet_run_t *run);
