Attribute failures of a shard's jobs as the fleet does

Cause: the same guess as in the fleet. mb_shard_policy_handle_exit held each failure against the worker, so that bad jobs have all workers suspended.

Change: the owner of a shard tells mb_evidence of exits and of running tasks, and excuses the failures of a job that fails everywhere.

--- a/lib/coordination/mb_evidence.c
+++ b/lib/coordination/mb_evidence.c
@@ -179,6 +179,13 @@
     }
 }
 
+/* Tells whether there is evidence on a piece of work. */
+bool
+mb_evidence_is_known(const mb_evidence_t *evidence, uint64_t source)
+{
+    return find_item(evidence, source) != NULL;
+}
+
 /* Tells whether work may be at fault itself; see the header. */
 bool
 mb_evidence_may_be_faulty(const mb_evidence_t *evidence, uint64_t source)
--- a/lib/coordination/mb_evidence.h
+++ b/lib/coordination/mb_evidence.h
@@ -70,6 +70,8 @@
 /* A run is at work. */
 void mb_evidence_survived(mb_evidence_t *evidence,
                           const mb_evidence_run_t *run);
+/* Tells whether a piece of work has failed. */
+bool mb_evidence_is_known(const mb_evidence_t *evidence, uint64_t source);
 /* Tells whether failures of a piece of work are not explained by the workers.
    Such work is a bad probe: its failure would show little. */
 bool mb_evidence_may_be_faulty(const mb_evidence_t *evidence, uint64_t source);
--- a/lib/coordination/mb_shard_internal.h
+++ b/lib/coordination/mb_shard_internal.h
@@ -3,6 +3,7 @@
 #define MB_SHARD_INTERNAL_H
 
 #include "mb_dispatch.h"
+#include "mb_evidence.h"
 #include "mb_health.h"
 #include "mb_shard.h"
 #include "mb_sizing.h"
@@ -117,6 +118,7 @@
     mb_quota_t *quota;
     mb_dispatch_t *dispatch;
     mb_sizing_t sizing;
+    mb_evidence_t evidence; /* on jobs that have failed; by their keys */
     mb_slowdown_t slowdown_model;
     uint32_t throttled_milli; /* sum over all workers */
     bool rebuild_needed;      /* placement, quota and dispatch are outdated */
@@ -175,6 +177,15 @@
 mb_wait_reason_t mb_shard_policy_wait_reason(const mb_shard_t *shard,
                                              const mb_shard_job_t *job);
 
+/* mb_shard_attribution.c */
+void mb_shard_evidence_init(mb_shard_t *shard);
+void mb_shard_attribute_failure(mb_shard_t *shard, mb_shard_worker_t *worker,
+                                mb_task_id_t id);
+void mb_shard_attribute_success(mb_shard_t *shard, mb_shard_worker_t *worker,
+                                mb_task_id_t id);
+void mb_shard_attribute_work(mb_shard_t *shard, mb_shard_worker_t *worker,
+                             mb_task_id_t id);
+
 /* mb_shard_slowdown.c */
 void mb_shard_slowdown_handle_usage(mb_shard_t *shard,
                                     mb_shard_worker_t *worker,
--- a/lib/coordination/mb_shard_jobs.c
+++ b/lib/coordination/mb_shard_jobs.c
@@ -40,6 +40,7 @@
 {
     uint64_t key = job->key;
     mb_shard_policy_unqueue(shard, job);
+    mb_evidence_forget(&shard->evidence, key);
     (void)g_hash_table_remove(shard->ready_jobs,
                               GUINT_TO_POINTER(job->dispatch_number));
     (void)g_hash_table_remove(shard->jobs_by_number,
--- a/lib/coordination/mb_shard_owner.c
+++ b/lib/coordination/mb_shard_owner.c
@@ -42,6 +42,7 @@
     shard->jobs_by_number = g_hash_table_new(NULL, NULL);
     shard->ready_jobs = g_hash_table_new(NULL, NULL);
     mb_sizing_init(&shard->sizing);
+    mb_shard_evidence_init(shard);
     mb_slowdown_init(&shard->slowdown_model);
     shard->workers_by_placement_id = g_hash_table_new(NULL, NULL);
     shard->teams =
@@ -70,6 +71,7 @@
     g_hash_table_destroy(shard->jobs_by_number);
     g_hash_table_destroy(shard->ready_jobs);
     mb_sizing_finish(&shard->sizing);
+    mb_evidence_finish(&shard->evidence);
     mb_slowdown_finish(&shard->slowdown_model);
     g_hash_table_destroy(shard->workers_by_placement_id);
     g_hash_table_destroy(shard->teams);
@@ -152,6 +154,7 @@
     shard->next_schedule_us = 0;
     shard->next_finishes_us = 0;
     shard->throttled_milli = 0;
+    mb_evidence_clear(&shard->evidence);
     for_each_value(shard->workers, shard, reset_worker);
     for_each_value(shard->tasks.jobs, shard, inherit_tasks_value);
     for_each_value(shard->jobs, shard, reset_job);
--- a/lib/coordination/mb_shard_policy.c
+++ b/lib/coordination/mb_shard_policy.c
@@ -583,10 +583,10 @@
         update_backoff(job, start_us, now, exit_code);
     }
     if (exit_code != 0) {
-        mb_health_failed(&worker->health, start_us, now);
+        mb_shard_attribute_failure(shard, worker, id);
     }
     else {
-        mb_health_succeeded(&worker->health, start_us);
+        mb_shard_attribute_success(shard, worker, id);
         if (job != NULL && start_us != 0) {
             mb_sizing_observe_run_time(
                 &shard->sizing, id.job, get_run_time_ms(job),
--- a/lib/coordination/mb_shard_sync.c
+++ b/lib/coordination/mb_shard_sync.c
@@ -237,6 +237,7 @@
         task->marks |= MB_MARK_SENT;
         mb_task_set_state(mb_task_job_find(&shard->tasks, id->task.job), task,
                           MB_TASK_RUNNING);
+        mb_shard_attribute_work(shard, worker, id->task);
     }
 }
 
--- a/tests/unit/shard_simulation.h
+++ b/tests/unit/shard_simulation.h
@@ -215,6 +215,9 @@
     bool run_when_settled = false;  /* do not end early when settled */
     bool service_runs_long = false; /* tasks of the service run for a minute */
     bool tasks_succeed = false;     /* only `fails_tasks` makes tasks fail */
+    /* Jobs whose tasks fail soon after each start, by key. */
+    std::set<uint64_t> bad_jobs;
+    uint64_t successes = 0; /* runs that ended with 0 */
     /* Latency in all usage reports; 0: random, partly of tasks that the worker
        does not hold. */
     uint32_t reported_latency_us = 0;
--- a/tests/unit/shard_simulation_impl.h
+++ b/tests/unit/shard_simulation_impl.h
@@ -591,6 +591,7 @@
         for (auto &entry : worker.running) {
             if (entry.second.serial == event.serial) {
                 bool failed = worker.fails_tasks ||
+                              bad_jobs.count(entry.first.first) > 0 ||
                               entry.second.start.id.attempt <=
                                   get_behaviour(entry.first).failures;
                 end_task(worker, TaskKey(entry.first), failed ? 1 : 0, "");
--- a/tests/unit/shard_simulation_workers.h
+++ b/tests/unit/shard_simulation_workers.h
@@ -76,7 +76,8 @@
     latest_attempt[task] = start.id.attempt;
     running_on[task] = index;
     Behaviour behaviour = get_behaviour(task);
-    uint64_t run_us = worker.fails_tasks ? 5 * MS : behaviour.run_us;
+    bool fails = worker.fails_tasks || bad_jobs.count(task.first) > 0;
+    uint64_t run_us = fails ? 5 * MS : behaviour.run_us;
     worker.running[task] = {start, now + run_us, ++serial};
     schedule_event(run_us, Kind::TASK_END, index, serial);
 }
@@ -90,6 +91,7 @@
     trace("end", task.first, task.second * 100 + running.start.id.attempt,
           exit_code);
     mb_size_subtract(&worker.used, &running.start.size);
+    successes += exit_code == 0 ? 1 : 0;
     worker.finished.push_back({running.start.id, exit_code, checkpoint});
     worker.running.erase(task);
     running_on.erase(task);
--- a/tests/unit/test_shard_policy.cc
+++ b/tests/unit/test_shard_policy.cc
@@ -91,6 +91,40 @@
     }
 }
 
+/* Returns how many tasks of a job succeed in 15 s beside bad jobs, which are
+   urgent and fail on all workers. */
+static uint64_t
+count_successes_beside(uint64_t seed, uint32_t bad_jobs)
+{
+    Simulation simulation(seed);
+    simulation.no_faults = true;
+    simulation.tasks_succeed = true;
+    std::vector<mb_resource_t> jobs;
+    for (uint32_t i = 0; i < bad_jobs; i++) {
+        std::string name = "bad" + std::to_string(i);
+        jobs.push_back(make_job(name.c_str(), MB_CLASS_URGENT, 12, 100));
+        simulation.bad_jobs.insert(
+            mb_shard_job_key(MB_RESOURCE_JOB, {name.data(), name.size()}));
+    }
+    jobs.push_back(make_job("good", MB_CLASS_NORMAL, 100000, 400));
+    simulation.replace_jobs(jobs);
+    simulation.run(0, 15000 * MS);
+    EXPECT_EQ(simulation.violation, "") << "seed " << seed;
+    return simulation.successes;
+}
+
+/* Guards against workers that are suspended because jobs fail on all. */
+TEST(ShardPolicy, JobsThatFailEverywhereDoNotSuspendTheWorkers)
+{
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        uint64_t undisturbed = count_successes_beside(seed, 0);
+        for (uint32_t bad_jobs : {1, 5}) {
+            EXPECT_GT(count_successes_beside(seed, bad_jobs), undisturbed / 2)
+                << "seed " << seed << ", bad jobs " << bad_jobs;
+        }
+    }
+}
+
 /* Guards against a healthy worker that is limited to ten starts in three
    seconds. This is the limit for starts without a success and must not apply
    when tasks succeed. */
