Give slow tasks the time for a percent before they count as stalled

Cause: a run counted as stalled after 2 s without a change of its progress, which the platform reports in whole percents. A task of more than 200 s needs longer for each.

Change: 2 s, or the time in which a tenth of the work is expected to be done, or three times the longest time that the run took for one percent; twice that for each earlier stall of the task, so that a task ends whatever its estimate. The log line has the time without progress.

--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -156,6 +156,7 @@
     uint32_t progress; /* latest report, in percent */
     /* Time for which `progress` has been watched without a change. */
     uint64_t stalled_for_us;
+    uint64_t slowest_percent_us; /* longest time that one percent took */
     uint64_t progress_read_us;   /* latest report with a recent figure */
     uint64_t throttled_since_us; /* since when the agent has severely throttled
                                     it; 0: it is not severely throttled */
--- a/lib/coordination/mb_fleet_estimate.c
+++ b/lib/coordination/mb_fleet_estimate.c
@@ -40,8 +40,9 @@
    mean of its finished tasks; without any, a weighted mean of the queue's run
    time and the declared one; and without finished tasks of the queue, the
    declared one. */
-static uint64_t
-expected_ms(const mb_fleet_t *fleet, const mb_dag_job_t *job, uint32_t step)
+uint64_t
+mb_fleet_expected_run_ms(const mb_fleet_t *fleet, const mb_dag_job_t *job,
+                         uint32_t step)
 {
     uint32_t declared_ms = job->steps[step].estimate_ms;
     uint64_t step_key = mb_fleet_step_key(job, step);
@@ -109,7 +110,7 @@
     uint64_t work = 0;
     for (uint32_t i = 0; i < job->spec.step_count; i++) {
         const mb_dag_step_t *step = &job->steps[i];
-        uint64_t run_ms = expected_ms(fleet, job, i);
+        uint64_t run_ms = mb_fleet_expected_run_ms(fleet, job, i);
         paths[i] = longest_path_before(step, paths, i) + run_ms;
         left_paths[i] = longest_path_before(step, left_paths, i) +
                         remaining_ms(job, i, run_ms);
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -253,6 +253,8 @@
 
 /* mb_fleet_estimate.c */
 void mb_fleet_learn_run_time(mb_fleet_t *fleet, const mb_fleet_run_t *run);
+uint64_t mb_fleet_expected_run_ms(const mb_fleet_t *fleet,
+                                  const mb_dag_job_t *job, uint32_t step);
 void mb_fleet_estimate_job(const mb_fleet_t *fleet, mb_dag_job_t *job);
 
 #endif
--- a/lib/coordination/mb_fleet_reported_runs.c
+++ b/lib/coordination/mb_fleet_reported_runs.c
@@ -7,9 +7,18 @@
    full speed. */
 #define SEVERE_THROTTLE_PERCENT 35u
 #define FULL_SPEED_PERCENT 100u
-/* A run counts as stalled after this time without progress, in microseconds:
-   a hundred times the usual time for one percent. */
-#define STALL_TIMEOUT_US UINT64_C(2000000)
+#define WHOLE_PERCENT 100u
+/* A run counts as stalled after this time without progress, in microseconds.
+   If they are longer, after the time in which it is expected to do
+   STALL_PERCENT of its work, or STALL_PACE_FACTOR times the longest time that
+   it has taken for one percent: progress is reported in whole percents, the
+   actual run time may be a multiple of the expected one, and the worker may be
+   slow. */
+#define STALL_MIN_US UINT64_C(2000000)
+#define STALL_PERCENT 10u
+#define STALL_PACE_FACTOR 3u
+/* Doublings of that time for tasks that have stalled before. */
+#define STALL_DOUBLINGS_MAX 10u
 
 /* Tells whether a reported run that this owner doesn't have on record may go
    on: its task still needs it and has no newer run. */
@@ -145,11 +154,42 @@
                : 0;
 }
 
+/* Returns the time without progress after which a run counts as stalled, in
+   microseconds. After a stall the next attempt at the task gets twice the
+   time, as the expected run time may be far too short. */
+static uint64_t
+get_stall_timeout_us(const mb_fleet_t *fleet, const mb_fleet_run_t *run)
+{
+    uint64_t percent_us =
+        mb_fleet_expected_run_ms(fleet, run->job, run->step) * MB_US_PER_MS /
+        WHOLE_PERCENT;
+    uint64_t timeout_us = MAX(STALL_MIN_US, percent_us * STALL_PERCENT);
+    timeout_us = MAX(timeout_us, run->slowest_percent_us * STALL_PACE_FACTOR);
+#ifdef MB_MUTANT_FLEET_STALL_TIMEOUT_CONSTANT
+    return STALL_MIN_US;
+#endif
+    return timeout_us << MIN(mb_fleet_run_task(run)->stalls,
+                             STALL_DOUBLINGS_MAX);
+}
+
+/* Notes a new figure of the progress of a run, which has been watched for a
+   time since the one before. */
+static void
+update_progress(mb_fleet_run_t *run, uint32_t progress, uint64_t watched_us)
+{
+    if (progress > run->progress) {
+        uint64_t percent_us =
+            (run->stalled_for_us + watched_us) / (progress - run->progress);
+        run->slowest_percent_us = MAX(run->slowest_percent_us, percent_us);
+    }
+    run->progress = progress;
+    run->stalled_for_us = 0;
+}
+
 /* Stops a stalled run, one without progress that isn't severely throttled. Its
-   task goes on elsewhere, and the run counts as a failed one. Gang
-   members are exempt because they wait for one another, and service tasks
-   because they report no progress. A time without recent figures doesn't
-   count. */
+   task goes on elsewhere, and the run counts as a failed one. Gang members are
+   exempt because they wait for one another, and service tasks because they
+   report no progress. A time without recent figures doesn't count. */
 static void
 check_progress(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                mb_fleet_run_t *run, const mb_report_run_t *entry,
@@ -162,26 +202,32 @@
     }
     bool is_first = run->progress_read_us == 0;
     uint64_t watched_us = note_progress_read(run, now_us);
-    if (is_first || !entry->confirmed || run->throttled_since_us != 0 ||
-        entry->progress != run->progress) {
+    if (is_first || !entry->confirmed || run->throttled_since_us != 0) {
         run->progress = entry->progress;
         run->stalled_for_us = 0;
         return;
     }
+    if (entry->progress != run->progress) {
+        update_progress(run, entry->progress, watched_us);
+        return;
+    }
     run->stalled_for_us += watched_us;
     if (run->stopping || step->long_running || step->gang ||
-        run->stalled_for_us < STALL_TIMEOUT_US) {
+        run->stalled_for_us < get_stall_timeout_us(fleet, run)) {
         return;
     }
     mb_log_notice(&fleet->log,
                   "run makes no progress, stopping it job=%.*s task=%u.%u.%u "
-                  "run=%" G_GUINT64_FORMAT " worker=%.*s progress=%u",
+                  "run=%" G_GUINT64_FORMAT " worker=%.*s progress=%u "
+                  "stalled_ms=%" G_GUINT64_FORMAT,
                   MB_STR_ARG(mb_dag_id_view(&run->job->spec.id)),
                   run->occurrence, run->step, run->index, run->number,
-                  MB_STR_ARG(mb_buf_view(&worker->name)), run->progress);
+                  MB_STR_ARG(mb_buf_view(&worker->name)), run->progress,
+                  run->stalled_for_us / MB_US_PER_MS);
     mb_fleet_attribute_failure(fleet, worker, run);
     mb_fleet_run_task(run)->last_failed_worker = worker->number + 1;
     mb_fleet_delay_retry(fleet, run);
+    mb_fleet_run_task(run)->stalls++;
     fleet->counts.stalls++;
     mb_fleet_stop_run(fleet, worker, run);
 }
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -127,6 +127,7 @@
     uint16_t failures; /* number of failed runs */
     uint16_t retries;  /* failed runs in a row under this owner. The members of
                           a gang count at its first task. */
+    uint16_t stalls;   /* runs stopped without progress under this owner */
     uint64_t checkpoint_run; /* number of the run that saved `checkpoint`; 0:
                                 unknown, read from the log */
     bool done;
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -170,6 +170,10 @@
     std::map<std::string, uint32_t> job_task_ms; /* in place of task_ms */
     std::map<std::string, BadJob> bad_jobs;      /* by id */
     uint32_t fail_percent = 0;                   /* of runs */
+    /* Returns the progress that a worker reports of a run, in percent; unless
+       it is set, the progress of all runs changes all the time. */
+    std::function<uint32_t(const FakeWorker &, const FakeWorker::Run &)>
+        reported_progress;
     /* Returns what a worker reports of a run: the latency of a service task in
        milliseconds, or the processors in use in thousandths. */
     std::function<uint32_t(const FakeWorker &, const FakeWorker::Run &)>
