Report an entry as healthy when its sidecars have had the time to attach

Cause: /healthz was 200 as soon as the configuration had been read; sidecars connect again up to 50 ms later. A quiet log hid it, as the first read then waits for 1 s.

Change: /healthz of an entry is 200 at the earliest 500 ms after its start.

--- a/lib/transport/mb_control_node.c
+++ b/lib/transport/mb_control_node.c
@@ -17,6 +17,10 @@
    entries, 10 records arrive per second; one read for each would cost more
    than all the records in one read. */
 #define MEMBERS_READ_INTERVAL_MS 2000
+/* Time from its start on after which an entry is healthy, in milliseconds.
+   Sidecars that were attached to it before try to connect every 50 ms; without
+   them it answers 404. */
+#define ENTRY_ATTACH_MS 500
 /* How long a write may wait for the log before the response is 503 or 504, in
    milliseconds. */
 #define WRITE_TIMEOUT_MS 5000
@@ -181,6 +185,17 @@
     return mb_log_client_ready(&node->config_stream);
 }
 
+/* Returns whether this process is ready for requests: an entry only once its
+   sidecars have had the time to attach. Called on any thread. */
+static bool
+is_healthy(void *context)
+{
+    const mb_control_node_t *node = context;
+    bool is_entry = node->config.link_address.len > 0;
+    return is_ready(context) &&
+           (!is_entry || now_ms() >= node->started_ms + ENTRY_ATTACH_MS);
+}
+
 /* Writes a summary of the declared configuration to a dump. Called on any
    thread. */
 static void
@@ -253,8 +268,9 @@
                      const mb_log_t *log, GError **error)
 {
     mb_config_codec_t codec = mb_config_record_codec();
-    mb_http_api_callbacks_t api = {is_ready, node, callbacks->explain,
-                                   callbacks->status, callbacks->context};
+    mb_http_api_callbacks_t api = {
+        is_ready,           is_healthy,        node,
+        callbacks->explain, callbacks->status, callbacks->context};
     mb_dump_source_t sources[] = {{"config", dump_config, node},
                                   {"members", dump_members, node}};
     memset(node, 0, sizeof(*node));
@@ -283,6 +299,7 @@
 {
     mb_http_api_config_t api = {.token = node->config.token,
                                 .write_timeout_ms = WRITE_TIMEOUT_MS};
+    node->started_ms = now_ms();
     if (node->config.api_address.len > 0) {
         if (!mb_address_parse(node->config.api_address, &api.ip, &api.port)) {
             mb_error_set(error, MB_KIND_CONFIG,
--- a/lib/transport/mb_control_node.h
+++ b/lib/transport/mb_control_node.h
@@ -54,6 +54,7 @@
     mb_log_client_t config_stream;
     mb_log_client_t members_stream;
     mb_http_api_t api;
+    uint64_t started_ms; /* when mb_control_node_start was called */
     uint64_t next_announce_ms;
     /* 0: running, 1: the departure is being announced, 2: that has been
        written or has failed; atomic. */
--- a/lib/transport/mb_http_api.c
+++ b/lib/transport/mb_http_api.c
@@ -400,7 +400,7 @@
     return token_equal(given, mb_buf_view(&api->token));
 }
 
-/* Handles GET /healthz: 503 before the configuration has been read and while
+/* Handles GET /healthz: 503 before the process is ready for requests and while
    draining. */
 static void
 handle_health(mb_http_api_t *api, mb_http_exchange_t *exchange)
@@ -409,9 +409,9 @@
         mb_http_respond_error(exchange, MB_KIND_DRAINING,
                               MB_STR_LIT("draining"));
     }
-    else if (!api->callbacks.ready(api->callbacks.ready_context)) {
+    else if (!api->callbacks.healthy(api->callbacks.ready_context)) {
         mb_http_respond_error(exchange, MB_KIND_UNAVAILABLE,
-                              MB_STR_LIT("the configuration is being read"));
+                              MB_STR_LIT("starting"));
     }
     else {
         mb_http_respond(exchange, 200, NULL, MB_STR_LIT("ok\n"));
--- a/lib/transport/mb_http_api.h
+++ b/lib/transport/mb_http_api.h
@@ -30,6 +30,9 @@
     /* Returns whether the configuration has been read to the end of its stream
        once. Gets `ready_context`. */
     bool (*ready)(void *context);
+    /* Returns whether /healthz is 200, unless the process drains. Gets
+       `ready_context`. */
+    bool (*healthy)(void *context);
     void *ready_context;
     /* Appends an explanation of a job as JSON. Returns false if the job is not
        known here, or if its shards do not answer. May be NULL. */
