Apply a cause of failures that has changed with time alone

Cause: runs that may be at work count for 1 s (MB_ATTRIBUTION_PENDING_US), so that the cause of failures can change without an event. mb_evidence compared the cause before and after an event at the same time, found no change, and left the earlier failures held against their workers. Found by reading; not seen by a caller.

Change: the cause that the owner was told last is kept and compared.

Test: Evidence.AChangeWithTimeIsAppliedWithTheNextEvent failed on (one failure of each worker stayed).

--- a/lib/coordination/mb_evidence.c
+++ b/lib/coordination/mb_evidence.c
@@ -4,6 +4,7 @@
 typedef struct item {
     mb_evidence_work_t work;
     mb_attribution_t attribution;
+    mb_attribution_cause_t cause; /* that the owner was told last */
 } item_t;
 
 /* Initializes an empty state. */
@@ -55,7 +56,7 @@
     item_t *item = find_item(evidence, work->source);
     if (item == NULL) {
         item = g_new(item_t, 1);
-        item->work = *work;
+        *item = (item_t){.work = *work, .cause = MB_CAUSE_NONE};
         mb_attribution_init(&item->attribution);
         (void)g_hash_table_insert(evidence->items, &item->work.source, item);
     }
@@ -70,18 +71,18 @@
                                 mb_clock_us(&evidence->clock));
 }
 
-/* Tells the owner if the cause of failures was `before` and has changed.
-   Returns the cause. */
+/* Tells the owner if the cause of failures has changed since it was told. It
+   may change with time alone. Returns the cause. */
 static mb_attribution_cause_t
-apply_change(mb_evidence_t *evidence, const item_t *item,
-             mb_attribution_cause_t before)
+apply_change(mb_evidence_t *evidence, item_t *item)
 {
-    mb_attribution_cause_t after = get_cause(evidence, item);
-    if (before != after) {
+    mb_attribution_cause_t before = item->cause;
+    item->cause = get_cause(evidence, item);
+    if (before != item->cause) {
         evidence->callbacks.changed(evidence->callbacks.context, &item->work,
-                                    before, after);
+                                    before, item->cause);
     }
-    return after;
+    return item->cause;
 }
 
 /* Adds a failure to the evidence on its work. On a worker that fails other
@@ -106,7 +107,7 @@
         evidence->callbacks.add_pending(evidence->callbacks.context,
                                         &item->work, attribution);
     }
-    return apply_change(evidence, item, before);
+    return apply_change(evidence, item);
 }
 
 /* Attributes a failure to the worker or to the work. */
@@ -122,9 +123,8 @@
 static void
 refute(mb_evidence_t *evidence, item_t *item)
 {
-    mb_attribution_cause_t before = get_cause(evidence, item);
     mb_attribution_refuted(&item->attribution);
-    (void)apply_change(evidence, item, before);
+    (void)apply_change(evidence, item);
 }
 
 /* Attributes the refusal of a start as invalid to the work. */
@@ -158,9 +158,8 @@
 {
     item_t *item = find_item(evidence, run->work.source);
     if (item != NULL) {
-        mb_attribution_cause_t before = get_cause(evidence, item);
         mb_attribution_worked(&item->attribution, run->started_us);
-        (void)apply_change(evidence, item, before);
+        (void)apply_change(evidence, item);
     }
     refute_others(evidence, run);
     mb_health_succeeded(run->health, run->started_us);
@@ -172,10 +171,9 @@
 {
     item_t *item = find_item(evidence, run->work.source);
     if (item != NULL) {
-        mb_attribution_cause_t before = get_cause(evidence, item);
         mb_attribution_survived(&item->attribution, run->started_us,
                                 run->worked_us);
-        (void)apply_change(evidence, item, before);
+        (void)apply_change(evidence, item);
     }
 }
 
