Judge work on many workers by a sample of them

Cause: mb_attribution keeps 16 workers where work fails and 16 where it is at work. In a fleet of 100 workers, a fifth of which fail all, the failed ones outnumber the sample of the others, and the work is blamed until one of its runs has outlived the failures by 0.3 s. Found by reading; not seen by a caller.

Change: if there are more than 16 others, only those of the sample that have failed count.

--- a/lib/coordination/mb_attribution.c
+++ b/lib/coordination/mb_attribution.c
@@ -21,17 +21,19 @@
     return false;
 }
 
-/* Removes the run on a worker from those without an outcome. */
-static void
+/* Removes the run on a worker from those without an outcome. Returns false if
+   there is none. */
+static bool
 remove_pending(mb_attribution_t *attribution, uint64_t worker)
 {
     for (uint32_t i = 0; i < attribution->pending_count; i++) {
         if (attribution->pending[i].worker == worker) {
             attribution->pending[i] =
                 attribution->pending[--attribution->pending_count];
-            return;
+            return true;
         }
     }
+    return false;
 }
 
 /* Records a failed run; see the header. */
@@ -46,7 +48,7 @@
     attribution->last_start_us = MAX(attribution->last_start_us, started_us);
     attribution->longest_failed_us =
         MAX(attribution->longest_failed_us, worked_us);
-    remove_pending(attribution, worker);
+    attribution->pending_failed += remove_pending(attribution, worker) ? 1 : 0;
     if (attribution->failed_count < MB_ATTRIBUTION_WORKERS_MAX &&
         !has_failed_on(attribution, worker)) {
         attribution->failed_workers[attribution->failed_count++] = worker;
@@ -62,8 +64,9 @@
         has_failed_on(attribution, worker)) {
         return true;
     }
-    remove_pending(attribution, worker);
+    (void)remove_pending(attribution, worker);
     if (attribution->pending_count == MB_ATTRIBUTION_WORKERS_MAX) {
+        attribution->pending_is_sample = true;
         return false;
     }
     attribution->pending[attribution->pending_count++] =
@@ -163,7 +166,10 @@
     if (attribution->failed_count <= 1) {
         return MB_CAUSE_UNCLEAR;
     }
-    return attribution->failed_count > count_at_work(attribution, now_us)
+    uint32_t failed_count = attribution->pending_is_sample
+                                ? attribution->pending_failed
+                                : attribution->failed_count;
+    return failed_count > count_at_work(attribution, now_us)
                ? MB_CAUSE_WORK
                : MB_CAUSE_WORKERS;
 }
--- a/lib/coordination/mb_attribution.h
+++ b/lib/coordination/mb_attribution.h
@@ -48,6 +48,8 @@
     uint64_t failed_workers[MB_ATTRIBUTION_WORKERS_MAX];
     uint32_t pending_count;
     mb_attribution_run_t pending[MB_ATTRIBUTION_WORKERS_MAX];
+    bool pending_is_sample;  /* there were more */
+    uint32_t pending_failed; /* those that have failed since */
     /* Earliest and latest start of the failed runs. */
     uint64_t first_start_us;
     uint64_t last_start_us;
--- a/tests/unit/test_attribution.cc
+++ b/tests/unit/test_attribution.cc
@@ -57,6 +57,27 @@
     EXPECT_EQ(mb_attribution_cause(&work, failed_us), MB_CAUSE_WORK);
 }
 
+/* Guards against faulty workers of a large fleet that are excused, because
+   more of them fail the work than workers are kept where it is at work. */
+TEST(Attribution, WorkOnManyWorkersIsJudgedByASample)
+{
+    mb_attribution_t work = make_failed(1);
+    for (uint32_t worker = 1; worker < 100; worker++) {
+        if (!mb_attribution_pending(&work, worker, start_us)) {
+            break;
+        }
+    }
+    /* A fifth of the workers. */
+    for (uint32_t worker = 5; worker < 100; worker += 5) {
+        mb_attribution_failed(&work, worker, start_us, fails_after_us);
+        EXPECT_EQ(mb_attribution_cause(&work, failed_us), MB_CAUSE_WORKERS);
+    }
+    for (uint32_t worker = 1; worker <= MB_ATTRIBUTION_WORKERS_MAX; worker++) {
+        mb_attribution_failed(&work, worker, start_us, fails_after_us);
+    }
+    EXPECT_EQ(mb_attribution_cause(&work, failed_us), MB_CAUSE_WORK);
+}
+
 /* Guards against runs that count as being at work for good, although no report
    shows them any more. */
 TEST(Attribution, PendingRunsCountForAWhile)
