Count the tasks held for absent workers once in each pass

Steps that may be faulty are considered a second time in a pass in which a probe is left over. Their tasks that wait for absent workers were counted twice in mb_tasks_held. Found by reading; it has no test of its own.

--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -560,6 +560,8 @@
 static void
 start_doubtful_jobs(pass_t *pass)
 {
+    /* The jobs have been considered before, and their held tasks counted. */
+    uint32_t held_tasks = pass->inputs.fleet->held_tasks;
     pass->inputs.probes_reserved = false;
     if (pass->doubtful_jobs->len == 0 || !is_any_probe_due(pass)) {
         return;
@@ -571,6 +573,7 @@
             start_job(pass, job);
         }
     }
+    pass->inputs.fleet->held_tasks = held_tasks;
 }
 
 /* Runs one scheduling pass over the open jobs. Jobs that the former owner knew
