--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -117,7 +117,7 @@
     uint64_t lost_runs;    /* runs given up without a reported end */
     uint64_t stalls;       /* runs stopped because they made no progress */
     uint64_t moves;        /* throttled runs stopped to go on elsewhere */
-    uint64_t faulty_steps; /* steps to which failures were attributed */
+    uint64_t faulty_steps; /* times that failures were attributed to a step */
     uint64_t passes;       /* scheduling passes */
 } mb_fleet_counts_t;
 
--- a/lib/transport/mb_scheduler_metrics.c
+++ b/lib/transport/mb_scheduler_metrics.c
@@ -39,6 +39,11 @@
         .repeated_successes = mb_counters_add(
             counters, MB_METRIC_GAUGE, "mb_run_successes_repeated",
             "Successes of tasks that had succeeded before"),
+        .stalls = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_runs_stalled",
+                                  "Runs stopped without progress"),
+        .faulty_steps = mb_counters_add(
+            counters, MB_METRIC_GAUGE, "mb_steps_at_fault",
+            "Times that failures were attributed to a step of a job"),
         .held_tasks = mb_counters_add(
             counters, MB_METRIC_GAUGE, "mb_tasks_held",
             "Tasks that wait for workers that have not reported"),
@@ -105,6 +110,8 @@
                  sum_uncounted_ends(&node->fleet.counts));
     mb_gauge_set(node->metrics.repeated_successes,
                  node->fleet.counts.repeated_successes);
+    mb_gauge_set(node->metrics.stalls, node->fleet.counts.stalls);
+    mb_gauge_set(node->metrics.faulty_steps, node->fleet.counts.faulty_steps);
     mb_gauge_set(node->metrics.appends,
                  node->journal.appends + (node->owner_journal != NULL
                                               ? node->owner_journal->appends
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -72,6 +72,8 @@
        had succeeded before: work that was done twice. */
     mb_metric_t *uncounted_ends;
     mb_metric_t *repeated_successes;
+    mb_metric_t *stalls;
+    mb_metric_t *faulty_steps;
     mb_metric_t *held_tasks;   /* tasks that wait for workers that have not
                                   reported to this owner */
     mb_metric_t *appends;      /* sent to the log, including retries */
