Read evacuations from the configuration log

Cause: the configuration log is followed for its newest records only, so that a withdrawal is not reported if it was written while reads failed.

Change: the follower tells when a load begins and when each read has ended; the reader of configurations passes loads, records and the ends of reads to the table of evacuations.

Without a table, the reader does what it did; it sends no additional reads.

--- a/lib/coordination/mb_config_reader.c
+++ b/lib/coordination/mb_config_reader.c
@@ -38,6 +38,22 @@
                   (now_us - follower->last_answer_us) / MB_US_PER_MS);
 }
 
+/* Applies a record of an evacuated failure domain. Returns false if it is of
+   another kind. A record without a value withdraws the request. */
+static bool
+apply_evacuation(mb_config_reader_t *reader, const mb_keyed_record_t *record)
+{
+    mb_str_t domain;
+    if (reader->evacuation == NULL ||
+        reader->decoder.read_evacuation == NULL ||
+        !reader->decoder.read_evacuation(reader->decoder.context, record->key,
+                                         &domain)) {
+        return false;
+    }
+    mb_evacuation_apply(reader->evacuation, domain, record->value.len > 0);
+    return true;
+}
+
 /* Applies one record of the configuration log. A record without a value
    removes the key; the present configuration then stays in force. */
 static void
@@ -46,7 +62,7 @@
     mb_config_reader_t *reader = context;
     g_autoptr(GError) error = NULL;
     (void)in_order;
-    if (record->value.len > 0 &&
+    if (!apply_evacuation(reader, record) && record->value.len > 0 &&
         !reader->decoder.read(reader->decoder.context, record->key,
                               record->value, publish, reader, &error) &&
         error != NULL) {
@@ -55,13 +71,66 @@
     }
 }
 
-/* Called when the table holds everything that the log held at `read_start_us`
+/* Called when a load of the newest records begins. */
+static void
+begin_load(void *context)
+{
+    mb_config_reader_t *reader = context;
+    if (reader->evacuation != NULL) {
+        mb_evacuation_begin_load(reader->evacuation);
+    }
+}
+
+/* Called when a load of the newest records is complete. */
+static void
+end_load(void *context)
+{
+    mb_config_reader_t *reader = context;
+    if (reader->evacuation != NULL) {
+        mb_evacuation_end_load(reader->evacuation);
+    }
+}
+
+/* Called when a read has ended. */
+static void
+note_read_end(void *context, uint64_t read_start_us, bool succeeded)
+{
+    mb_config_reader_t *reader = context;
+    if (reader->evacuation != NULL) {
+        mb_evacuation_read_ended(reader->evacuation, read_start_us, succeeded);
+    }
+}
+
+/* Notes the age of the table of evacuated domains, and logs what is in force
+   after a change. */
+static void
+confirm_evacuation(mb_config_reader_t *reader, uint64_t read_start_us)
+{
+    mb_evacuation_t *evacuation = reader->evacuation;
+    mb_evacuation_caught_up(evacuation, read_start_us);
+    if (evacuation->version == reader->evacuation_version) {
+        return;
+    }
+    reader->evacuation_version = evacuation->version;
+    mb_log_notice(&reader->logger,
+                  "evacuations in force domains=%u "
+                  "next_offset=%" G_GUINT64_FORMAT
+                  " read_started_ms_ago=%" G_GUINT64_FORMAT,
+                  evacuation->evacuated, reader->follower.next_offset,
+                  (mb_clock_us(&reader->clock) - read_start_us) /
+                      MB_US_PER_MS);
+}
+
+/* Called when the tables hold everything that the log held at `read_start_us`
    of the clock. */
 static void
 note_caught_up(void *context, uint64_t read_start_us)
 {
     mb_config_reader_t *reader = context;
     mb_atomic_store(&reader->confirmed_us, read_start_us);
+    if (reader->evacuation != NULL) {
+        confirm_evacuation(reader, read_start_us);
+    }
 }
 
 /* Initializes a reader that has read nothing. `stream`, `table` and
@@ -73,8 +142,12 @@
                       mb_metric_t *version_metric, const mb_clock_t *clock,
                       const mb_log_t *logger)
 {
-    mb_follower_callbacks_t callbacks = {
-        .apply = apply_record, .caught_up = note_caught_up, .context = reader};
+    mb_follower_callbacks_t callbacks = {.apply = apply_record,
+                                         .load_begins = begin_load,
+                                         .loaded = end_load,
+                                         .caught_up = note_caught_up,
+                                         .read_ended = note_read_end,
+                                         .context = reader};
     memset(reader, 0, sizeof(*reader));
     reader->table = table;
     reader->clock = *clock;
@@ -87,6 +160,14 @@
     mb_follower_set_newest_only(&reader->follower);
 }
 
+/* Sets the table of evacuated failure domains; see the header. */
+void
+mb_config_reader_set_evacuation(mb_config_reader_t *reader,
+                                mb_evacuation_t *evacuation)
+{
+    reader->evacuation = evacuation;
+}
+
 /* Releases the reader. No read may be in progress. */
 void
 mb_config_reader_finish(mb_config_reader_t *reader)
--- a/lib/coordination/mb_config_reader.h
+++ b/lib/coordination/mb_config_reader.h
@@ -1,11 +1,12 @@
-/* Keeps the table of queues up to date with the configuration log, and knows
-   how recent the table is. Used on one thread, except mb_config_reader_age_us,
-   which any thread may call. */
+/* Keeps the table of queues and that of evacuated failure domains up to date
+   with the configuration log, and knows how recent they are. Used on one
+   thread, except mb_config_reader_age_us, which any thread may call. */
 #ifndef MB_CONFIG_READER_H
 #define MB_CONFIG_READER_H
 
 #include "mb_counter.h"
 #include "mb_error.h"
+#include "mb_evacuation.h"
 #include "mb_follower.h"
 #include "mb_queue_table.h"
 
@@ -18,6 +19,10 @@
                  void (*take)(void *take_context,
                               const mb_queue_version_t *version),
                  void *take_context, GError **error);
+    /* Tells whether the records of a key request the evacuation of a failure
+       domain, and sets `domain` to a view of its name in the key. May be NULL:
+       there are no such records. */
+    bool (*read_evacuation)(void *context, mb_str_t key, mb_str_t *domain);
     void *context;
 } mb_config_decoder_t;
 
@@ -28,6 +33,8 @@
     mb_config_decoder_t decoder;
     mb_log_t logger;
     mb_metric_t *version_metric; /* NULL: not counted */
+    mb_evacuation_t *evacuation; /* NULL: not kept */
+    uint64_t evacuation_version; /* of that table, when it was last logged */
     /* Atomic: the table holds every version that the log had accepted at this
        time of the clock; 0: none yet. */
     uint64_t confirmed_us;
@@ -38,6 +45,10 @@
                            const mb_config_decoder_t *decoder,
                            mb_metric_t *version_metric,
                            const mb_clock_t *clock, const mb_log_t *logger);
+/* Sets the table of evacuated failure domains to be kept up to date, which is
+   borrowed. Called before the first read. */
+void mb_config_reader_set_evacuation(mb_config_reader_t *reader,
+                                     mb_evacuation_t *evacuation);
 void mb_config_reader_finish(mb_config_reader_t *reader);
 void mb_config_reader_run(mb_config_reader_t *reader);
 uint64_t mb_config_reader_age_us(const mb_config_reader_t *reader);
--- a/lib/coordination/mb_follower.c
+++ b/lib/coordination/mb_follower.c
@@ -78,6 +78,16 @@
     return follower->following ? "in_order" : "newest";
 }
 
+/* Reports the end of the latest read. */
+static void
+report_read_end(const mb_follower_t *follower, bool succeeded)
+{
+    if (follower->callbacks.read_ended != NULL) {
+        follower->callbacks.read_ended(follower->callbacks.context,
+                                       follower->read_start_us, succeeded);
+    }
+}
+
 /* Handles a failed read: schedules the next one, and logs it. Of a series of
    failures only those are logged whose number is a power of two. If only the
    newest records matter, they are read next, because a backlog may have grown
@@ -107,6 +117,7 @@
                                (follower->newest_only && follower->following);
     follower->next_read_us =
         now_us + MB_FOLLOWER_RETRY_DELAY_MS * MB_US_PER_MS;
+    report_read_end(follower, false);
 }
 
 /* Handles a successful read: notes its time, and logs it after failures. */
@@ -130,6 +141,7 @@
     }
     follower->failures = 0;
     follower->last_answer_us = now_us;
+    report_read_end(follower, true);
 }
 
 /* Starts to read the newest records, from the first page. */
@@ -160,6 +172,9 @@
         follower->first_page = false;
         follower->load_start_us = follower->read_start_us;
         follower->next_offset = page->end;
+        if (follower->callbacks.load_begins != NULL) {
+            follower->callbacks.load_begins(follower->callbacks.context);
+        }
     }
     apply_page(follower, page, false);
     if (page->count > 0) {
--- a/lib/coordination/mb_follower.h
+++ b/lib/coordination/mb_follower.h
@@ -28,6 +28,9 @@
        read in order, and so was written after loading began. */
     void (*apply)(void *context, const mb_keyed_record_t *record,
                   bool in_order);
+    /* A load of the newest records begins: its first page is applied next. A
+       load that was not complete has ended without `loaded`. May be NULL. */
+    void (*load_begins)(void *context);
     /* All pages of a load of the newest records have been applied. Keys that
        were not among them are not in the log; keys that were removed since the
        previous read are known only by that. May be NULL. */
@@ -35,6 +38,9 @@
     /* Everything has been applied that the log held when the latest read was
        sent, at `read_start_us` of the clock. */
     void (*caught_up)(void *context, uint64_t read_start_us);
+    /* A read that was sent at `read_start_us` has succeeded or failed. Called
+       before its records are applied. May be NULL. */
+    void (*read_ended)(void *context, uint64_t read_start_us, bool succeeded);
     void *context;
 } mb_follower_callbacks_t;
 
--- a/tests/unit/config_simulation.h
+++ b/tests/unit/config_simulation.h
@@ -208,7 +208,7 @@
         mb_clock_t clock = {read_clock, &now_us};
         mb_log_t logger = mb_log_null();
         mb_keyed_log_t callbacks = log.callbacks();
-        mb_config_decoder_t decoder = {decode, this};
+        mb_config_decoder_t decoder = {decode, nullptr, this};
         mb_epoch_init(&epoch_);
         mb_queue_table_init(&table_, &epoch_);
         mb_config_reader_init(&reader, MB_STR_LIT("config"), &callbacks,
--- a/tests/unit/test_config_reader.cc
+++ b/tests/unit/test_config_reader.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "config_simulation.h"
+#include "fake_log.h"
 
 /* Writes large versions for some time. */
 static void
@@ -110,3 +111,115 @@
     RC_ASSERT(simulation.rejected == 0);
     RC_ASSERT(simulation.reverted == 0);
 }
+
+/* A reader of evacuations on a log that has records of several keys. */
+class EvacuationReader : public ::testing::Test {
+  protected:
+    EvacuationReader()
+    {
+        mb_clock_t clock = {read_clock, &now_us};
+        mb_log_t logger = mb_log_null();
+        mb_keyed_log_t callbacks = log.callbacks();
+        mb_config_decoder_t decoder = {read_config, read_evacuation, this};
+        mb_epoch_init(&epoch);
+        mb_queue_table_init(&queues, &epoch);
+        mb_evacuation_init(&table, 5000, &clock, &logger);
+        mb_config_reader_init(&reader, MB_STR_LIT("config"), &callbacks,
+                              &queues, &decoder, nullptr, &clock, &logger);
+        mb_config_reader_set_evacuation(&reader, &table);
+    }
+    ~EvacuationReader() override
+    {
+        mb_config_reader_finish(&reader);
+        mb_evacuation_finish(&table);
+        mb_queue_table_finish(&queues);
+        mb_epoch_finish(&epoch);
+    }
+    static uint64_t read_clock(void *context)
+    {
+        return *static_cast<uint64_t *>(context);
+    }
+    static bool read_config(void *context, mb_str_t, mb_str_t,
+                            void (*)(void *, const mb_queue_version_t *),
+                            void *, GError **)
+    {
+        static_cast<EvacuationReader *>(context)->configs++;
+        return true;
+    }
+    /* The keys of evacuations start with '@'. */
+    static bool read_evacuation(void *, mb_str_t key, mb_str_t *domain)
+    {
+        *domain = {key.data + 1, key.len - 1};
+        return key.data[0] == '@';
+    }
+    void write(const char *key, const char *value)
+    {
+        log.records.push_back({key, value});
+    }
+    void advance(uint64_t ms)
+    {
+        for (uint64_t i = 0; i < ms; i += 20) {
+            mb_config_reader_run(&reader);
+            log.deliver();
+            now_us += 20000;
+        }
+    }
+    bool contains(const char *domain)
+    {
+        return mb_evacuation_contains(&table, mb_str_from_cstr(domain));
+    }
+    uint64_t now_us = 1000000;
+    int configs = 0;
+    FakeLog log;
+    mb_epoch_t epoch;
+    mb_queue_table_t queues;
+    mb_evacuation_t table;
+    mb_config_reader_t reader;
+};
+
+/* Guards against records of one key that hide those of others on a page, and
+   against an older record of a key that decides. */
+TEST_F(EvacuationReader, AppliesTheNewestRecordOfEveryKey)
+{
+    write("@a", "{}");
+    write("@b", "{}");
+    write("@c", "{}");
+    write("config", "1");
+    EXPECT_FALSE(mb_evacuation_may_start(&table, nullptr));
+    advance(1000);
+    EXPECT_TRUE(mb_evacuation_may_start(&table, nullptr));
+    EXPECT_TRUE(contains("a") && contains("b") && contains("c"));
+    EXPECT_EQ(configs, 1);
+    write("@b", "");
+    write("config", "2");
+    write("@a", "");
+    write("@a", "{}");
+    write("@d", "{}");
+    advance(1000);
+    EXPECT_TRUE(contains("a") && contains("c") && contains("d"));
+    EXPECT_FALSE(contains("b"));
+    EXPECT_EQ(configs, 2);
+}
+
+/* Guards against a withdrawal that is missed because it was written while
+   reads failed or its record was removed, and against failed reads that are
+   not noticed. */
+TEST_F(EvacuationReader, NoticesAWithdrawalThatIsNotReadInOrder)
+{
+    write("config", "1");
+    write("@a", "{}");
+    write("@b", "{}");
+    advance(1000);
+    log.plan = {'n'};
+    write("@a", "");
+    log.first = log.records.size();
+    for (int i = 0; i < 50 && table.failed_read_us == 0; i++) {
+        advance(20);
+    }
+    EXPECT_NE(table.failed_read_us, 0u);
+    EXPECT_TRUE(contains("a"));
+    advance(1000);
+    EXPECT_EQ(table.failed_read_us, 0u);
+    EXPECT_FALSE(contains("a"));
+    EXPECT_TRUE(contains("b"));
+}
--- a/tests/unit/test_journal.cc
+++ b/tests/unit/test_journal.cc
@@ -216,7 +216,8 @@
         mb_clock_t clock = {read_clock, &now_us};
         mb_log_t logger = mb_log_null();
         mb_keyed_log_t callbacks = log.callbacks();
-        mb_follower_callbacks_t own = {apply, nullptr, caught_up, this};
+        mb_follower_callbacks_t own = {apply,     nullptr, nullptr,
+                                       caught_up, nullptr, this};
         mb_follower_init(&follower, MB_STR_LIT("jobs"), &callbacks, &own,
                          &clock, &logger);
     }
--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -276,6 +276,22 @@
     EXPECT_EQ(received.count, 1);
 }
 
+/* Guards against evacuations that are not recognized, and against keys that
+   are taken for one. */
+TEST(Jobs, RecognizesEvacuations)
+{
+    mb_job_codec_t codec = mbp_job_codec();
+    mb_str_t domain = MB_STR_EMPTY;
+    EXPECT_TRUE(codec.config_decoder.read_evacuation(
+        nullptr, MB_STR_LIT("evacuate/zone/1"), &domain));
+    EXPECT_TRUE(mb_str_equal(domain, MB_STR_LIT("zone/1")));
+    for (const char *key :
+         {"evacuate/", "evacuate", "config", "xevacuate/a"}) {
+        EXPECT_FALSE(codec.config_decoder.read_evacuation(
+            nullptr, mb_str_from_cstr(key), &domain));
+    }
+}
+
 /* Guards against names that denote another task after a round trip, and
    against names with fewer or more than four parts that are accepted. */
 TEST(Tasks, NameRoundTrip)
