Start nothing in evacuated failure domains

Cause: a start can be decided by the placement, by a kept place of a moved run, or by a pass whose order is sent after a pause of the process.

Change: an evacuated worker is an obstacle for every placement, the last one, so that the reason "evacuated" names tasks that fit there only. The starts of an order are checked again when it is sent: those not allowed any more are dropped, their tasks wait again, and the other members of a gang are stopped. No pass runs while starts are withheld. After a withdrawal, a cost that decays over 10 s spreads the starts.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -33,6 +33,7 @@
     mb_buf_finish(&worker->name);
     mb_buf_finish(&worker->service);
     mb_buf_finish(&worker->rack);
+    mb_buf_finish(&worker->failure_domain);
     for (uint32_t i = 0; i < MB_WORKER_LABELS_MAX; i++) {
         mb_buf_finish(&worker->labels[i]);
     }
@@ -585,6 +586,7 @@
     }
     mb_fleet_flush(fleet);
     if (fleet->active) {
+        mb_fleet_log_evacuations(fleet, now_us);
         mb_fleet_log_waiting(fleet, now_us);
         mb_fleet_log_latencies(fleet, now_us);
     }
@@ -597,7 +599,8 @@
     if (!fleet->is_owner) {
         return;
     }
-    if (fleet->active && fleet->schedule_due) {
+    mb_fleet_update_evacuations(fleet);
+    if (fleet->active && fleet->schedule_due && !fleet->starts_withheld) {
         fleet->schedule_due = false;
         mb_fleet_move_throttled_runs(fleet);
         mb_fleet_schedule(fleet);
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -14,6 +14,7 @@
 
 #include "mb_clock.h"
 #include "mb_dag.h"
+#include "mb_evacuation.h"
 #include "mb_evidence.h"
 #include "mb_headroom.h"
 #include "mb_health.h"
@@ -118,7 +119,9 @@
     uint64_t stalls;       /* runs stopped because they made no progress */
     uint64_t moves;        /* throttled runs stopped to go on elsewhere */
     uint64_t faulty_steps; /* times that failures were attributed to a step */
-    uint64_t passes;       /* scheduling passes */
+    uint64_t dropped_starts; /* starts removed from orders before they were
+                                sent, because they are no longer allowed */
+    uint64_t passes;         /* scheduling passes */
 } mb_fleet_counts_t;
 
 /* One run, which holds resources of a worker. */
@@ -213,6 +216,10 @@
     mb_buf_t name;
     mb_buf_t service; /* name of the pool of workers that it belongs to */
     mb_buf_t rack;
+    mb_buf_t failure_domain;
+    bool evacuated;       /* its failure domain is */
+    uint64_t returned_us; /* when the request for its domain was withdrawn; 0:
+                             not lately */
     mb_buf_t labels[MB_WORKER_LABELS_MAX];
     uint32_t label_count;
     mb_size_t capacity;
@@ -306,12 +313,28 @@
        mb_fleet_step_key. */
     mb_evidence_t evidence;
     mb_fleet_counts_t counts;
+    /* Evacuated failure domains; NULL: there are none. Borrowed. */
+    const mb_evacuation_t *evacuation;
+    uint64_t evacuation_version;  /* of the table that the workers reflect */
+    uint64_t evacuation_noted_us; /* when the following was last counted */
+    uint64_t evacuation_logged_us;
+    uint32_t evacuated_workers;
+    uint32_t evacuated_runs;  /* runs on them */
+    uint32_t evacuated_tasks; /* tasks that found no worker in the latest pass
+                                 and whose service has evacuated workers */
+    bool starts_withheld; /* `evacuation` does not allow any starts at present
+                           */
 } mb_fleet_t;
 
 void mb_fleet_init(mb_fleet_t *fleet, mb_dag_table_t *table,
                    const mb_fleet_callbacks_t *callbacks,
                    const mb_clock_t *clock, const mb_log_t *log);
 void mb_fleet_finish(mb_fleet_t *fleet);
+/* Sets the table of evacuated failure domains, which is borrowed and must
+   outlive the fleet. Without it, no domain is evacuated and starts are always
+   allowed. */
+void mb_fleet_set_evacuation(mb_fleet_t *fleet,
+                             const mb_evacuation_t *evacuation);
 
 /* Ownership. */
 void mb_fleet_become_owner(mb_fleet_t *fleet, uint64_t token,
@@ -369,6 +392,17 @@
    orders that are due. Call it after each batch of events. */
 void mb_fleet_flush(mb_fleet_t *fleet);
 
+/* What the owner knows of the workers of one failure domain. */
+typedef struct mb_fleet_domain {
+    uint32_t workers;
+    uint32_t runs;
+} mb_fleet_domain_t;
+
+/* Counts the workers of a failure domain and what runs there; nothing is known
+   in a process that is not the owner. */
+mb_fleet_domain_t mb_fleet_count_domain(const mb_fleet_t *fleet,
+                                        mb_str_t domain);
+
 /* Lookups. */
 uint64_t mb_fleet_max_lease_us(void);
 mb_fleet_worker_t *mb_fleet_get_worker(const mb_fleet_t *fleet,
--- a/lib/coordination/mb_fleet_cost.c
+++ b/lib/coordination/mb_fleet_cost.c
@@ -76,6 +76,10 @@
    so that only a job without a run gets such a place, and more than the costs
    above, so that it is the last choice. */
 #define COST_BEST_EFFORT_CROWDED 1000000u
+/* On a worker to which work has just returned after an evacuation: a worker
+   elsewhere is preferred unless its load is higher by this much. Decays to 0
+   over MB_EVACUATION_RETURN_MS, so that the starts spread over the time. */
+#define COST_RETURNED LOAD_FULL
 #define FULL_SPEED_PERCENT 100u
 #define MILLI 1000u
 
@@ -349,9 +353,15 @@
         is_probe_reserved(inputs, worker, run)) {
         return MB_FLEET_OBSTACLE_UNUSABLE;
     }
-    return load_with_task(inputs, worker, run) == COST_FORBIDDEN
-               ? MB_FLEET_OBSTACLE_ROOM
-               : MB_FLEET_OBSTACLE_COST;
+    if (load_with_task(inputs, worker, run) == COST_FORBIDDEN) {
+        return MB_FLEET_OBSTACLE_ROOM;
+    }
+#ifndef MB_MUTANT_FLEET_EVACUATION_IGNORED
+    if (worker->evacuated) {
+        return MB_FLEET_OBSTACLE_EVACUATED;
+    }
+#endif
+    return MB_FLEET_OBSTACLE_COST;
 }
 
 /* Counts the failures of a worker that speak against placing a run there:
@@ -366,6 +376,22 @@
                      health, mb_fleet_step_key(run->job, run->step));
 }
 
+/* Returns the cost of a worker whose failure domain was evacuated until
+   lately. */
+static uint64_t
+return_cost(const mb_fleet_cost_inputs_t *inputs,
+            const mb_fleet_worker_t *worker)
+{
+    uint64_t period_us = MB_EVACUATION_RETURN_MS * (uint64_t)MB_US_PER_MS;
+    uint64_t age_us = inputs->now_us - worker->returned_us;
+#ifdef MB_MUTANT_FLEET_RETURNS_AT_ONCE
+    return 0;
+#endif
+    return worker->returned_us == 0 || age_us >= period_us
+               ? 0
+               : COST_RETURNED * (period_us - age_us) / period_us;
+}
+
 /* Returns the cost of placing a run on a worker, or COST_FORBIDDEN if it must
    not be placed there. */
 uint64_t
@@ -379,7 +405,8 @@
         MB_FLEET_OBSTACLE_COST) {
         return COST_FORBIDDEN;
     }
-    uint64_t cost = load_with_task(inputs, worker, run);
+    uint64_t cost =
+        load_with_task(inputs, worker, run) + return_cost(inputs, worker);
     if (step->rack.len > 0 &&
         !mb_str_equal(mb_buf_view(&worker->rack), step->rack)) {
         cost += COST_OTHER_RACK;
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -14,6 +14,8 @@
    - mb_fleet_absence.c keeps the records of absent workers, and the tasks that
      wait for them after a change of ownership
    - mb_fleet_pools.c tells how much of each service's capacity is in use
+   - mb_fleet_evacuation.c tells which workers are evacuated, and has the last
+     check of the starts in an order before it is sent
    - these use mb_fleet_headroom.c (effect of best-effort work on service
      tasks), mb_fleet_estimate.c (expected run times) and mb_fleet_state.c
      (runs and jobs)
@@ -100,6 +102,13 @@
 void mb_fleet_order_throttle(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                              const mb_order_throttle_t *throttle);
 
+/* mb_fleet_evacuation.c */
+void mb_fleet_set_failure_domain(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
+                                 mb_str_t domain);
+void mb_fleet_update_evacuations(mb_fleet_t *fleet);
+void mb_fleet_drop_starts(mb_fleet_t *fleet, mb_fleet_worker_t *worker);
+void mb_fleet_log_evacuations(mb_fleet_t *fleet, uint64_t now_us);
+
 /* mb_fleet_report.c */
 void mb_fleet_settle_confirmed(mb_fleet_t *fleet);
 
@@ -136,6 +145,7 @@
     uint64_t used_memory_mb;
     bool job_in_time_waits; /* a job that can still be in time has a waiting
                                task */
+    bool has_evacuated;     /* one of the workers is evacuated */
 } mb_fleet_pool_t;
 
 void mb_fleet_pools_init(mb_fleet_pools_t *pools);
@@ -149,6 +159,9 @@
 bool mb_fleet_pools_job_in_time_waits(const mb_fleet_pools_t *pools,
                                       mb_str_t service);
 
+bool mb_fleet_pools_has_evacuated(const mb_fleet_pools_t *pools,
+                                  mb_str_t service);
+
 /* Inputs of the cost functions that stay the same during a scheduling
    pass. */
 typedef struct mb_fleet_cost_inputs {
@@ -176,10 +189,11 @@
 
 /* Why a worker does not get a task. */
 typedef enum mb_fleet_obstacle {
-    MB_FLEET_OBSTACLE_EXCLUDED, /* service, label, or tasks per worker */
-    MB_FLEET_OBSTACLE_UNUSABLE, /* the worker gets no starts at present */
-    MB_FLEET_OBSTACLE_ROOM,     /* the task does not fit */
-    MB_FLEET_OBSTACLE_COST,     /* at most the cost is too high */
+    MB_FLEET_OBSTACLE_EXCLUDED,  /* service, label, or tasks per worker */
+    MB_FLEET_OBSTACLE_UNUSABLE,  /* the worker gets no starts at present */
+    MB_FLEET_OBSTACLE_ROOM,      /* the task does not fit */
+    MB_FLEET_OBSTACLE_EVACUATED, /* nothing but the evacuation of its domain */
+    MB_FLEET_OBSTACLE_COST,      /* at most the cost is too high */
     MB_FLEET_OBSTACLE_COUNT
 } mb_fleet_obstacle_t;
 
--- a/lib/coordination/mb_fleet_orders.c
+++ b/lib/coordination/mb_fleet_orders.c
@@ -22,11 +22,13 @@
 }
 
 /* Completes and sends the pending order of a worker. It renews the lease and
-   acknowledges stored ends. */
+   acknowledges stored ends. Starts that are not allowed any more are dropped
+   from it. */
 void
 mb_fleet_send_order(mb_fleet_t *fleet, mb_fleet_worker_t *worker)
 {
     mb_order_t *order = &worker->pending_order;
+    mb_fleet_drop_starts(fleet, worker);
     order->token = fleet->token;
     order->sequence = ++worker->order_sequence;
     order->report_sequence = worker->report_sequence;
--- a/lib/coordination/mb_fleet_pools.c
+++ b/lib/coordination/mb_fleet_pools.c
@@ -117,6 +117,7 @@
         if (pool == NULL) {
             continue;
         }
+        pool->has_evacuated = pool->has_evacuated || worker->evacuated;
         pool->cpu_milli += worker->capacity.cpu_milli;
         pool->memory_mb += worker->capacity.memory_mb;
         pool->used_cpu_milli +=
@@ -176,3 +177,11 @@
     const mb_fleet_pool_t *pool = find_pool(pools, service);
     return pool != NULL && pool->job_in_time_waits;
 }
+
+/* Tells whether a worker of a service is evacuated. */
+bool
+mb_fleet_pools_has_evacuated(const mb_fleet_pools_t *pools, mb_str_t service)
+{
+    const mb_fleet_pool_t *pool = find_pool(pools, service);
+    return pool != NULL && pool->has_evacuated;
+}
--- a/lib/coordination/mb_fleet_report.c
+++ b/lib/coordination/mb_fleet_report.c
@@ -53,6 +53,7 @@
     mb_buf_set(&worker->name, info->name);
     mb_buf_set(&worker->service, info->service);
     mb_buf_set(&worker->rack, info->rack);
+    mb_fleet_set_failure_domain(fleet, worker, info->failure_domain);
     worker->label_count = info->label_count;
     for (uint32_t i = 0; i < info->label_count; i++) {
         mb_buf_set(&worker->labels[i], info->labels[i]);
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -503,6 +503,22 @@
     return none_waits;
 }
 
+/* Counts the tasks of a step that found no worker, if evacuated workers of its
+   service might have taken them. The runs of the job are taken for runs of
+   this step. */
+static void
+note_waiting_step(const pass_t *pass, const mb_fleet_run_t *run)
+{
+    const mb_dag_job_t *job = run->job;
+    uint32_t unfinished =
+        job->occurrences[run->occurrence].unfinished_tasks[run->step];
+    if (mb_fleet_pools_has_evacuated(pass->inputs.pools,
+                                     job->spec.policy.service)) {
+        pass->inputs.fleet->evacuated_tasks +=
+            unfinished - MIN(unfinished, job->running);
+    }
+}
+
 /* Starts what can be started of a job. `needs_scheduling` stays set if the
    next pass has to consider the job again although none of its runs ends in
    between: a task waits for room, for its retry delay or for its due time. */
@@ -521,8 +537,10 @@
                 continue;
             }
             mb_fleet_run_t run = {.job = job, .occurrence = k, .step = s};
-            none_waits = !is_hopeless(pass, &run) && start_step(pass, &run) &&
-                         none_waits;
+            if (is_hopeless(pass, &run) || !start_step(pass, &run)) {
+                note_waiting_step(pass, &run);
+                none_waits = false;
+            }
         }
     }
     job->needs_scheduling = !none_waits;
@@ -562,6 +580,7 @@
 {
     /* The jobs have been considered before, and their held tasks counted. */
     uint32_t held_tasks = pass->inputs.fleet->held_tasks;
+    uint32_t evacuated_tasks = pass->inputs.fleet->evacuated_tasks;
     pass->inputs.probes_reserved = false;
     if (pass->doubtful_jobs->len == 0 || !is_any_probe_due(pass)) {
         return;
@@ -574,6 +593,7 @@
         }
     }
     pass->inputs.fleet->held_tasks = held_tasks;
+    pass->inputs.fleet->evacuated_tasks = evacuated_tasks;
 }
 
 /* Runs one scheduling pass over the open jobs. Jobs that the former owner knew
@@ -589,6 +609,7 @@
     mb_fleet_candidates_init(&pass.candidates);
     fleet->counts.passes++;
     fleet->held_tasks = 0;
+    fleet->evacuated_tasks = 0;
     mb_fleet_sort_jobs(fleet, pass.inputs.now_us);
     start_moved_tasks(&pass);
     for (guint i = 0; i < fleet->open_jobs->len; i++) {
--- a/lib/coordination/mb_fleet_waiting.c
+++ b/lib/coordination/mb_fleet_waiting.c
@@ -71,6 +71,9 @@
             const obstacles_t *obstacles)
 {
     const mb_dag_task_t *task = mb_fleet_run_task(run);
+    if (inputs->fleet->starts_withheld) {
+        return "starts_withheld";
+    }
     if (run->job->inherited && !inputs->fleet->former_runs_resolved) {
         return "former_runs_unknown";
     }
@@ -86,6 +89,9 @@
                    ? "service_latency"
                    : "behind_other_tasks";
     }
+    if (obstacles->workers[MB_FLEET_OBSTACLE_EVACUATED] > 0) {
+        return "evacuated";
+    }
     return obstacles->workers[MB_FLEET_OBSTACLE_ROOM] > 0 ? "no_room"
                                                           : "no_usable_worker";
 }
@@ -106,7 +112,7 @@
         "idle_ms=%" G_GUINT64_FORMAT
         " best_effort=%d use_milli=%" G_GUINT64_FORMAT
         " declared_milli=%" G_GUINT64_FORMAT
-        " excluded=%u unusable=%u no_room=%u cost=%u "
+        " excluded=%u unusable=%u no_room=%u evacuated=%u cost=%u "
         "lowest_cost=%" G_GINT64_FORMAT " cost_limit=%" G_GINT64_FORMAT,
         MB_STR_ARG(mb_dag_id_view(&job->spec.id)), run->occurrence, run->step,
         run->index, name_reason(inputs, run, &obstacles),
@@ -116,6 +122,7 @@
         obstacles.workers[MB_FLEET_OBSTACLE_EXCLUDED],
         obstacles.workers[MB_FLEET_OBSTACLE_UNUSABLE],
         obstacles.workers[MB_FLEET_OBSTACLE_ROOM],
+        obstacles.workers[MB_FLEET_OBSTACLE_EVACUATED],
         obstacles.workers[MB_FLEET_OBSTACLE_COST],
         has_cost ? (gint64)obstacles.lowest_cost : -1,
         limit != UINT64_MAX ? (gint64)limit : -1);
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -68,8 +68,9 @@
     Machine *machine;
     std::string name;
     std::string service = "service";
-    uint64_t started_ms = 1;     /* also its incarnation */
-    uint64_t clock_start_ms = 0; /* its clock counts from here */
+    std::string domain = "domain"; /* its failure domain */
+    uint64_t started_ms = 1;       /* also its incarnation */
+    uint64_t clock_start_ms = 0;   /* its clock counts from here */
     bool is_up = true;       /* if not, it does nothing and answers no calls */
     bool stalled = false;    /* its runs make no progress and never end */
     bool fails_runs = false; /* its runs fail soon after their start */
--- a/tests/unit/fleet_simulation_impl.h
+++ b/tests/unit/fleet_simulation_impl.h
@@ -467,6 +467,7 @@
     info.incarnation = worker.started_ms;
     info.start_time_ms = worker.started_ms;
     info.service = {worker.service.data(), worker.service.size()};
+    info.failure_domain = {worker.domain.data(), worker.domain.size()};
     info.capacity = {capacity_milli, 100000, 0};
     mb_agent_heartbeat(machine.agent, &info, ++machine.heartbeats);
 }
--- a/tests/unit/test_fleet_moves.cc
+++ b/tests/unit/test_fleet_moves.cc
@@ -48,6 +48,10 @@
         target = find_machine(simulation, full_id);
         ASSERT_NE(target, nullptr);
         simulation.cancel(full_id);
+        wait_for_move();
+    }
+    virtual void wait_for_move()
+    {
         for (int ms = 0; ms < 2000 && simulation.fleet.counts.moves == 0;
              ms += 5) {
             simulation.advance(5);
@@ -113,3 +117,61 @@
     simulation.advance(10000);
     expect_no_violations(simulation);
 }
+
+/* The same with the failure domain of the free worker evacuated. */
+class FleetMovesEvacuation : public FleetMoves {
+  protected:
+    FleetMovesEvacuation()
+    {
+        mb_clock_t clock = {read_clock, &simulation};
+        mb_log_t log = make_log();
+        mb_evacuation_init(&table, 0, &clock, &log);
+        mb_fleet_set_evacuation(&simulation.fleet, &table);
+        simulation.machines[0]->worker.domain = "0";
+        simulation.machines[1]->worker.domain = "1";
+    }
+    ~FleetMovesEvacuation() override
+    {
+        mb_evacuation_finish(&table);
+    }
+    void wait_for_move() override
+    {
+    }
+    void set_evacuated(const Machine *machine)
+    {
+        const std::string &domain = machine->worker.domain;
+        mb_evacuation_apply(&table, {domain.data(), domain.size()}, true);
+    }
+    mb_evacuation_t table;
+};
+
+/* Guards against a throttled run that is stopped to go on in an evacuated
+   domain. */
+TEST_F(FleetMovesEvacuation, NoRunIsMovedIn)
+{
+    set_evacuated(target);
+    simulation.advance(5000);
+    EXPECT_EQ(simulation.fleet.counts.moves, 0u);
+    EXPECT_TRUE(target->worker.runs.empty());
+}
+
+/* Guards against the start of a moved task in a place that was kept for it
+   before its domain was evacuated. */
+TEST_F(FleetMovesEvacuation, AKeptPlaceIsNotUsed)
+{
+    FleetMoves::wait_for_move();
+    set_evacuated(target);
+    simulation.advance(5000);
+    EXPECT_TRUE(target->worker.runs.empty());
+    expect_no_violations(simulation);
+}
+
+/* Guards against throttled runs that are kept in an evacuated domain. */
+TEST_F(FleetMovesEvacuation, ARunIsMovedOut)
+{
+    set_evacuated(find_machine(simulation, moved_id));
+    simulation.advance(5000);
+    EXPECT_EQ(simulation.fleet.counts.moves, 1u);
+    EXPECT_EQ(find_machine(simulation, moved_id), target);
+    expect_no_violations(simulation);
+}
