Add settings, metrics and a list of evacuations

Cause: operators need the bound from the platform's settings, and to see what is evacuated and what still runs there.

--- a/lib/transport/mb_scheduler_metrics.c
+++ b/lib/transport/mb_scheduler_metrics.c
@@ -68,7 +68,25 @@
             "Requests for a queue that does not exist"),
         .tick_gap_us =
             mb_counters_add(counters, MB_METRIC_HISTOGRAM, "mb_tick_gap_us",
-                            "Time between two ticks of the event loop")};
+                            "Time between two ticks of the event loop"),
+        .evacuated_domains =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_evacuated_domains",
+                            "Failure domains that are evacuated"),
+        .evacuated_workers =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_evacuated_workers",
+                            "Workers in evacuated domains"),
+        .evacuated_runs =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_evacuated_runs",
+                            "Runs on workers in evacuated domains"),
+        .evacuated_tasks = mb_counters_add(
+            counters, MB_METRIC_GAUGE, "mb_evacuated_tasks_waiting",
+            "Tasks without a worker whose service has evacuated workers"),
+        .starts_withheld = mb_counters_add(
+            counters, MB_METRIC_GAUGE, "mb_starts_withheld",
+            "1 while nothing starts because evacuations may be unknown"),
+        .dropped_starts =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_run_starts_dropped",
+                            "Starts that were dropped before they were sent")};
 }
 
 /* Answers a request for the metrics, on an HTTP thread. */
@@ -77,6 +95,9 @@
 {
     mb_scheduler_node_t *node = context;
     MB_AUTO_BUF mb_buf_t body = {0};
+    if (mb_scheduler_handle_evacuations(node, exchange)) {
+        return;
+    }
     mb_prometheus_write(node->counters, &body);
     mb_http_respond(exchange, 200, NULL, mb_buf_view(&body));
 }
@@ -92,6 +113,25 @@
     return sum;
 }
 
+/* Updates the metrics of evacuated failure domains. What concerns workers and
+   tasks is known to the owner only. */
+static void
+update_evacuation_metrics(mb_scheduler_node_t *node)
+{
+    const mb_fleet_t *fleet = &node->fleet;
+    bool owner = mb_fleet_is_owner(fleet);
+    mb_gauge_set(node->metrics.evacuated_domains, node->evacuation.evacuated);
+    mb_gauge_set(node->metrics.evacuated_workers,
+                 owner ? fleet->evacuated_workers : 0);
+    mb_gauge_set(node->metrics.evacuated_runs,
+                 owner ? fleet->evacuated_runs : 0);
+    mb_gauge_set(node->metrics.evacuated_tasks,
+                 owner ? fleet->evacuated_tasks : 0);
+    mb_gauge_set(node->metrics.starts_withheld,
+                 owner && fleet->starts_withheld);
+    mb_gauge_set(node->metrics.dropped_starts, fleet->counts.dropped_starts);
+}
+
 /* Copies the counters that other modules keep to the metrics. */
 void
 mb_scheduler_update_metrics(mb_scheduler_node_t *node)
@@ -118,6 +158,7 @@
                                               : 0));
     mb_gauge_set(node->metrics.reads,
                  node->jobs.reads + node->configs.follower.reads);
+    update_evacuation_metrics(node);
 }
 
 /* Records the time since the previous tick, which is longer than TICK_MS when
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -297,6 +297,9 @@
         .batch_bytes_max = MB_SCHEDULER_BATCH_BYTES};
     mb_fleet_init(&node->fleet, &node->table, &fleet, &node->clock,
                   &node->log);
+    mb_evacuation_init(&node->evacuation, node->config.evacuation_age_max_ms,
+                       &node->clock, &node->log);
+    mb_fleet_set_evacuation(&node->fleet, &node->evacuation);
     mb_ownership_init(&node->ownership, &node->clock, &rng,
                       node->config.incarnation,
                       mb_str_hash(node->config.name));
@@ -307,6 +310,7 @@
                           &node->queues, &node->codec.config_decoder,
                           node->metrics.config_version, &node->clock,
                           &node->log);
+    mb_config_reader_set_evacuation(&node->configs, &node->evacuation);
     mb_journal_init(&node->journal, &journal, &node->keyed_log, &node->clock,
                     &node->log);
 }
@@ -442,6 +446,7 @@
     mb_follower_finish(&node->jobs);
     mb_config_reader_finish(&node->configs);
     mb_fleet_finish(&node->fleet);
+    mb_evacuation_finish(&node->evacuation);
     mb_dag_table_finish(&node->table);
     mb_queue_table_finish(&node->queues);
     mb_dag_record_decoder_finish(&node->decoder);
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -35,7 +35,8 @@
                                      the longest deadline */
     uint32_t retention_ms;        /* how long closed jobs stay in the log */
     uint32_t config_age_max_ms;   /* an older configuration counts as stale */
-    mb_str_t name;                /* of the process; must outlive the node */
+    uint32_t evacuation_age_max_ms; /* see mb_evacuation_init */
+    mb_str_t name;                  /* of the process; must outlive the node */
     uint64_t incarnation; /* differs after each restart of the process */
 } mb_scheduler_config_t;
 
@@ -85,6 +86,13 @@
     mb_metric_t *request_config_age_us;
     mb_metric_t *unknown_queue; /* requests for a queue that does not exist */
     mb_metric_t *tick_gap_us;   /* between two ticks of the loop */
+    mb_metric_t *evacuated_domains;
+    mb_metric_t *evacuated_workers;
+    mb_metric_t *evacuated_runs;  /* runs on evacuated workers */
+    mb_metric_t *evacuated_tasks; /* see mb_fleet_t */
+    mb_metric_t *starts_withheld; /* 1 while this owner starts nothing because
+                                     its knowledge of evacuations is old */
+    mb_metric_t *dropped_starts;
 } mb_scheduler_metrics_t;
 
 typedef struct mb_scheduler_progress_group mb_scheduler_progress_group_t;
@@ -117,7 +125,8 @@
     mb_ownership_t ownership;
     mb_follower_t jobs; /* of the job log */
     mb_config_reader_t configs;
-    mb_journal_t journal; /* appends jobs and cancellations of clients */
+    mb_evacuation_t evacuation; /* read by `configs` for `fleet` */
+    mb_journal_t journal;       /* appends jobs and cancellations of clients */
     /* Appends the records of the owner, under the fencing token of the latest
        claim; NULL before the first claim and after a loss of ownership. */
     mb_journal_t *owner_journal;
--- a/programs/magnoliabarrow/main.c
+++ b/programs/magnoliabarrow/main.c
@@ -274,6 +274,27 @@
     return call_and_print(request, "GET", "/metrics", error);
 }
 
+/* evacuations: prints the evacuated failure domains, when the server learned
+   of each request, and what still runs there. The server is the metrics
+   address of a scheduler; only the owner of the fleet knows what runs. */
+static bool
+run_evacuations(request_t *request, GError **error)
+{
+    response_t response;
+    if (strcmp(request->output, "json") == 0) {
+        return call_and_print(request, "GET", "/evacuations", error);
+    }
+    bool ok = client_call(&request->client, "GET", MB_STR_LIT("/evacuations"),
+                          MB_STR_EMPTY, &response, error);
+    if (ok && !table_print_evacuations(mb_buf_view(&response.body))) {
+        mb_error_set(error, MB_KIND_PROTOCOL,
+                     "the response is not a list of evacuations");
+        ok = false;
+    }
+    response_finish(&response);
+    return ok;
+}
+
 /* check-config FILE: checks a file of resources (.json) or else a settings
    file of magnoliabarrowd, without a server. */
 static bool
@@ -316,6 +337,9 @@
      run_dump},
     {"metrics", 1, 1, "metrics                show the metrics of the server",
      run_metrics},
+    {"evacuations", 1, 1,
+     "evacuations            show evacuated failure domains (metrics address)",
+     run_evacuations},
     {"check-config", 2, 2, "check-config FILE      check a file offline",
      run_check_config},
 };
@@ -396,8 +420,8 @@
         arg_file0("t", "token-file", "FILE", "file with the bearer token");
     struct arg_file *file =
         arg_file0("f", "file", "FILE", "resources to apply");
-    struct arg_str *output =
-        arg_str0("o", "output", "table|json", "output format of get");
+    struct arg_str *output = arg_str0("o", "output", "table|json",
+                                      "output format of get, evacuations");
     struct arg_str *revision =
         arg_str0("r", "revision", "N",
                  "delete: expected revision; watch: first revision");
--- a/programs/magnoliabarrow/table.c
+++ b/programs/magnoliabarrow/table.c
@@ -127,3 +127,51 @@
     json_decref(root);
     return ok;
 }
+
+/* Adds the members of an object as a row, or their names in upper case. */
+static void
+add_member_row(GPtrArray *rows, json_t *item, bool titles)
+{
+    GPtrArray *row = g_ptr_array_new_with_free_func(g_free);
+    const char *key;
+    json_t *value;
+    json_object_foreach(item, key, value)
+    {
+        g_ptr_array_add(row, titles ? g_ascii_strup(key, -1)
+                                    : get_cell_text(value));
+    }
+    g_ptr_array_add(rows, row);
+}
+
+/* Prints the evacuated domains that a scheduler lists, with a line on what it
+   can't tell or does not start. Returns false if the text is not such a
+   list. */
+bool
+table_print_evacuations(mb_str_t json)
+{
+    json_t *root = json_loadb(json.data, json.len, 0, NULL);
+    json_t *items = json_object_get(root, "items");
+    GPtrArray *rows = g_ptr_array_new_with_free_func(free_row);
+    bool ok = json_is_array(items);
+    for (size_t i = 0; i < json_array_size(items); i++) {
+        if (i == 0) {
+            add_member_row(rows, json_array_get(items, 0), true);
+        }
+        add_member_row(rows, json_array_get(items, i), false);
+    }
+    print_rows(rows);
+    if (ok && rows->len == 0) {
+        (void)printf("no failure domain is evacuated\n");
+    }
+    if (ok && !json_is_true(json_object_get(root, "owner"))) {
+        (void)printf("this scheduler does not own the fleet: workers and runs "
+                     "are unknown\n");
+    }
+    if (ok && json_is_true(json_object_get(root, "starts_withheld"))) {
+        (void)printf("starts are withheld until the configuration log has "
+                     "been read again\n");
+    }
+    g_ptr_array_unref(rows);
+    json_decref(root);
+    return ok;
+}
--- a/programs/magnoliabarrowd/job_roles.c
+++ b/programs/magnoliabarrowd/job_roles.c
@@ -92,6 +92,8 @@
             daemon_setting_u32(daemon, "scheduler", "retention_ms"),
         .config_age_max_ms =
             daemon_setting_u32(daemon, "scheduler", "config_age_max_ms"),
+        .evacuation_age_max_ms =
+            daemon_setting_u32(daemon, "scheduler", "evacuation_age_max_ms"),
         .name = daemon_setting_text(daemon, "daemon", "name"),
         .incarnation = daemon->incarnation};
     read_address(daemon, "scheduler", "client_address", &config.client_ip,
--- a/programs/magnoliabarrowd/options.c
+++ b/programs/magnoliabarrowd/options.c
@@ -68,6 +68,8 @@
      NULL, "ms", false},
     {"scheduler", "config_age_max_ms", MB_OPTION_NUMBER, "3000", 1000, 600000,
      NULL, "ms", false},
+    {"scheduler", "evacuation_age_max_ms", MB_OPTION_NUMBER, "0", 0, 600000,
+     NULL, "ms", false},
     {"agent", "registration_address", MB_OPTION_ADDRESS, "127.0.0.1:8090", 0,
      0, NULL, NULL, false},
     {"agent", "link_address", MB_OPTION_ADDRESS, "127.0.0.1:7090", 0, 0, NULL,
