--- a/tests/standins/executor.c
+++ b/tests/standins/executor.c
@@ -271,22 +271,21 @@
     json_decref(body);
 }
 
-/* Sends a heartbeat of the executor at `address` to the agent at `control`.
-   Failures are ignored: the next
-   heartbeat follows soon. */
+/* Sends a heartbeat of the executor at `address` in `zone` to the agent at
+   `control`. Failures are ignored: the next heartbeat follows soon. */
 static void
 send_heartbeat(const char *control, const char *address, const char *name,
-               uint64_t sequence)
+               const char *zone, uint64_t sequence)
 {
     static CURL *easy;
     g_autofree char *url =
         g_strdup_printf("http://%s/api/Instances.Heartbeat/%s", control, name);
     g_autofree char *body = g_strdup_printf(
-        "{\"service\":\"echo\",\"address\":\"%s\",\"zone\":\"domain-1\","
+        "{\"service\":\"echo\",\"address\":\"%s\",\"zone\":\"%s\","
         "\"state\":\"ready\",\"capacity\":{\"cpu\":4000,"
         "\"memory_limit_mb\":8000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
         "\"sequence\":%llu,\"born\":%llu}",
-        address, (unsigned long long)sequence,
+        address, zone, (unsigned long long)sequence,
         (unsigned long long)start_time_ms);
     if (easy == NULL) {
         easy = curl_easy_init();
@@ -308,10 +307,11 @@
                                       .handle = handle};
     static mb_http_server_t server;
     g_autoptr(GError) error = NULL;
-    if (argc != 9 || !mb_address_parse(mb_str_from_cstr(argv[2]), &config.ip,
-                                       &config.port)) {
+    if ((argc != 9 && argc != 11) ||
+        !mb_address_parse(mb_str_from_cstr(argv[2]), &config.ip,
+                          &config.port)) {
         (void)fprintf(stderr, "usage: standin-executor -l ADDRESS -c CONTROL "
-                              "-n NAME -t TASK_MS\n");
+                              "-n NAME -t TASK_MS [-z ZONE]\n");
         return 2;
     }
     (void)signal(SIGPIPE, SIG_IGN);
@@ -329,7 +329,8 @@
     }
     for (uint64_t tick = 0;; tick++) {
         if (tick % HEARTBEAT_TICKS == 0) {
-            send_heartbeat(argv[4], argv[2], argv[6], tick + 1);
+            send_heartbeat(argv[4], argv[2], argv[6],
+                           argc == 11 ? argv[10] : "domain-1", tick + 1);
         }
         (void)usleep(POLL_US);
         g_mutex_lock(&lock);
--- a/tests/system/jobs.sh
+++ b/tests/system/jobs.sh
@@ -7,20 +7,25 @@
 agent=()
 executor=()
 
+# Has the operator write a record to the configuration log: its length in four
+# bytes, the length of the key in one, key and value. Fails if the log does not
+# acknowledge it: write_config KEY VALUE.
+write_config() {
+  local length=$((1 + ${#1} + ${#2}))
+  printf "\\x00\\x00\\x$(printf %02x $((length / 256)))\\x$(printf %02x $((length % 256)))\\x$(printf %02x ${#1})%s%s" "$1" "$2" |
+    curl -fs -m 2 -o /dev/null --data-binary @- "http://$store/api/log-append?topic=keyed.op&part=0"
+}
+
 # Starts the store and has the operator write the configuration: one queue, q.
 start_store() {
-  local config length
+  local config
   start store standin-store -l "$store"
   for _ in $(seq 100); do
     curl -s -o /dev/null "http://$store/switch?down=0" && break
     sleep 0.05
   done
   config='{"version":3,"routes":[{"name":"q","host":"jobs.example","path_prefix":"/q/","service":"echo","priority":0,"max_attempts":3,"stretch_factor":2.0,"target_latency_ms":500}],"services":[{"name":"echo","admission_check":true,"standby":false}],"limits":{"max_body_bytes":65536}}'
-  # One record: the length of the rest in four bytes, the length of the key in
-  # one, key and value.
-  length=$((1 + 6 + ${#config}))
-  printf "\\x00\\x00\\x$(printf %02x $((length / 256)))\\x$(printf %02x $((length % 256)))\\x06config%s" "$config" |
-    curl -s -o /dev/null --data-binary @- "http://$store/api/log-append?topic=keyed.op&part=0"
+  write_config config "$config"
 }
 
 # Writes the settings of a scheduler and starts it, with the log at LOG (default
@@ -35,6 +40,7 @@
 client_address = $(address $((510 + $1)))
 ready_address = $(address $((520 + $1)))
 metrics_address = $(address $((530 + $1)))
+${scheduler_settings:-}
 [job_log]
 address = ${2:-$store}
 INI
@@ -62,10 +68,11 @@
   agent[$1]=$started
 }
 
-# Starts an executor, whose tasks run for TASK_MS, and appends what it runs to
-# $dir/runs-NUMBER: start_executor NUMBER TASK_MS.
+# Starts an executor, whose tasks run for TASK_MS, in failure domain ZONE
+# (default domain-1), and appends what it runs to $dir/runs-NUMBER:
+# start_executor NUMBER TASK_MS [ZONE].
 start_executor() {
-  "$bin/standin-executor" -l "$(address $((560 + $1)))" -c "$(address $((540 + $1)))" -n "i-$1" -t "$2" \
+  "$bin/standin-executor" -l "$(address $((560 + $1)))" -c "$(address $((540 + $1)))" -n "i-$1" -t "$2" -z "${3:-domain-1}" \
     >> "$dir/runs-$1" 2>> "$dir/executor-$1.log" &
   executor[$1]=$!
   pids+=($!)
