--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -559,14 +559,15 @@
     return count - MIN(count, job->running);
 }
 
-/* Tells whether a suspended worker waits for a probe. */
+/* Tells whether a suspended worker waits for a probe that it may get. */
 static bool
 is_any_probe_due(const pass_t *pass)
 {
     for (guint i = 0; i < pass->inputs.fleet->workers->len; i++) {
-        if (mb_health_is_probe_due(
-                &mb_fleet_get_worker(pass->inputs.fleet, i)->health,
-                pass->inputs.now_us)) {
+        const mb_fleet_worker_t *worker =
+            mb_fleet_get_worker(pass->inputs.fleet, i);
+        if (!worker->evacuated &&
+            mb_health_is_probe_due(&worker->health, pass->inputs.now_us)) {
             return true;
         }
     }
--- a/lib/transport/mb_scheduler_evacuations.c
+++ b/lib/transport/mb_scheduler_evacuations.c
@@ -1,6 +1,7 @@
 /* The list of evacuated failure domains for operators, on the metrics address:
    GET /evacuations. The thread of the loop, which holds the tables, writes
    it. */
+#include "mb_atomic.h"
 #include "mb_cleanup.h"
 #include "mb_evacuation_json.h"
 #include "mb_scheduler_internal.h"
@@ -60,7 +61,8 @@
 }
 
 /* Handles a request for the list, on an HTTP thread. Returns false, without a
-   response, if the request is for something else. */
+   response, if the request is for something else. While draining it is
+   rejected: the loop may be stopped before it would respond. */
 bool
 mb_scheduler_handle_evacuations(mb_scheduler_node_t *node,
                                 mb_http_exchange_t *exchange)
@@ -71,7 +73,8 @@
     listing_t *listing = g_new0(listing_t, 1);
     *listing = (listing_t){
         .task = {.run = respond_list}, .node = node, .exchange = exchange};
-    if (!mb_loop_post(&node->loop, &listing->task)) {
+    if (mb_atomic_load(&node->draining) != 0 ||
+        !mb_loop_post(&node->loop, &listing->task)) {
         mb_http_respond(exchange, 503, NULL, MB_STR_EMPTY);
         g_free(listing);
     }
