Take one failed read of the configuration log for no outage

Cause: an owner that was paused may find its connection closed by the log. The failure of that read let it start work by knowledge from before the pause.

Change: starts go on while the log is unreachable only after two reads in a row have failed, the later one begun within the maximum age. During an outage reads fail every second or less, before the table is too old.

--- a/lib/coordination/mb_evacuation.c
+++ b/lib/coordination/mb_evacuation.c
@@ -155,6 +155,9 @@
 mb_evacuation_read_ended(mb_evacuation_t *table, uint64_t read_start_us,
                          bool succeeded)
 {
+    table->failed_repeatedly =
+        !succeeded && table->failed_read_us != 0 &&
+        read_start_us - table->failed_read_us <= table->age_max_us;
     table->failed_read_us = succeeded ? 0 : read_start_us;
 }
 
@@ -192,15 +195,20 @@
                : mb_clock_us(&table->clock) - table->confirmed_us;
 }
 
-/* Tells whether a read that began within the maximum age has failed, and none
-   has succeeded since: the log is unreachable. */
+/* Tells whether two reads in a row have failed, the later one began within the
+   maximum age, and none has succeeded since: the log is unreachable. One
+   failure does not show that: after a pause of the process, it may be that of
+   a connection that the log has closed meanwhile. */
 static bool
 is_unreachable(const mb_evacuation_t *table)
 {
 #ifdef MB_MUTANT_EVACUATION_OLD_FAILURE_COUNTS
+    return table->failed_repeatedly;
+#endif
+#ifdef MB_MUTANT_EVACUATION_ONE_FAILURE_COUNTS
     return table->failed_read_us != 0;
 #endif
-    return table->failed_read_us != 0 &&
+    return table->failed_repeatedly &&
            mb_clock_us(&table->clock) - table->failed_read_us <=
                table->age_max_us;
 }
--- a/lib/coordination/mb_evacuation.h
+++ b/lib/coordination/mb_evacuation.h
@@ -45,6 +45,9 @@
     /* Start of the latest read that failed; 0: none has failed since one
        succeeded. */
     uint64_t failed_read_us;
+    /* The read before that one had failed as well, and began at most
+       `age_max_us` before it. */
+    bool failed_repeatedly;
 } mb_evacuation_t;
 
 /* Initializes an empty table. `age_max_ms` limits the age of the knowledge by
--- a/tests/unit/test_evacuation.cc
+++ b/tests/unit/test_evacuation.cc
@@ -103,6 +103,7 @@
 {
     EXPECT_FALSE(may_start());
     mb_evacuation_read_ended(&table, now_us, false);
+    mb_evacuation_read_ended(&table, now_us, false);
     EXPECT_FALSE(may_start());
     read_succeeds();
     EXPECT_TRUE(may_start());
@@ -140,12 +141,18 @@
 {
     read_succeeds();
     mb_evacuation_read_ended(&table, now_us, false);
+    mb_evacuation_read_ended(&table, now_us, false);
     uint64_t read_start_us = now_us;
+    EXPECT_TRUE(may_start());
     advance(60000);
     EXPECT_FALSE(may_start());
     /* The read that was in progress meanwhile times out. */
     mb_evacuation_read_ended(&table, read_start_us, false);
     EXPECT_FALSE(may_start());
+    /* The log has closed the connection. */
+    mb_evacuation_read_ended(&table, now_us, false);
+    EXPECT_FALSE(may_start());
+    advance(100);
     mb_evacuation_read_ended(&table, now_us, false);
     EXPECT_TRUE(may_start());
 }
