Keep starts that only tell a restarted agent about a run

Cause: a restarted agent gets the start of each run that its worker lists once more, for the attributes that throttles depend on. Such a start to a worker in an evacuated domain, or while starts are withheld, was taken for a new one: the run was given up although it went on, and its task was started a second time elsewhere.

Change: a start of a run that the worker has confirmed stays in the order. It has no other effect at the worker, where the run exists already.

--- a/lib/coordination/mb_fleet_evacuation.c
+++ b/lib/coordination/mb_fleet_evacuation.c
@@ -94,16 +94,12 @@
             mb_evacuation_may_start(fleet->evacuation, NULL));
 }
 
-/* Takes back a start that was not sent: its task waits again. The other
-   members of its gang, whose starts may have been sent, are stopped. */
+/* Takes back the start of a run that was not sent: its task waits again. The
+   other members of its gang, whose starts may have been sent, are stopped. */
 static void
 take_back(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
-          const mb_order_start_t *start)
+          const mb_order_start_t *start, mb_fleet_run_t *run)
 {
-    mb_fleet_run_t *run = mb_fleet_find_run(worker, &start->task, start->run);
-    if (run == NULL) {
-        return;
-    }
     mb_fleet_run_t removed = *run;
     mb_log_info(&fleet->log,
                 "start dropped from an order that was not sent job=%.*s "
@@ -120,6 +116,17 @@
     }
 }
 
+/* Tells whether a start only repeats the attributes of a run that the worker
+   has listed, for an agent that was restarted. */
+static bool
+is_repeated(const mb_fleet_run_t *run)
+{
+#ifdef MB_MUTANT_FLEET_REPEATED_STARTS_DROPPED
+    return false;
+#endif
+    return run != NULL && run->confirmed;
+}
+
 /* Drops the starts from the pending order of a worker if they are not allowed
    any more. */
 void
@@ -136,7 +143,16 @@
     g_autoptr(GArray) starts = g_array_copy(worker->pending_order.starts);
     (void)g_array_set_size(worker->pending_order.starts, 0);
     for (guint i = 0; i < starts->len; i++) {
-        take_back(fleet, worker, &g_array_index(starts, mb_order_start_t, i));
+        const mb_order_start_t *start =
+            &g_array_index(starts, mb_order_start_t, i);
+        mb_fleet_run_t *run =
+            mb_fleet_find_run(worker, &start->task, start->run);
+        if (is_repeated(run)) {
+            g_array_append_val(worker->pending_order.starts, *start);
+        }
+        else if (run != NULL) {
+            take_back(fleet, worker, start, run);
+        }
     }
 }
 
--- a/tests/unit/test_fleet_evacuation.cc
+++ b/tests/unit/test_fleet_evacuation.cc
@@ -174,6 +174,28 @@
     EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
 }
 
+/* Guards against a run that is given up, and started a second time elsewhere,
+   because the repeated start that tells a restarted agent about it is taken
+   for a new one. */
+TEST_F(FleetEvacuation, RestartedAgentsKeepTheRunsInTheDomain)
+{
+    simulation.task_ms = 60000;
+    mb_dag_spec_t spec = best_effort_job(&step, first_id, 8, "batch");
+    spec.submitted_ms = simulation.now_us / 1000;
+    simulation.submit(spec);
+    /* A restarted agent stops what runs on a worker that is younger. */
+    advance(20000);
+    size_t starts = simulation.starts.size();
+    set_evacuated("a", true);
+    for (auto &machine : simulation.machines) {
+        simulation.restart_agent(*machine);
+    }
+    advance(3000);
+    EXPECT_EQ(simulation.starts.size(), starts);
+    EXPECT_EQ(simulation.fleet.counts.dropped_starts, 0u);
+    EXPECT_EQ(running_in("a"), 4u);
+}
+
 /* Guards against starts by a process that was paused between a decision and
    the order. */
 TEST_F(FleetEvacuation, APauseBeforeTheOrderDropsItsStarts)
