Estimate run times by distributions, not means

Cause: the objective of a job and what is left of its critical path followed the mean run time of each step. A step ends with its longest task, so both were too short, and a job with a straggler at work counted as late although its objective is that much longer. Learned times were also limited to 125 ms to 8 s by the reference of mb_sizing.

Change: mb_run_time learns for each queue how run times spread around the typical one of their step; a step keeps its typical and its longest run time in the job. The longest task of each step counts: as it ended, as it is at work, or as expected of the number of its tasks. Tasks at work for longer than the typical time raise it. A job is estimated at most every 200 ms; it was estimated whenever the jobs were sorted. The time after which a run counts as stalled follows the typical run time; with the new mean, FleetStalls.RunsOfAStuckWorkerAreStoppedInTime failed for tasks of 20 and 60 s.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -61,7 +61,7 @@
     fleet->dirty_jobs = g_ptr_array_new();
     mb_headroom_init(&fleet->headroom_model);
     mb_fleet_pools_init(&fleet->pools);
-    mb_sizing_init(&fleet->sizing);
+    mb_run_time_init(&fleet->run_times);
     mb_fleet_evidence_init(fleet);
     fleet->progress_rows =
         g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
@@ -79,7 +79,7 @@
     g_array_unref(fleet->progress_rows);
     mb_headroom_finish(&fleet->headroom_model);
     mb_fleet_pools_finish(&fleet->pools);
-    mb_sizing_finish(&fleet->sizing);
+    mb_run_time_finish(&fleet->run_times);
     mb_evidence_finish(&fleet->evidence);
     mb_buf_finish(&fleet->done_bits);
 }
@@ -309,6 +309,7 @@
     job->running = 0;
     job->idle_since_us = now_us;
     job->wait_logged_us = 0;
+    job->estimated_us = 0;
     for (uint32_t i = 0; i < job->occurrence_count; i++) {
         uint64_t due_ms = job->spec.occurrences == 0
                               ? 0
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -19,7 +19,7 @@
 #include "mb_health.h"
 #include "mb_log.h"
 #include "mb_order.h"
-#include "mb_sizing.h"
+#include "mb_run_time.h"
 
 /* Maximum number of workers of a fleet. Further ones are ignored with an error
    in the log. */
@@ -114,9 +114,12 @@
     uint64_t end_effects[MB_FLEET_END_EFFECT_COUNT];
     uint64_t repeated_successes; /* of tasks that had succeeded before */
     uint64_t refusals[MB_REFUSAL_COUNT];
-    uint64_t lost_runs;    /* runs given up without a reported end */
-    uint64_t stalls;       /* runs stopped because they made no progress */
-    uint64_t moves;        /* throttled runs stopped to go on elsewhere */
+    uint64_t lost_runs; /* runs given up without a reported end */
+    uint64_t stalls;    /* runs stopped because they made no progress */
+    uint64_t moves;     /* throttled runs stopped to go on elsewhere */
+    uint64_t copies_started;
+    uint64_t copies_won; /* their success counted */
+    uint64_t copies_ended;
     uint64_t faulty_steps; /* times that failures were attributed to a step */
     uint64_t passes;       /* scheduling passes */
 } mb_fleet_counts_t;
@@ -135,6 +138,7 @@
     bool adopted;        /* another owner started it */
     bool proven;         /* of a service: it has worked long enough to count as
                             a success */
+    bool is_copy;        /* this owner started it beside another run */
     bool confirmed;      /* the worker has confirmed that it runs */
     bool stopping;       /* a stop was ordered; it holds its resources until
                             its end is reported */
@@ -287,7 +291,8 @@
     GPtrArray *open_jobs;
     bool jobs_unsorted; /* `open_jobs` has changed since it was sorted */
     uint64_t sorted_us;
-    bool schedule_due;     /* a task may have become startable */
+    uint64_t copies_checked_us; /* when stragglers were last looked for */
+    bool schedule_due;          /* a task may have become startable */
     bool store_pending;    /* a group of progress records is being stored */
     bool store_failed;     /* a group was not stored: nothing may be stored,
                               acknowledged or started after it */
@@ -301,7 +306,7 @@
                                    */
     uint32_t latency_log_next; /* worker that is looked at first next time */
     mb_headroom_t headroom_model;
-    mb_sizing_t sizing; /* run times per step and per queue */
+    mb_run_time_t run_times; /* per queue */
     /* On steps of open jobs that have failed under this owner; the source is
        mb_fleet_step_key. */
     mb_evidence_t evidence;
--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -20,6 +20,8 @@
     mb_dag_task_t *task = mb_fleet_run_task(run);
     mb_dag_set_done(run->job, run->occurrence, run->step, task);
     task->done_run = run->number;
+    fleet->counts.copies_won += run->is_copy;
+    mb_fleet_learn_given_up(fleet, run);
     mb_fleet_stop_other_copies(fleet, run);
 }
 
@@ -66,6 +68,7 @@
     else {
         finish_task(fleet, run);
     }
+    mb_fleet_learn_spread(fleet, run);
     mb_fleet_mark_dirty(fleet, job);
     if (mb_dag_all_done(job)) {
         mb_fleet_close_job(fleet, job, MB_DAG_COMPLETED);
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -5,6 +5,7 @@
    - mb_fleet_schedule.c chooses what to start, in the order of
      mb_fleet_order.c and at the costs of mb_fleet_cost.c, which
      mb_fleet_candidates.c keeps while the tasks of one step are placed
+   - mb_fleet_copies.c starts second runs of stragglers
    - mb_fleet_waiting.c logs why tasks that have waited for long don't start,
      and mb_fleet_latency_log.c what the headroom model expects beside what is
      reported
@@ -52,6 +53,9 @@
                         mb_dag_outcome_t outcome);
 void mb_fleet_mark_job_startable(mb_fleet_t *fleet, mb_dag_job_t *job);
 bool mb_fleet_task_is_running(const mb_dag_task_t *task);
+bool mb_fleet_allows_copies(const mb_dag_step_t *step);
+uint32_t mb_fleet_count_copies(const mb_dag_task_t *task);
+mb_dag_run_t *mb_fleet_find_copy(const mb_fleet_run_t *run);
 
 /* mb_fleet_absence.c */
 void mb_fleet_hold_absent_tasks(mb_fleet_t *fleet);
@@ -134,8 +138,9 @@
     uint64_t used_cpu_milli; /* declared by tasks that are not best-effort */
     uint64_t best_effort_cpu_milli;
     uint64_t used_memory_mb;
-    bool job_in_time_waits; /* a job that can still be in time has a waiting
-                               task */
+    uint64_t copies_cpu_milli; /* declared by second runs of tasks */
+    bool job_in_time_waits;    /* a job that can still be in time has a waiting
+                                  task */
 } mb_fleet_pool_t;
 
 void mb_fleet_pools_init(mb_fleet_pools_t *pools);
@@ -146,6 +151,10 @@
                                   mb_str_t service);
 uint64_t mb_fleet_pools_declared_milli(const mb_fleet_pools_t *pools,
                                        mb_str_t service);
+void mb_fleet_pools_add_copy(mb_fleet_pools_t *pools, mb_str_t service,
+                             uint32_t cpu_milli);
+uint64_t mb_fleet_pools_copies_milli(const mb_fleet_pools_t *pools,
+                                     mb_str_t service, uint32_t cpu_milli);
 bool mb_fleet_pools_job_in_time_waits(const mb_fleet_pools_t *pools,
                                       mb_str_t service);
 
@@ -219,6 +228,28 @@
                                  const mb_fleet_worker_t *worker,
                                  const mb_fleet_run_t *run);
 
+/* What the copies of a pass depend on. */
+typedef struct mb_fleet_copies {
+    GArray *waiting; /* mb_fleet_run_t; one for each step of which a task has
+                        found no worker, up to a maximum */
+} mb_fleet_copies_t;
+
+/* Numbers a run and starts it on a worker. */
+typedef struct mb_fleet_copy_starter {
+    void (*start)(void *context, mb_fleet_worker_t *worker,
+                  mb_fleet_run_t *run);
+    void *context;
+} mb_fleet_copy_starter_t;
+
+/* mb_fleet_copies.c */
+void mb_fleet_copies_init(mb_fleet_copies_t *copies);
+void mb_fleet_copies_finish(mb_fleet_copies_t *copies);
+void mb_fleet_copies_add_waiting(mb_fleet_copies_t *copies,
+                                 const mb_fleet_run_t *run);
+void mb_fleet_start_copies(const mb_fleet_copies_t *copies,
+                           const mb_fleet_cost_inputs_t *inputs,
+                           const mb_fleet_copy_starter_t *starter);
+
 /* mb_fleet_order.c */
 void mb_fleet_sort_jobs(mb_fleet_t *fleet, uint64_t now_us);
 bool mb_fleet_job_is_late(const mb_dag_job_t *job, uint64_t now_us);
@@ -253,8 +284,21 @@
 
 /* mb_fleet_estimate.c */
 void mb_fleet_learn_run_time(mb_fleet_t *fleet, const mb_fleet_run_t *run);
-uint64_t mb_fleet_expected_run_ms(const mb_fleet_t *fleet,
-                                  const mb_dag_job_t *job, uint32_t step);
+void mb_fleet_learn_spread(mb_fleet_t *fleet, const mb_fleet_run_t *run);
+void mb_fleet_learn_given_up(mb_fleet_t *fleet, const mb_fleet_run_t *run);
+uint64_t mb_fleet_typical_run_ms(const mb_fleet_t *fleet,
+                                 const mb_dag_job_t *job, uint32_t step);
+/* What is known of the run times of a step now. */
+typedef struct mb_fleet_step_model {
+    const mb_run_time_t *times;
+    const mb_run_time_kind_t *kind;
+    double typical_ms;
+} mb_fleet_step_model_t;
+
+mb_fleet_step_model_t mb_fleet_step_model(const mb_fleet_t *fleet,
+                                          const mb_dag_job_t *job,
+                                          uint32_t occurrence, uint32_t step,
+                                          uint64_t now_us);
 void mb_fleet_estimate_job(const mb_fleet_t *fleet, mb_dag_job_t *job);
 
 #endif
--- a/lib/coordination/mb_fleet_reported_runs.c
+++ b/lib/coordination/mb_fleet_reported_runs.c
@@ -21,18 +21,19 @@
 #define STALL_DOUBLINGS_MAX 10u
 
 /* Tells whether a reported run that this owner doesn't have on record may go
-   on: its task still needs it and has no newer run. */
+   on: its task still needs it and has no newer run. Where the task may have
+   several, it may be the older of two. */
 static bool
 may_adopt(const mb_dag_job_t *job, const mb_dag_step_t *step,
           const mb_dag_task_t *task, const mb_report_run_t *entry)
 {
-    uint32_t copies = 0;
-    for (uint32_t i = 0; i < MB_DAG_COPIES_MAX; i++) {
-        copies += task->runs[i].number != 0;
-    }
-    return job->outcome == MB_DAG_OPEN && !task->done &&
-           copies < (step->speculative ? MB_DAG_COPIES_MAX : 1u) &&
-           entry->run >= task->last_run;
+    bool is_newest = entry->run >= task->last_run;
+#ifndef MB_MUTANT_FLEET_OLDER_COPY_NOT_ADOPTED
+    is_newest = is_newest || mb_fleet_allows_copies(step);
+#endif
+    return job->outcome == MB_DAG_OPEN && !task->done && is_newest &&
+           mb_fleet_count_copies(task) <
+               (step->speculative ? MB_DAG_COPIES_MAX : 1u);
 }
 
 /* Orders the stop of an orphaned run, one that no task needs. It uses its room
@@ -116,8 +117,13 @@
 update_throttle_state(const mb_fleet_t *fleet, mb_fleet_run_t *run,
                       uint32_t throttle_percent)
 {
-    run->was_throttled =
-        run->was_throttled || throttle_percent < FULL_SPEED_PERCENT;
+    if (!run->was_throttled && throttle_percent < FULL_SPEED_PERCENT) {
+        mb_dag_run_t *copy = mb_fleet_find_copy(run);
+        run->was_throttled = true;
+        if (copy != NULL) {
+            copy->throttled = true;
+        }
+    }
     if (throttle_percent > SEVERE_THROTTLE_PERCENT) {
         run->throttled_since_us = 0;
     }
@@ -160,9 +166,8 @@
 static uint64_t
 get_stall_timeout_us(const mb_fleet_t *fleet, const mb_fleet_run_t *run)
 {
-    uint64_t percent_us =
-        mb_fleet_expected_run_ms(fleet, run->job, run->step) * MB_US_PER_MS /
-        WHOLE_PERCENT;
+    uint64_t percent_us = mb_fleet_typical_run_ms(fleet, run->job, run->step) *
+                          MB_US_PER_MS / WHOLE_PERCENT;
     uint64_t timeout_us = MAX(STALL_MIN_US, percent_us * STALL_PERCENT);
     timeout_us = MAX(timeout_us, run->slowest_percent_us * STALL_PACE_FACTOR);
 #ifdef MB_MUTANT_FLEET_STALL_TIMEOUT_CONSTANT
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -78,16 +78,46 @@
     size->accelerators += factor * step->size.accelerators;
 }
 
+/* Tells whether tasks of a step may have two runs at a time. Members of a gang
+   work together, and service tasks do not end. */
+bool
+mb_fleet_allows_copies(const mb_dag_step_t *step)
+{
+#ifdef MB_MUTANT_FLEET_COPIES_OF_ALL_STEPS
+    return true;
+#endif
+    return step->speculative && !step->gang && !step->long_running;
+}
+
+/* Returns the number of runs that a task has on workers. */
+uint32_t
+mb_fleet_count_copies(const mb_dag_task_t *task)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < MB_DAG_COPIES_MAX; i++) {
+        count += task->runs[i].number != 0;
+    }
+    return count;
+}
+
 /* Tells whether a task has at least one run on some worker. */
 bool
 mb_fleet_task_is_running(const mb_dag_task_t *task)
 {
+    return mb_fleet_count_copies(task) > 0;
+}
+
+/* Returns what its task has on record of a run, or NULL if that is nothing. */
+mb_dag_run_t *
+mb_fleet_find_copy(const mb_fleet_run_t *run)
+{
+    mb_dag_task_t *task = mb_fleet_run_task(run);
     for (uint32_t i = 0; i < MB_DAG_COPIES_MAX; i++) {
-        if (task->runs[i].number != 0) {
-            return true;
+        if (task->runs[i].number == run->number) {
+            return &task->runs[i];
         }
     }
-    return false;
+    return NULL;
 }
 
 /* Records a run in a free slot of its task. A task has one run at a time, and
@@ -103,7 +133,9 @@
     bool speculative = run->job->steps[run->step].speculative;
     MB_INVARIANT(slot < (speculative ? MB_DAG_COPIES_MAX : 1u),
                  "runs of a task within its limit");
-    task->runs[slot] = (mb_dag_run_t){run->number, worker};
+    task->runs[slot] = (mb_dag_run_t){.number = run->number,
+                                      .worker = worker,
+                                      .started_us = run->started_us};
     task->last_run = MAX(task->last_run, run->number);
 }
 
@@ -138,6 +170,7 @@
     }
     account_resources(worker, run, false);
     run->job->running--;
+    fleet->counts.copies_ended += run->is_copy;
     run->job->idle_since_us = mb_clock_us(&fleet->clock);
     fleet->running--;
     fleet->schedule_due = true;
--- a/lib/state/mb_dag.c
+++ b/lib/state/mb_dag.c
@@ -66,6 +66,7 @@
     free_text(job->spec.policy.service);
     g_free(job->occurrences);
     g_free(job->first_task);
+    g_free(job->step_times);
     g_free(job->steps);
     g_free(job);
 }
@@ -200,6 +201,7 @@
     job->steps =
         g_memdup2(spec->steps, spec->step_count * sizeof(mb_dag_step_t));
     job->first_task = g_new(uint32_t, spec->step_count);
+    job->step_times = g_new0(mb_dag_step_times_t, spec->step_count);
     for (uint32_t i = 0; i < spec->step_count; i++) {
         mb_dag_step_t *step = &job->steps[i];
         step->label = copy_text(step->label);
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -115,10 +115,19 @@
 
 /* A run of a task. Known to the owner only. */
 typedef struct mb_dag_run {
-    uint64_t number; /* 0: no run */
-    uint32_t worker; /* index of the worker in the fleet */
+    uint64_t number;     /* 0: no run */
+    uint32_t worker;     /* index of the worker in the fleet */
+    bool throttled;      /* it has been throttled at some time */
+    uint64_t started_us; /* when this owner started or adopted it */
 } mb_dag_run_t;
 
+/* Run times of the tasks of a step, as far as they ended at this owner. */
+typedef struct mb_dag_step_times {
+    uint32_t samples;    /* of whole tasks at full speed */
+    uint32_t longest_ms; /* of the first occurrence, at full speed; 0: none */
+    double log_ms;       /* mean of the logarithm of the samples */
+} mb_dag_step_times_t;
+
 /* A task. `done`, the failures and the checkpoint are replicated; the rest is
    known to the owner only. */
 typedef struct mb_dag_task {
@@ -133,6 +142,7 @@
     bool done;
     uint64_t done_run; /* number of the run that succeeded; 0: unknown, read
                           from the log */
+    uint32_t run_ms;   /* run time of that run at full speed; 0: unknown */
     uint64_t *failed_runs; /* numbers of the `failures` failed runs. Needed to
                               count each once: a worker may report a completion
                               repeatedly, and reports of several workers arrive
@@ -159,8 +169,9 @@
 typedef struct mb_dag_job {
     mb_dag_spec_t spec; /* owns its texts and steps */
     mb_dag_step_t *steps;
-    uint32_t *first_task; /* its index in an occurrence, by step */
-    uint32_t task_count;  /* of an occurrence */
+    uint32_t *first_task;            /* its index in an occurrence, by step */
+    mb_dag_step_times_t *step_times; /* known to the owner, by step */
+    uint32_t task_count;             /* of an occurrence */
     uint32_t occurrence_count;
     mb_dag_occurrence_t *occurrences;
     /* As stored in the job log, and thus as reported to clients: */
@@ -183,6 +194,7 @@
     /* Estimates for the first occurrence: */
     uint64_t remaining_work; /* in milliseconds of 1/1000 processor */
     uint64_t remaining_us;   /* of the critical path: minimum to completion */
+    uint64_t estimated_us;   /* when these and `objective_us` were estimated */
 } mb_dag_job_t;
 
 /* The stored progress of a task that is not done. */
