Run stragglers of speculative steps a second time

Cause: a step waited for its one straggler while workers were idle, also where the job allows a second run of a task.

Change: mb_fleet_copies starts one on another worker at the end of a pass, if the run is expected to take clearly longer than a fresh one, no task of the same or a higher priority that waits asks for the worker, and copies declare at most 5% of the processors of the service. A throttled run with a second one is not moved, and the evidence on failing steps sees both runs.

--- a/lib/coordination/mb_fleet_attribution.c
+++ b/lib/coordination/mb_fleet_attribution.c
@@ -100,12 +100,12 @@
     return 2 * suspended >= ready;
 }
 
-/* Returns the run of a task; NULL if it has none, and of those that were
-   adopted, as it is not known when they began. */
+/* Returns the run of a task in one of its slots; NULL if there is none, and of
+   those that were adopted, as it is not known when they began. */
 static const mb_fleet_run_t *
-find_own_run(const mb_fleet_t *fleet, const mb_fleet_run_t *task)
+find_own_run(const mb_fleet_t *fleet, const mb_fleet_run_t *task,
+             const mb_dag_run_t *copy)
 {
-    const mb_dag_run_t *copy = &mb_fleet_run_task(task)->runs[0];
     if (copy->number == 0) {
         return NULL;
     }
@@ -115,6 +115,23 @@
     return run == NULL || run->adopted || run->stopping ? NULL : run;
 }
 
+/* Adds the runs of a task to the pending ones. Returns false if there is no
+   room for more. */
+static bool
+add_pending_task(const mb_fleet_t *fleet, const mb_fleet_run_t *task,
+                 mb_attribution_t *attribution)
+{
+    bool has_room = true;
+    for (uint32_t i = 0; has_room && i < MB_DAG_COPIES_MAX; i++) {
+        const mb_dag_run_t *copy = &mb_fleet_run_task(task)->runs[i];
+        const mb_fleet_run_t *run = find_own_run(fleet, task, copy);
+        has_room =
+            run == NULL ||
+            mb_attribution_pending(attribution, copy->worker, run->started_us);
+    }
+    return has_room;
+}
+
 /* Callback of the evidence: tells on which workers the runs of a step are. */
 static void
 add_pending_runs(void *context, const mb_evidence_work_t *work,
@@ -130,11 +147,7 @@
         for (task.index = 0;
              has_room && task.index < job->steps[work->step].count;
              task.index++) {
-            const mb_fleet_run_t *run = find_own_run(fleet, &task);
-            has_room = run == NULL ||
-                       mb_attribution_pending(
-                           attribution, mb_fleet_run_task(run)->runs[0].worker,
-                           run->started_us);
+            has_room = add_pending_task(fleet, &task, attribution);
         }
     }
 }
--- a/lib/coordination/mb_fleet_pools.c
+++ b/lib/coordination/mb_fleet_pools.c
@@ -168,6 +168,29 @@
                                           pool->cpu_milli);
 }
 
+/* Notes that a task of a service has a second run. */
+void
+mb_fleet_pools_add_copy(mb_fleet_pools_t *pools, mb_str_t service,
+                        uint32_t cpu_milli)
+{
+    mb_fleet_pool_t *pool = find_pool(pools, service);
+    if (pool != NULL) {
+        pool->copies_cpu_milli += cpu_milli;
+    }
+}
+
+/* Returns the share of a service's processors that second runs declare, with
+   one more of a size, in thousandths. */
+uint64_t
+mb_fleet_pools_copies_milli(const mb_fleet_pools_t *pools, mb_str_t service,
+                            uint32_t cpu_milli)
+{
+    const mb_fleet_pool_t *pool = find_pool(pools, service);
+    return pool == NULL ? MILLI
+                        : get_share_milli(pool->copies_cpu_milli + cpu_milli,
+                                          pool->cpu_milli);
+}
+
 /* Tells whether a job of a service waits that can still be in time. */
 bool
 mb_fleet_pools_job_in_time_waits(const mb_fleet_pools_t *pools,
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -37,6 +37,7 @@
     uint32_t hopeless_count;
     request_t hopeless[HOPELESS_MAX];
     mb_fleet_candidates_t candidates;
+    mb_fleet_copies_t copies;
     /* mb_dag_job_t with a waiting step that may be faulty, in the order of the
        pass. Such a step probes a suspended worker only if nothing else
        does. */
@@ -87,13 +88,14 @@
     return false;
 }
 
-/* Remembers that no worker takes the task of a run. A step with a maximum
-   number of tasks per worker or that may be faulty, or a task that has failed
-   on a worker before, may have found none for that reason, which says nothing
-   about others. */
+/* Remembers that the task of a run waits, as no worker takes it. A step with a
+   maximum number of tasks per worker or that may be faulty, or a task that has
+   failed on a worker before, may have found none for that reason, which says
+   nothing about others. */
 static void
 add_hopeless(pass_t *pass, const mb_fleet_run_t *run)
 {
+    mb_fleet_copies_add_waiting(&pass->copies, run);
     if (run->job->steps[run->step].per_worker_max == 0 &&
         mb_fleet_run_task(run)->last_failed_worker == 0 &&
         !mb_fleet_step_may_be_faulty(pass->inputs.fleet, run) &&
@@ -172,12 +174,15 @@
     mb_fleet_stop_run(pass->inputs.fleet, worker, run);
 }
 
-/* Tells whether runs of a step can be moved: those without checkpoints would
-   start from the beginning, and members of a gang only with all others. */
+/* Tells whether a run can be moved: those without checkpoints would start from
+   the beginning, members of a gang only with all others, and a task with a
+   second run goes on elsewhere already. */
 static bool
-is_movable(const mb_dag_step_t *step)
+is_movable(const mb_fleet_run_t *run)
 {
-    return step->checkpoints && !step->gang;
+    const mb_dag_step_t *step = &run->job->steps[run->step];
+    return step->checkpoints && !step->gang &&
+           mb_fleet_count_copies(mb_fleet_run_task(run)) == 1;
 }
 
 /* Moves runs that agents have severely throttled for a while to protect
@@ -192,7 +197,7 @@
             mb_fleet_run_t *run =
                 &g_array_index(worker->runs, mb_fleet_run_t, i);
             if (run->throttled_since_us != 0 && !run->stopping &&
-                is_movable(&run->job->steps[run->step]) &&
+                is_movable(run) &&
                 pass.inputs.now_us - run->throttled_since_us >=
                     MOVE_DELAY_US) {
                 move_run(&pass, worker, run);
@@ -478,6 +483,9 @@
         if (workers->len == 0) {
             add_hopeless(pass, run);
         }
+        else {
+            mb_fleet_copies_add_waiting(&pass->copies, run);
+        }
         return false;
     }
     mb_fleet_run_t member = *run;
@@ -521,8 +529,12 @@
                 continue;
             }
             mb_fleet_run_t run = {.job = job, .occurrence = k, .step = s};
-            none_waits = !is_hopeless(pass, &run) && start_step(pass, &run) &&
-                         none_waits;
+            if (is_hopeless(pass, &run)) {
+                mb_fleet_copies_add_waiting(&pass->copies, &run);
+                none_waits = false;
+                continue;
+            }
+            none_waits = start_step(pass, &run) && none_waits;
         }
     }
     job->needs_scheduling = !none_waits;
@@ -576,6 +588,15 @@
     pass->inputs.fleet->held_tasks = held_tasks;
 }
 
+/* Callback of the copies: numbers and starts the second run of a task. */
+static void
+start_second_run(void *context, mb_fleet_worker_t *worker, mb_fleet_run_t *run)
+{
+    const pass_t *pass = context;
+    run->number = next_run_number(pass->inputs.fleet, mb_fleet_run_task(run));
+    start_run(pass, worker, run);
+}
+
 /* Runs one scheduling pass over the open jobs. Jobs that the former owner knew
    are skipped while a worker may run any of their tasks: one that has neither
    reported nor a record of what may run there. */
@@ -586,7 +607,9 @@
     pass_t pass = {.inputs = mb_fleet_cost_inputs(fleet),
                    .doubtful_jobs = doubtful_jobs};
     pass.inputs.probes_reserved = true;
+    mb_fleet_copy_starter_t copy_starter = {start_second_run, &pass};
     mb_fleet_candidates_init(&pass.candidates);
+    mb_fleet_copies_init(&pass.copies);
     fleet->counts.passes++;
     fleet->held_tasks = 0;
     mb_fleet_sort_jobs(fleet, pass.inputs.now_us);
@@ -604,5 +627,7 @@
         start_job(&pass, job);
     }
     start_doubtful_jobs(&pass);
+    mb_fleet_start_copies(&pass.copies, &pass.inputs, &copy_starter);
+    mb_fleet_copies_finish(&pass.copies);
     mb_fleet_candidates_finish(&pass.candidates);
 }
--- a/lib/transport/mb_scheduler_metrics.c
+++ b/lib/transport/mb_scheduler_metrics.c
@@ -41,6 +41,15 @@
             "Successes of tasks that had succeeded before"),
         .stalls = mb_counters_add(counters, MB_METRIC_GAUGE, "mb_runs_stalled",
                                   "Runs stopped without progress"),
+        .copies_started = mb_counters_add(
+            counters, MB_METRIC_GAUGE, "mb_copies_started",
+            "Second runs of stragglers started by this process"),
+        .copies_won =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_copies_won",
+                            "Second runs of stragglers whose success counted"),
+        .copies_wasted = mb_counters_add(
+            counters, MB_METRIC_GAUGE, "mb_copies_wasted",
+            "Second runs of stragglers that ended and did not count"),
         .faulty_steps = mb_counters_add(
             counters, MB_METRIC_GAUGE, "mb_steps_at_fault",
             "Times that failures were attributed to a step of a job"),
@@ -111,6 +120,12 @@
     mb_gauge_set(node->metrics.repeated_successes,
                  node->fleet.counts.repeated_successes);
     mb_gauge_set(node->metrics.stalls, node->fleet.counts.stalls);
+    mb_gauge_set(node->metrics.copies_started,
+                 node->fleet.counts.copies_started);
+    mb_gauge_set(node->metrics.copies_won, node->fleet.counts.copies_won);
+    mb_gauge_set(node->metrics.copies_wasted,
+                 node->fleet.counts.copies_ended -
+                     node->fleet.counts.copies_won);
     mb_gauge_set(node->metrics.faulty_steps, node->fleet.counts.faulty_steps);
     mb_gauge_set(node->metrics.appends,
                  node->journal.appends + (node->owner_journal != NULL
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -73,6 +73,9 @@
     mb_metric_t *uncounted_ends;
     mb_metric_t *repeated_successes;
     mb_metric_t *stalls;
+    mb_metric_t *copies_started;
+    mb_metric_t *copies_won;
+    mb_metric_t *copies_wasted;
     mb_metric_t *faulty_steps;
     mb_metric_t *held_tasks;   /* tasks that wait for workers that have not
                                   reported to this owner */
