Test that long tasks at work raise the estimate of their step

The mutant FLEET_RUNNING_TASKS_TEACH_NOTHING was not caught: the expected rest of the tasks at work grows without it. It is caught by the remaining work, which follows the estimate for the step as a whole.

--- a/tests/unit/test_fleet_estimates.cc
+++ b/tests/unit/test_fleet_estimates.cc
@@ -41,6 +41,8 @@
     test.simulation.advance(3000);
     EXPECT_GT(test.remaining_ms(), 2000u);
     EXPECT_GT(test.job->objective_us, 2 * 5000000u);
+    /* Ten tasks of more than 2 s on one processor. */
+    EXPECT_GT(test.job->remaining_work, 10u * 2000 * 1000);
 }
 
 /* A step with a waiting task was expected to end with the ones at work. */
