Reject jobs that would be completed too late under overload

A quarter of the finishing rate is shared out to the queues whatever the forecast says. Ruled out: to scale a scheduler's own admissions by their number (the log shows what all of them admit), and free room by worker in the forecast (that a task waits for room is the decision of the scheduling pass itself).

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -62,6 +62,7 @@
     mb_headroom_init(&fleet->headroom_model);
     mb_fleet_pools_init(&fleet->pools);
     mb_sizing_init(&fleet->sizing);
+    mb_backlog_meter_init(&fleet->backlog_meter);
     mb_fleet_evidence_init(fleet);
     fleet->progress_rows =
         g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
@@ -80,6 +81,7 @@
     mb_headroom_finish(&fleet->headroom_model);
     mb_fleet_pools_finish(&fleet->pools);
     mb_sizing_finish(&fleet->sizing);
+    mb_backlog_meter_finish(&fleet->backlog_meter);
     mb_evidence_finish(&fleet->evidence);
     mb_buf_finish(&fleet->done_bits);
 }
@@ -239,6 +241,7 @@
     (void)g_ptr_array_set_size(fleet->dirty_jobs, 0);
     (void)g_ptr_array_set_size(fleet->open_jobs, 0);
     mb_evidence_clear(&fleet->evidence);
+    mb_backlog_meter_clear(&fleet->backlog_meter);
     reset_workers(fleet, true);
     mb_fleet_hold_absent_tasks(fleet);
     add_jobs_of_table(fleet, true);
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -12,6 +12,7 @@
 #ifndef MB_FLEET_H
 #define MB_FLEET_H
 
+#include "mb_backlog_meter.h"
 #include "mb_clock.h"
 #include "mb_dag.h"
 #include "mb_evidence.h"
@@ -305,6 +306,7 @@
     /* On steps of open jobs that have failed under this owner; the source is
        mb_fleet_step_key. */
     mb_evidence_t evidence;
+    mb_backlog_meter_t backlog_meter;
     mb_fleet_counts_t counts;
 } mb_fleet_t;
 
@@ -369,6 +371,12 @@
    orders that are due. Call it after each batch of events. */
 void mb_fleet_flush(mb_fleet_t *fleet);
 
+/* Collects the forecast of the backlog, as of the latest scheduling pass. Call
+   it at intervals. Returns false, with an empty forecast, if nothing waits or
+   the owner does not know yet what runs (mb_fleet_backlog.c). */
+bool mb_fleet_forecast_backlog(mb_fleet_t *fleet,
+                               mb_backlog_forecast_t *forecast);
+
 /* Lookups. */
 uint64_t mb_fleet_max_lease_us(void);
 mb_fleet_worker_t *mb_fleet_get_worker(const mb_fleet_t *fleet,
--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -18,6 +18,7 @@
 finish_task(mb_fleet_t *fleet, const mb_fleet_run_t *run)
 {
     mb_dag_task_t *task = mb_fleet_run_task(run);
+    mb_fleet_backlog_finished(fleet, run);
     mb_dag_set_done(run->job, run->occurrence, run->step, task);
     task->done_run = run->number;
     mb_fleet_stop_other_copies(fleet, run);
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -14,6 +14,7 @@
    - mb_fleet_absence.c keeps the records of absent workers, and the tasks that
      wait for them after a change of ownership
    - mb_fleet_pools.c tells how much of each service's capacity is in use
+   - mb_fleet_backlog.c forecasts how long new jobs wait, for their admission
    - these use mb_fleet_headroom.c (effect of best-effort work on service
      tasks), mb_fleet_estimate.c (expected run times) and mb_fleet_state.c
      (runs and jobs)
@@ -108,6 +109,9 @@
 void mb_fleet_apply_ends(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                          const mb_report_t *report);
 
+/* mb_fleet_backlog.c */
+void mb_fleet_backlog_finished(mb_fleet_t *fleet, const mb_fleet_run_t *run);
+
 /* mb_fleet_refusals.c */
 void mb_fleet_apply_refusals(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                              const mb_report_t *report);
--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -12,14 +12,18 @@
 #define PAIR_ELEMENTS 3u
 /* Number of elements of the id of a task: job, occurrence, step, index. */
 #define TASK_ELEMENTS 4u
+/* Number of elements of the ratio of a queue: key, ratio. */
+#define RATIO_ELEMENTS 2u
+/* Largest ratio of a queue that is accepted, in thousandths. */
+#define RATIO_MAX_MILLI 1000000u
 /* Factor by which slopes are multiplied to be stored as integers. */
 #define SLOPE_SCALE 1000.0
 /* Version of the format. Records of other versions are rejected. */
 #define RECORD_VERSION 1u
 
 /* First letter of the key for each kind of record. */
-static const char key_letters[MB_DAG_RECORD_KIND_COUNT] = {'j', 'c', 's', 'w',
-                                                           'o', 'l', 'd', 'a'};
+static const char key_letters[MB_DAG_RECORD_KIND_COUNT] = {
+    'j', 'c', 's', 'w', 'o', 'l', 'd', 'a', 'b'};
 
 /* Initializes a decoder; returns false when out of memory. */
 bool
@@ -28,6 +32,7 @@
     decoder->rows = g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
     decoder->pairs = g_array_new(FALSE, FALSE, sizeof(mb_headroom_pair_t));
     decoder->tasks = g_array_new(FALSE, FALSE, sizeof(mb_dag_task_id_t));
+    mb_backlog_forecast_init(&decoder->backlog);
     return msgpack_zone_init(&decoder->zone, ZONE_BYTES);
 }
 
@@ -39,6 +44,7 @@
     g_array_unref(decoder->rows);
     g_array_unref(decoder->pairs);
     g_array_unref(decoder->tasks);
+    mb_backlog_forecast_finish(&decoder->backlog);
 }
 
 /* Appends the key of a record; see the header. */
@@ -398,6 +404,122 @@
     reader->failed = reader->failed || rows.failed;
 }
 
+/* Packs one class of a forecast as [service, priority, rate, rate with more
+   urgent work, size of the smallest task that waits, the same of best-effort
+   tasks, class of the smallest overdue job, work], where sizes are three
+   numbers, and the work is one array:
+   class of size, processor milliseconds, class of size, ... */
+static void
+pack_class(msgpack_packer *packer, const mb_backlog_class_t *class)
+{
+    size_t rows = 0;
+    for (uint32_t i = 0; i < MB_BACKLOG_SIZES; i++) {
+        rows += class->work_ms[i] > 0;
+    }
+    (void)msgpack_pack_array(packer, 12);
+    (void)msgpack_pack_uint64(packer, class->service);
+    (void)msgpack_pack_uint32(packer, class->priority);
+    (void)msgpack_pack_uint64(packer, class->rate_milli);
+    (void)msgpack_pack_uint64(packer, class->urgent_rate_milli);
+    for (uint32_t i = 0; i < 2; i++) {
+        (void)msgpack_pack_uint32(packer, class->waiting[i].cpu_milli);
+        (void)msgpack_pack_uint32(packer, class->waiting[i].memory_mb);
+        (void)msgpack_pack_uint32(packer, class->waiting[i].accelerators);
+    }
+    (void)msgpack_pack_uint32(packer, class->overdue_size);
+    (void)msgpack_pack_array(packer, rows * 2);
+    for (uint32_t i = 0; i < MB_BACKLOG_SIZES; i++) {
+        if (class->work_ms[i] > 0) {
+            (void)msgpack_pack_uint32(packer, i);
+            (void)msgpack_pack_uint64(
+                packer, MIN(class->work_ms[i], MB_BACKLOG_WORK_MAX_MS));
+        }
+    }
+}
+
+/* Reads one class of a forecast; see pack_class. */
+static void
+unpack_class(mb_unpack_t *outer, mb_backlog_class_t *class)
+{
+    mb_unpack_t reader = mb_unpack_next_array(outer);
+    class->service = mb_unpack_u64(&reader, UINT64_MAX);
+    class->priority = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    class->rate_milli = mb_unpack_u64(&reader, MB_BACKLOG_WORK_MAX_MS);
+    class->urgent_rate_milli = mb_unpack_u64(&reader, MB_BACKLOG_WORK_MAX_MS);
+    for (uint32_t i = 0; i < 2; i++) {
+        mb_size_t *size = &class->waiting[i];
+        size->cpu_milli = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+        size->memory_mb = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+        size->accelerators = (uint32_t)mb_unpack_u64(&reader, UINT32_MAX);
+    }
+    class->overdue_size = (uint32_t)mb_unpack_u64(&reader, MB_BACKLOG_SIZES);
+    mb_unpack_t rows = mb_unpack_next_array(&reader);
+    while (rows.left > 0 && !rows.failed) {
+        uint64_t size = mb_unpack_u64(&rows, MB_BACKLOG_SIZES - 1);
+        class->work_ms[size] = mb_unpack_u64(&rows, MB_BACKLOG_WORK_MAX_MS);
+    }
+    outer->failed = outer->failed || rows.failed || !mb_unpack_done(&reader);
+}
+
+/* Appends a forecast of the backlog as [version, fencing token, time by the
+   clock of the owner, classes, ratios], where the ratios are one array: queue,
+   ratio, queue, ... */
+void
+mb_dag_record_encode_backlog(mb_buf_t *out,
+                             const mb_backlog_forecast_t *forecast)
+{
+    const GArray *ratios = forecast->ratios;
+    msgpack_packer packer;
+    mb_pack_init(&packer, out);
+    (void)msgpack_pack_array(&packer, 5);
+    (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
+    (void)msgpack_pack_uint64(&packer, forecast->token);
+    (void)msgpack_pack_uint64(&packer, forecast->published_ms);
+    (void)msgpack_pack_array(&packer, forecast->classes->len);
+    for (guint i = 0; i < forecast->classes->len; i++) {
+        pack_class(&packer,
+                   &g_array_index(forecast->classes, mb_backlog_class_t, i));
+    }
+    (void)msgpack_pack_array(&packer, (size_t)ratios->len * RATIO_ELEMENTS);
+    for (guint i = 0; i < ratios->len; i++) {
+        const mb_backlog_ratio_t *ratio =
+            &g_array_index(ratios, mb_backlog_ratio_t, i);
+        (void)msgpack_pack_uint64(&packer, ratio->queue);
+        (void)msgpack_pack_uint32(&packer, ratio->milli);
+    }
+}
+
+/* Reads a forecast of the backlog. It is stored in the decoder. */
+static void
+unpack_backlog(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader,
+               mb_dag_record_t *record)
+{
+    mb_backlog_forecast_t *forecast = &decoder->backlog;
+    mb_backlog_forecast_clear(forecast);
+    record->body.backlog = forecast;
+    forecast->token = mb_unpack_u64(reader, UINT64_MAX);
+    forecast->published_ms = mb_unpack_u64(reader, MB_BACKLOG_WORK_MAX_MS);
+    mb_unpack_t classes = mb_unpack_next_array(reader);
+    mb_unpack_t ratios = mb_unpack_next_array(reader);
+    if (classes.left > MB_BACKLOG_CLASSES_MAX ||
+        ratios.left > MB_BACKLOG_QUEUES_MAX * RATIO_ELEMENTS) {
+        reader->failed = true;
+        return;
+    }
+    while (classes.left > 0 && !classes.failed) {
+        mb_backlog_class_t class = {0};
+        unpack_class(&classes, &class);
+        g_array_append_val(forecast->classes, class);
+    }
+    while (ratios.left > 0 && !ratios.failed) {
+        mb_backlog_ratio_t ratio = {0};
+        ratio.queue = mb_unpack_u64(&ratios, UINT64_MAX);
+        ratio.milli = (uint32_t)mb_unpack_u64(&ratios, RATIO_MAX_MILLI);
+        g_array_append_val(forecast->ratios, ratio);
+    }
+    reader->failed = reader->failed || classes.failed || ratios.failed;
+}
+
 /* Reads the value of a record after checking its version. Marks `reader` as
    failed if the value is not valid. */
 static void
@@ -428,6 +550,9 @@
     case MB_DAG_RECORD_HEADROOM:
         unpack_pairs(decoder, reader, record);
         break;
+    case MB_DAG_RECORD_BACKLOG:
+        unpack_backlog(decoder, reader, record);
+        break;
     case MB_DAG_RECORD_CANCEL:
     case MB_DAG_RECORD_KIND_COUNT:
         break;
@@ -464,6 +589,7 @@
     }
     return record->kind == MB_DAG_RECORD_OWNER ||
            record->kind == MB_DAG_RECORD_HEADROOM ||
+           record->kind == MB_DAG_RECORD_BACKLOG ||
            mb_dag_id_parse(name, &record->id);
 }
 
--- a/lib/protocol/mb_dag_record.h
+++ b/lib/protocol/mb_dag_record.h
@@ -1,14 +1,15 @@
 /* Codec of the records in the job log: submitted and cancelled jobs, the
-   progress of jobs, the owner of the fleet, the addresses of agents, and
-   estimates of how best-effort work affects services. The key of a record is
-   one letter for its kind, followed by the id of a job or the address of an
-   agent. The value is a msgpack array whose first element is the version of
-   the format. */
+   progress of jobs, the owner of the fleet, the addresses of agents, estimates
+   of how best-effort work affects services, and the forecast of the backlog.
+   The key of a record is one letter for its kind, followed by the id of a job
+   or the address of an agent. The value is a msgpack array whose first element
+   is the version of the format. */
 #ifndef MB_DAG_RECORD_H
 #define MB_DAG_RECORD_H
 
 #include <msgpack.h>
 
+#include "mb_backlog.h"
 #include "mb_dag.h"
 #include "mb_error.h"
 #include "mb_headroom.h"
@@ -29,6 +30,7 @@
     MB_DAG_RECORD_HEADROOM,  /* estimates for the next owner */
     MB_DAG_RECORD_DEPARTURE, /* an agent has left, and nothing runs there */
     MB_DAG_RECORD_ABSENCE,   /* tasks that may run beside an absent agent */
+    MB_DAG_RECORD_BACKLOG,   /* forecast by which schedulers admit jobs */
     MB_DAG_RECORD_KIND_COUNT
 } mb_dag_record_kind_t;
 
@@ -53,6 +55,7 @@
         mb_ownership_record_t owner;
         const GArray *pairs; /* mb_headroom_pair_t */
         mb_dag_absence_record_t absence;
+        const mb_backlog_forecast_t *backlog;
     } body;
 } mb_dag_record_t;
 
@@ -62,6 +65,7 @@
     GArray *rows;  /* mb_dag_progress_row_t */
     GArray *pairs; /* mb_headroom_pair_t */
     GArray *tasks; /* mb_dag_task_id_t */
+    mb_backlog_forecast_t backlog;
     mb_dag_step_t steps[MB_DAG_STEPS_MAX];
 } mb_dag_record_decoder_t;
 
@@ -95,5 +99,7 @@
 /* `pairs` is an array of at most MB_DAG_HEADROOM_PAIRS_MAX mb_headroom_pair_t.
    Slopes are rounded down to thousandths. */
 void mb_dag_record_encode_headroom_pairs(mb_buf_t *out, const GArray *pairs);
+void mb_dag_record_encode_backlog(mb_buf_t *out,
+                                  const mb_backlog_forecast_t *forecast);
 
 #endif
--- a/lib/transport/mb_scheduler_apply.c
+++ b/lib/transport/mb_scheduler_apply.c
@@ -12,6 +12,10 @@
         return;
     }
     job->known_since_us = mb_clock_us(&node->clock);
+    if (node->config.reject_overdue_jobs) {
+        mb_backlog_job_t summary = mb_backlog_job(&job->spec);
+        mb_backlog_note_stored(&node->backlog, &summary);
+    }
     if (g_hash_table_remove(node->early_cancels, &job->spec.id)) {
         job->cancelled = true;
         job->stored_outcome = MB_DAG_CANCELLED;
@@ -75,6 +79,7 @@
             bool in_order)
 {
     mb_ownership_record_t former = node->ownership.latest;
+    mb_backlog_note_owner(&node->backlog, record->body.owner.token);
     if (!mb_ownership_apply(&node->ownership, &record->body.owner, in_order)) {
         return;
     }
@@ -179,6 +184,11 @@
             apply_headroom_pairs(node, &record);
         }
         break;
+    case MB_DAG_RECORD_BACKLOG:
+        if (!record.removed) {
+            mb_scheduler_apply_backlog(node, record.body.backlog, in_order);
+        }
+        break;
     case MB_DAG_RECORD_KIND_COUNT:
         break;
     }
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -1,5 +1,6 @@
 /* Functions that the files of mb_scheduler_node share. All but
-   mb_scheduler_handle, mb_scheduler_handle_metrics, mb_scheduler_is_stale and
+   mb_scheduler_handle, mb_scheduler_handle_metrics,
+   mb_scheduler_backlog_write_metrics, mb_scheduler_is_stale and
    mb_scheduler_unix_ms are called only on the thread of the loop, or while it
    is not running. */
 #ifndef MB_SCHEDULER_INTERNAL_H
@@ -58,6 +59,17 @@
                                bool in_order);
 void mb_scheduler_note_jobs_read(void *context, uint64_t read_start_us);
 
+/* mb_scheduler_backlog.c */
+void mb_scheduler_backlog_init(mb_scheduler_node_t *node);
+void mb_scheduler_backlog_finish(mb_scheduler_node_t *node);
+void mb_scheduler_publish_backlog(mb_scheduler_node_t *node);
+void mb_scheduler_apply_backlog(mb_scheduler_node_t *node,
+                                const mb_backlog_forecast_t *forecast,
+                                bool in_order);
+void mb_scheduler_update_backlog_metrics(mb_scheduler_node_t *node);
+void mb_scheduler_backlog_write_metrics(const mb_scheduler_node_t *node,
+                                        mb_buf_t *out);
+
 /* mb_scheduler_accept.c */
 void mb_scheduler_handle(void *context, mb_http_exchange_t *exchange);
 
--- a/lib/transport/mb_scheduler_metrics.c
+++ b/lib/transport/mb_scheduler_metrics.c
@@ -68,7 +68,23 @@
             "Requests for a queue that does not exist"),
         .tick_gap_us =
             mb_counters_add(counters, MB_METRIC_HISTOGRAM, "mb_tick_gap_us",
-                            "Time between two ticks of the event loop")};
+                            "Time between two ticks of the event loop"),
+        .rejected_backlog = mb_counters_add(
+            counters, MB_METRIC_COUNTER, "mb_jobs_rejected_backlog_total",
+            "Jobs rejected because of the backlog"),
+        .admitted_by_share = mb_counters_add(
+            counters, MB_METRIC_COUNTER, "mb_jobs_admitted_by_share_total",
+            "Jobs admitted against the forecast, by the share of a queue"),
+        .backlog_work_ms =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_backlog_work_ms",
+                            "Work of the forecast, in processor ms"),
+        .backlog_rate_milli =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_backlog_rate_milli",
+                            "Rate at which it is finished, in 1/1000 "
+                            "processor"),
+        .backlog_age_ms =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_backlog_age_ms",
+                            "Age of the forecast; 0: there is none")};
 }
 
 /* Answers a request for the metrics, on an HTTP thread. */
@@ -78,6 +94,7 @@
     mb_scheduler_node_t *node = context;
     MB_AUTO_BUF mb_buf_t body = {0};
     mb_prometheus_write(node->counters, &body);
+    mb_scheduler_backlog_write_metrics(node, &body);
     mb_http_respond(exchange, 200, NULL, mb_buf_view(&body));
 }
 
@@ -118,6 +135,7 @@
                                               : 0));
     mb_gauge_set(node->metrics.reads,
                  node->jobs.reads + node->configs.follower.reads);
+    mb_scheduler_update_backlog_metrics(node);
 }
 
 /* Records the time since the previous tick, which is longer than TICK_MS when
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -219,6 +219,7 @@
     mb_scheduler_requests_tick(node);
     mb_scheduler_free_retired_journals(node);
     mb_scheduler_store_headroom_model(node);
+    mb_scheduler_publish_backlog(node);
     remove_expired_jobs(node);
     update_ready(node);
     update_outage(node);
@@ -297,6 +298,7 @@
         .batch_bytes_max = MB_SCHEDULER_BATCH_BYTES};
     mb_fleet_init(&node->fleet, &node->table, &fleet, &node->clock,
                   &node->log);
+    mb_scheduler_backlog_init(node);
     mb_ownership_init(&node->ownership, &node->clock, &rng,
                       node->config.incarnation,
                       mb_str_hash(node->config.name));
@@ -445,6 +447,7 @@
     mb_dag_table_finish(&node->table);
     mb_queue_table_finish(&node->queues);
     mb_dag_record_decoder_finish(&node->decoder);
+    mb_scheduler_backlog_finish(node);
     mb_order_decoder_finish(&node->report_decoder);
     g_hash_table_destroy(node->early_cancels);
     g_ptr_array_unref(node->agents);
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -35,8 +35,9 @@
                                      the longest deadline */
     uint32_t retention_ms;        /* how long closed jobs stay in the log */
     uint32_t config_age_max_ms;   /* an older configuration counts as stale */
-    mb_str_t name;                /* of the process; must outlive the node */
-    uint64_t incarnation; /* differs after each restart of the process */
+    bool reject_overdue_jobs; /* by the forecast of the backlog (mb_backlog) */
+    mb_str_t name;            /* of the process; must outlive the node */
+    uint64_t incarnation;     /* differs after each restart of the process */
 } mb_scheduler_config_t;
 
 /* The connection to one agent, which only the owner of the fleet keeps open.
@@ -85,8 +86,26 @@
     mb_metric_t *request_config_age_us;
     mb_metric_t *unknown_queue; /* requests for a queue that does not exist */
     mb_metric_t *tick_gap_us;   /* between two ticks of the loop */
+    mb_metric_t *rejected_backlog;   /* submissions rejected by the forecast */
+    mb_metric_t *admitted_by_share;  /* against it, by the queue's share */
+    mb_metric_t *backlog_work_ms;    /* of the forecast in force */
+    mb_metric_t *backlog_rate_milli; /* sum of its rates */
+    mb_metric_t *backlog_age_ms;
 } mb_scheduler_metrics_t;
 
+/* Maximum number of queues whose rejections are counted apart. */
+#define MB_SCHEDULER_REJECTING_QUEUES_MAX 64u
+
+/* Submissions rejected by the forecast, by queue. Written on the thread of the
+   loop; `count` and `jobs` are atomic, and read on all threads. */
+typedef struct mb_scheduler_rejections {
+    uint64_t count; /* of queues */
+    struct {
+        mb_buf_t name;
+        uint64_t jobs;
+    } queues[MB_SCHEDULER_REJECTING_QUEUES_MAX];
+} mb_scheduler_rejections_t;
+
 typedef struct mb_scheduler_progress_group mb_scheduler_progress_group_t;
 
 typedef struct mb_scheduler_node {
@@ -130,6 +149,8 @@
     GPtrArray *owner_appends;
     GPtrArray *agents;          /* mb_scheduler_agent_t by worker number */
     GPtrArray *pending_appends; /* requests whose append has no result yet */
+    GPtrArray *pending_submits; /* submissions that will be rejected unless a
+                                   read of the log shows the job */
     GPtrArray *pending_cancels; /* cancellations of unknown jobs, which wait
                                    for a read of the log */
     mb_buf_t key;               /* scratch buffers for records */
@@ -137,6 +158,12 @@
     /* The progress records being stored; NULL: none. */
     mb_scheduler_progress_group_t *progress_group;
     mb_outage_t outage;
+    mb_backlog_t backlog;
+    mb_backlog_forecast_t forecast; /* scratch, of the owner */
+    uint64_t backlog_sampled_us;    /* when the owner collected the latest one
+                                     */
+    bool backlog_published; /* a forecast that is not empty was published */
+    mb_scheduler_rejections_t rejections;
     uint64_t last_sweep_ms;      /* last search for expired jobs */
     uint64_t last_tick_us;       /* start of the previous tick */
     uint64_t headroom_stored_us; /* last store of the headroom model */
--- a/lib/transport/mb_scheduler_owner.c
+++ b/lib/transport/mb_scheduler_owner.c
@@ -300,6 +300,7 @@
                   node->ownership.latest.token,
                   g_hash_table_size(node->table.jobs), node->agents->len);
     node->progress_group = NULL;
+    node->backlog_published = false;
     mb_gauge_set(node->metrics.owner, 1);
     mb_follower_set_read_interval(&node->jobs, 0);
     mb_fleet_become_owner(&node->fleet, node->ownership.latest.token,
@@ -322,6 +323,7 @@
     mb_gauge_set(node->metrics.owner, 0);
     mb_follower_set_read_interval(&node->jobs, MB_SCHEDULER_READ_INTERVAL_MS);
     mb_fleet_lose_ownership(&node->fleet);
+    mb_backlog_note_owner(&node->backlog, UINT64_MAX);
     node->progress_group = NULL;
     mb_scheduler_close_agents(node);
     mb_scheduler_retire_journal(node);
--- a/lib/transport/mb_scheduler_request.h
+++ b/lib/transport/mb_scheduler_request.h
@@ -21,11 +21,26 @@
     bool known_only;        /* see mb_job_request_target_t */
     uint64_t received_us;
     uint64_t deadline_us; /* the response is due by then */
+    /* Of a submission. */
+    mb_backlog_job_t job;
+    mb_backlog_decision_t decision;
 } mb_scheduler_request_t;
 
+/* What becomes of a submission. */
+typedef enum mb_scheduler_verdict {
+    MB_SCHEDULER_ADMITTED,
+    MB_SCHEDULER_REJECTED,
+    MB_SCHEDULER_UNDECIDED /* to be rejected, once the log has been read */
+} mb_scheduler_verdict_t;
+
 void mb_scheduler_request_free(mb_scheduler_request_t *request);
 void mb_scheduler_request_run(mb_loop_task_t *task);
 void mb_scheduler_respond_empty(mb_scheduler_node_t *node,
                                 mb_http_exchange_t *exchange, uint32_t status);
 
+/* mb_scheduler_backlog.c */
+mb_scheduler_verdict_t mb_scheduler_judge(mb_scheduler_request_t *request);
+void mb_scheduler_note_rejected(const mb_scheduler_request_t *request);
+void mb_scheduler_note_admitted(const mb_scheduler_request_t *request);
+
 #endif
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -23,19 +23,21 @@
 }
 
 /* Responds with a status and a JSON body, on any thread. Status 429 and 503
-   carry a Retry-After header. While draining, the client is told to close the
-   connection. */
+   carry a Retry-After header of `retry_after_s` or, if that is less, of the
+   time that the outage of the log asks for. While draining, the client is told
+   to close the connection. */
 static void
 respond(mb_scheduler_node_t *node, mb_http_exchange_t *exchange,
-        uint32_t status, mb_str_t body)
+        uint32_t status, mb_str_t body, uint32_t retry_after_s)
 {
+    uint64_t outage_s = mb_atomic_load(&node->retry_after_s);
     mb_headers_t headers = {.count = 1};
     char retry_after_text[RETRY_AFTER_TEXT_MAX];
     headers.items[0] = (mb_header_t){MB_STR_LIT("Content-Type"),
                                      MB_STR_LIT("application/json")};
     if (status == 503 || status == 429) {
         (void)snprintf(retry_after_text, sizeof(retry_after_text), "%u",
-                       (unsigned)mb_atomic_load(&node->retry_after_s));
+                       MAX((unsigned)outage_s, retry_after_s));
         headers.items[headers.count++] = (mb_header_t){
             MB_STR_LIT("Retry-After"), mb_str_from_cstr(retry_after_text)};
     }
@@ -51,7 +53,7 @@
 mb_scheduler_respond_empty(mb_scheduler_node_t *node,
                            mb_http_exchange_t *exchange, uint32_t status)
 {
-    respond(node, exchange, status, MB_STR_LIT("{}"));
+    respond(node, exchange, status, MB_STR_LIT("{}"), 0);
 }
 
 /* Responds to a submission or cancellation, if that has not happened yet;
@@ -85,7 +87,8 @@
                        1);
         mb_histogram_record(node->metrics.accept_us, age_us);
     }
-    mb_scheduler_respond_empty(node, request->exchange, status);
+    respond(node, request->exchange, status, MB_STR_LIT("{}"),
+            request->decision.retry_after_s);
     request->exchange = NULL;
 }
 
@@ -116,6 +119,7 @@
         respond_to_write(request, 200, "stored");
     }
     else if (result == MB_KEYED_NOT_DONE) {
+        mb_backlog_note_withdrawn(&node->backlog, request->id);
         respond_to_write(request, 503, "log_unavailable");
     }
     else {
@@ -144,6 +148,9 @@
         mb_scheduler_request_free(request);
         return;
     }
+    if (kind == MB_DAG_RECORD_JOB) {
+        mb_scheduler_note_admitted(request);
+    }
     g_ptr_array_add(node->pending_appends, request);
     mb_scheduler_defer_flush(node);
 }
@@ -201,12 +208,13 @@
     node->codec.write_status(node->codec.context, get_client_status(job),
                              &body);
     log_query(request, MB_SEVERITY_DEBUG, mb_dag_id_view(&request->id), 200);
-    respond(node, request->exchange, 200, mb_buf_view(&body));
+    respond(node, request->exchange, 200, mb_buf_view(&body), 0);
     mb_scheduler_request_free(request);
 }
 
-/* Handles a submission: appends the job to the log. If a job with the same id
-   is stored already, the submission is accepted, so a client may retry. */
+/* Handles a submission: appends the job to the log, or rejects it because of
+   the backlog. If a job with the same id is stored already, the submission is
+   accepted, so a client may retry. */
 static void
 handle_submit(mb_scheduler_request_t *request)
 {
@@ -221,7 +229,20 @@
         mb_scheduler_request_free(request);
         return;
     }
-    append(request, MB_DAG_RECORD_JOB);
+    switch (mb_scheduler_judge(request)) {
+    case MB_SCHEDULER_ADMITTED:
+        request->decision.retry_after_s = 0;
+        append(request, MB_DAG_RECORD_JOB);
+        break;
+    case MB_SCHEDULER_REJECTED:
+        mb_scheduler_note_rejected(request);
+        respond_to_write(request, 503, "backlog");
+        mb_scheduler_request_free(request);
+        break;
+    case MB_SCHEDULER_UNDECIDED:
+        g_ptr_array_add(node->pending_submits, request);
+        break;
+    }
 }
 
 /* Handles a cancellation: appends it to the log, unless the job is closed. An
@@ -274,7 +295,7 @@
     }
     node->codec.write_pending(node->codec.context, pending, &body);
     log_query(request, MB_SEVERITY_INFO, MB_STR_EMPTY, 200);
-    respond(node, request->exchange, 200, mb_buf_view(&body));
+    respond(node, request->exchange, 200, mb_buf_view(&body), 0);
     mb_scheduler_request_free(request);
 }
 
@@ -328,13 +349,27 @@
     }
 }
 
-/* Handles the waiting cancellations, and responds 504 to requests whose
-   deadline has passed while the outcome of their append is unknown. Those stay
-   allocated until the append completes. */
+/* Handles the submissions again that wait for a read of the log. */
+static void
+retry_pending_submits(mb_scheduler_node_t *node)
+{
+    guint count = node->pending_submits->len;
+    for (guint i = 0; i < count; i++) {
+        handle_submit(g_ptr_array_index(node->pending_submits, i));
+    }
+    if (count > 0) {
+        g_ptr_array_remove_range(node->pending_submits, 0, count);
+    }
+}
+
+/* Handles the waiting submissions and cancellations, and responds 504 to
+   requests whose deadline has passed while the outcome of their append is
+   unknown. Those stay allocated until the append completes. */
 void
 mb_scheduler_requests_tick(mb_scheduler_node_t *node)
 {
     uint64_t now_us = mb_clock_us(&node->clock);
+    retry_pending_submits(node);
     retry_pending_cancels(node, now_us);
     for (guint i = 0; i < node->pending_appends->len; i++) {
         mb_scheduler_request_t *request =
--- a/programs/magnoliabarrowd/job_roles.c
+++ b/programs/magnoliabarrowd/job_roles.c
@@ -92,6 +92,9 @@
             daemon_setting_u32(daemon, "scheduler", "retention_ms"),
         .config_age_max_ms =
             daemon_setting_u32(daemon, "scheduler", "config_age_max_ms"),
+        .reject_overdue_jobs = mb_str_equal(
+            daemon_setting_text(daemon, "scheduler", "reject_overdue_jobs"),
+            MB_STR_LIT("yes")),
         .name = daemon_setting_text(daemon, "daemon", "name"),
         .incarnation = daemon->incarnation};
     read_address(daemon, "scheduler", "client_address", &config.client_ip,
--- a/programs/magnoliabarrowd/options.c
+++ b/programs/magnoliabarrowd/options.c
@@ -66,6 +66,8 @@
      NULL, "ms", false},
     {"scheduler", "retention_ms", MB_OPTION_NUMBER, "180000", 1000, 86400000,
      NULL, "ms", false},
+    {"scheduler", "reject_overdue_jobs", MB_OPTION_CHOICE, "no", 0, 0,
+     "yes|no", NULL, false},
     {"scheduler", "config_age_max_ms", MB_OPTION_NUMBER, "3000", 1000, 600000,
      NULL, "ms", false},
     {"agent", "registration_address", MB_OPTION_ADDRESS, "127.0.0.1:8090", 0,
--- a/tests/unit/test_decoders.cc
+++ b/tests/unit/test_decoders.cc
@@ -157,7 +157,7 @@
 static std::vector<std::string>
 make_records()
 {
-    mb_buf_t values[6] = {};
+    mb_buf_t values[7] = {};
     mb_dag_step_t step = {};
     mb_dag_spec_t spec = {};
     mb_ownership_record_t owner = {7, 8, 9, false};
@@ -187,6 +187,13 @@
     mb_dag_record_encode_owner(&values[3], &owner);
     mb_dag_record_encode_headroom_pairs(&values[4], pairs);
     mb_dag_record_encode_absence(&values[5], &absence);
+    mb_backlog_forecast_t backlog;
+    mb_backlog_ratio_t ratio = {21, 2500};
+    mb_backlog_forecast_init(&backlog);
+    mb_backlog_get_class(backlog.classes, 11, 1)->work_ms[31] = 5;
+    g_array_append_val(backlog.ratios, ratio);
+    mb_dag_record_encode_backlog(&values[6], &backlog);
+    mb_backlog_forecast_finish(&backlog);
     std::string id = "0123456789abcdef ";
     std::string address = "10.0.0.1:7480 ";
     return {"j" + id + take_text(&values[0]),
@@ -194,7 +201,8 @@
             "w" + address + take_text(&values[2]),
             "o " + take_text(&values[3]),
             "l " + take_text(&values[4]),
-            "a" + address + take_text(&values[5])};
+            "a" + address + take_text(&values[5]),
+            "b " + take_text(&values[6])};
 }
 
 TEST(Decoders, DamagedRecords)
--- a/tests/unit/test_scheduler_records.cc
+++ b/tests/unit/test_scheduler_records.cc
@@ -7,7 +7,7 @@
 #include <vector>
 
 extern "C" {
-#include "mb_scheduler_internal.h"
+#include "mb_scheduler_request.h"
 }
 
 /* The calls of a log that accepts none. */
@@ -282,7 +282,8 @@
     std::string large = "\x92\x01\xca\x7f\x80\x00"; /* a float, cut off */
     std::string huge = "\x92\x01\xdd\xff\xff\xff\xff"; /* 2^32 elements */
     for (const std::string &text : {nested, large, huge}) {
-        for (const char *kind : {"j", "c", "s", "w", "o", "l", "d", "a"}) {
+        for (const char *kind :
+             {"j", "c", "s", "w", "o", "l", "d", "a", "b"}) {
             mb_buf_t value = {};
             mb_buf_set(&value, {text.data(), text.size()});
             records.apply(kind + std::string("0123456789abcdef"), value);
@@ -324,6 +325,131 @@
     EXPECT_EQ(worker->order_sequence, sent);
 }
 
+/* Publishes a forecast under a fencing token by which most jobs are late. */
+static void
+publish_backlog(SchedulerRecords &records, uint64_t token, bool in_order)
+{
+    mb_buf_t value = {};
+    mb_backlog_forecast_t forecast;
+    mb_backlog_forecast_init(&forecast);
+    forecast.token = token;
+    mb_backlog_class_t *of = mb_backlog_get_class(
+        forecast.classes, mb_str_hash(MB_STR_LIT("pool")), 1);
+    of->rate_milli = of->urgent_rate_milli = 1000;
+    of->waiting[0] = {1000, 100, 0};
+    of->work_ms[0] = 1000000000;
+    mb_dag_record_encode_backlog(&value, &forecast);
+    records.apply("b", value, in_order);
+    mb_buf_finish(&value);
+    mb_backlog_forecast_finish(&forecast);
+}
+
+/* Returns a submission that has just been received and whose queue has used up
+   its share. */
+static mb_scheduler_request_t
+make_submission(SchedulerRecords &records)
+{
+    mb_dag_step_t step = {};
+    mb_dag_spec_t spec = {};
+    mb_backlog_decision_t by_share = {};
+    mb_scheduler_request_t request = {};
+    by_share.admitted = by_share.by_share = true;
+    step.count = 1;
+    step.size = {1000, 100, 0};
+    step.estimate_ms = 1000;
+    spec.policy.service = MB_STR_LIT("pool");
+    spec.policy.priority = 1;
+    spec.policy.stretch_milli = 1000;
+    spec.step_count = 1;
+    spec.steps = &step;
+    request.kind = MB_JOB_REQUEST_SUBMIT;
+    request.node = &records.node;
+    EXPECT_TRUE(mb_dag_id_parse(MB_STR_LIT("0123456789abcdef"), &spec.id));
+    request.job = mb_backlog_job(&spec);
+    mb_backlog_note_admitted(&records.node.backlog, &request.job, &by_share);
+    EXPECT_TRUE(mb_dag_id_parse(MB_STR_LIT("0123456789abcde0"), &spec.id));
+    request.job.id = request.id = spec.id;
+    request.received_us = records.now_us;
+    request.deadline_us = records.now_us + 4850000;
+    return request;
+}
+
+/* Guards against a rejected job that is stored: a client that got no answer
+   from another scheduler submits it again here, before this one has read it
+   from the log. A job is not kept waiting for that. */
+TEST(SchedulerRecords, RejectsOnlyWhatTheLogDoesNotHold)
+{
+    SchedulerRecords records;
+    records.node.config.reject_overdue_jobs = true;
+    mb_scheduler_note_jobs_read(&records.node, records.now_us);
+    publish_backlog(records, 1, true);
+    mb_scheduler_request_t request = make_submission(records);
+    EXPECT_EQ(mb_scheduler_judge(&request), MB_SCHEDULER_UNDECIDED);
+    records.now_us += 200000;
+    EXPECT_EQ(mb_scheduler_judge(&request), MB_SCHEDULER_UNDECIDED);
+    records.now_us += 250000;
+    EXPECT_EQ(mb_scheduler_judge(&request), MB_SCHEDULER_ADMITTED);
+    mb_scheduler_note_jobs_read(&records.node, records.now_us - 230000);
+    EXPECT_EQ(mb_scheduler_judge(&request), MB_SCHEDULER_REJECTED);
+    EXPECT_GE(request.decision.retry_after_s, 1u);
+    records.node.journal.failing_since_us = records.now_us;
+    EXPECT_EQ(mb_scheduler_judge(&request), MB_SCHEDULER_ADMITTED);
+}
+
+/* Guards against rejections where the setting does not allow them, by a
+   forecast of unknown age or by one of a former owner. */
+TEST(SchedulerRecords, UsesOnlyForecastsOfThePresentOwner)
+{
+    struct {
+        bool enabled, in_order;
+        uint64_t token;
+        bool used;
+    } cases[] = {{true, true, 2, true},
+                 {false, true, 2, false},
+                 {true, false, 2, false},
+                 {true, true, 1, false}};
+    for (const auto &each : cases) {
+        SchedulerRecords records;
+        records.node.config.reject_overdue_jobs = each.enabled;
+        records.own_fleet(2);
+        publish_backlog(records, each.token, each.in_order);
+        EXPECT_EQ(records.node.backlog.forecast_us != 0, each.used);
+        mb_scheduler_request_t request = make_submission(records);
+        EXPECT_EQ(mb_scheduler_judge(&request) != MB_SCHEDULER_ADMITTED,
+                  each.used);
+        records.own_fleet(3);
+        EXPECT_EQ(mb_scheduler_judge(&request), MB_SCHEDULER_ADMITTED);
+    }
+}
+
+/* Guards against an owner that publishes a forecast although the setting does
+   not ask for it, while the log fails appends, or without a backlog. */
+TEST(SchedulerRecords, PublishesNothingWithoutABacklog)
+{
+    SchedulerRecords records;
+    records.announce("127.0.0.1:1", 1);
+    mb_scheduler_claim_fleet(&records.node);
+    records.own_fleet(1);
+    for (bool enabled : {false, true}) {
+        records.node.config.reject_overdue_jobs = enabled;
+        records.now_us += 1000000;
+        mb_scheduler_note_jobs_read(&records.node, records.now_us);
+        uint64_t queued = records.node.owner_journal->queue.length;
+        mb_scheduler_publish_backlog(&records.node);
+        EXPECT_EQ(records.node.owner_journal->queue.length, queued);
+        EXPECT_EQ(records.node.backlog_sampled_us != 0, enabled);
+    }
+    /* The end of a backlog is published once the log takes appends. */
+    records.node.backlog_published = true;
+    for (uint64_t failing_us : {records.now_us, UINT64_C(0)}) {
+        records.now_us += 1000000;
+        mb_scheduler_note_jobs_read(&records.node, records.now_us);
+        records.node.owner_journal->failing_since_us = failing_us;
+        mb_scheduler_publish_backlog(&records.node);
+        EXPECT_EQ(records.node.backlog_published, failing_us != 0);
+    }
+}
+
 /* Guards against an agent that can't be used for the rest of an outage of the
    log, because it was silent for a moment: its removal, once begun, has to
    reach the log before the agent is used again. */
