Keep apart the sizes of rejected jobs above 45 processor seconds

The mask of the sizes that a queue rejects was set with a 32-bit shift, found by UndefinedBehaviorSanitizer (shift exponent 33): queues forgot that they reject large jobs, so that the answer could change from job to job. The test of the bounds has a large job, and fails without the change.

--- a/lib/coordination/mb_backlog.c
+++ b/lib/coordination/mb_backlog.c
@@ -597,8 +597,8 @@
     uint64_t work_ms = correct(backlog, job, job->work_ms);
     const mb_backlog_class_t *rates = find_rate(backlog, job);
     uint64_t rate_milli = rates == NULL ? 0 : rates->urgent_rate_milli;
-    note_queue(backlog, job)->rejecting |= 1u
-                                           << mb_backlog_size_class(work_ms);
+    uint32_t size = mb_backlog_size_class(work_ms);
+    note_queue(backlog, job)->rejecting |= UINT64_C(1) << size;
     for (guint i = 0; i < backlog->rejected->len; i++) {
         mb_backlog_rejected_t *known =
             &g_array_index(backlog->rejected, mb_backlog_rejected_t, i);
--- a/tests/unit/test_backlog.cc
+++ b/tests/unit/test_backlog.cc
@@ -319,6 +319,18 @@
     EXPECT_TRUE(rejects_with(55000));
     EXPECT_FALSE(rejects_with(45000));
     EXPECT_FALSE(rejects_with(55000));
+
+    /* The same for a large job, which is worth something for 60 s. */
+    mb_backlog_job_t large = admission.job(1, 22);
+    large.work_ms = 100000;
+    large.latency_objective_ms = 19000;
+    admission.use_share({large});
+    large.id = admission.job().id;
+    admission.set_work(1, 600000); /* 60 s + 10 s */
+    admission.publish();
+    EXPECT_FALSE(admission.rejects(large));
+    mb_backlog_note_rejected(&admission.backlog, &large);
+    EXPECT_TRUE(admission.rejects(large));
 }
 
 /* Guards against a margin that hides an overload: jobs that were expected to
