Merge admission control

Jobs that would be completed too late can be rejected under overload, by a forecast that the owner publishes (off by default). The work of the forecast is counted by the mean run times of mb_run_time, as the remaining work of a job is.

--- a/lib/coordination/mb_fleet_estimate.c
+++ b/lib/coordination/mb_fleet_estimate.c
@@ -154,6 +154,18 @@
         mb_run_time_find(&fleet->run_times, get_queue_key(job)), job, step);
 }
 
+/* Returns the mean run time to expect of the tasks of a step, in
+   milliseconds. Work is counted by it. */
+uint64_t
+mb_fleet_expected_run_ms(const mb_fleet_t *fleet, const mb_dag_job_t *job,
+                         uint32_t step)
+{
+    const mb_run_time_kind_t *kind =
+        mb_run_time_find(&fleet->run_times, get_queue_key(job));
+    return (uint64_t)mb_run_time_mean_ms(kind,
+                                         get_typical_ms(kind, job, step));
+}
+
 /* Returns for how long a running task has been at work, in milliseconds: the
    least of its runs, as a second one was started because it is expected to end
    first. The time of a throttled run says nothing and counts as 0. */
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -17,6 +17,7 @@
    - mb_fleet_pools.c tells how much of each service's capacity is in use
    - mb_fleet_evacuation.c tells which workers are evacuated, and has the last
      check of the starts in an order before it is sent
+   - mb_fleet_backlog.c forecasts how long new jobs wait, for their admission
    - these use mb_fleet_headroom.c (effect of best-effort work on service
      tasks), mb_fleet_estimate.c (expected run times) and mb_fleet_state.c
      (runs and jobs)
@@ -121,6 +122,9 @@
 void mb_fleet_apply_ends(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                          const mb_report_t *report);
 
+/* mb_fleet_backlog.c */
+void mb_fleet_backlog_finished(mb_fleet_t *fleet, const mb_fleet_run_t *run);
+
 /* mb_fleet_refusals.c */
 void mb_fleet_apply_refusals(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
                              const mb_report_t *report);
@@ -302,6 +306,8 @@
 void mb_fleet_learn_given_up(mb_fleet_t *fleet, const mb_fleet_run_t *run);
 uint64_t mb_fleet_typical_run_ms(const mb_fleet_t *fleet,
                                  const mb_dag_job_t *job, uint32_t step);
+uint64_t mb_fleet_expected_run_ms(const mb_fleet_t *fleet,
+                                  const mb_dag_job_t *job, uint32_t step);
 /* What is known of the run times of a step now. */
 typedef struct mb_fleet_step_model {
     const mb_run_time_t *times;
--- a/lib/transport/mb_scheduler_metrics.c
+++ b/lib/transport/mb_scheduler_metrics.c
@@ -95,7 +95,23 @@
             "1 while nothing starts because evacuations may be unknown"),
         .dropped_starts =
             mb_counters_add(counters, MB_METRIC_GAUGE, "mb_run_starts_dropped",
-                            "Starts that were dropped before they were sent")};
+                            "Starts that were dropped before they were sent"),
+        .rejected_backlog = mb_counters_add(
+            counters, MB_METRIC_COUNTER, "mb_jobs_rejected_backlog_total",
+            "Jobs rejected because of the backlog"),
+        .admitted_by_share = mb_counters_add(
+            counters, MB_METRIC_COUNTER, "mb_jobs_admitted_by_share_total",
+            "Jobs admitted against the forecast, by the share of a queue"),
+        .backlog_work_ms =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_backlog_work_ms",
+                            "Work of the forecast, in processor ms"),
+        .backlog_rate_milli =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_backlog_rate_milli",
+                            "Rate at which it is finished, in 1/1000 "
+                            "processor"),
+        .backlog_age_ms =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_backlog_age_ms",
+                            "Age of the forecast; 0: there is none")};
 }
 
 /* Answers a request for the metrics, on an HTTP thread. */
@@ -108,6 +124,7 @@
         return;
     }
     mb_prometheus_write(node->counters, &body);
+    mb_scheduler_backlog_write_metrics(node, &body);
     mb_http_respond(exchange, 200, NULL, mb_buf_view(&body));
 }
 
@@ -174,6 +191,7 @@
     mb_gauge_set(node->metrics.reads,
                  node->jobs.reads + node->configs.follower.reads);
     update_evacuation_metrics(node);
+    mb_scheduler_update_backlog_metrics(node);
 }
 
 /* Records the time since the previous tick, which is longer than TICK_MS when
--- a/tests/system/jobs.sh
+++ b/tests/system/jobs.sh
@@ -29,7 +29,8 @@
 }
 
 # Writes the settings of a scheduler and starts it, with the log at LOG (default
-# the store): start_scheduler NUMBER [LOG].
+# the store): start_scheduler NUMBER [LOG]. It rejects overdue jobs if
+# $reject_overdue_jobs is "yes".
 start_scheduler() {
   cat > "$dir/scheduler-$1.ini" << INI
 [daemon]
@@ -41,6 +42,7 @@
 ready_address = $(address $((520 + $1)))
 metrics_address = $(address $((530 + $1)))
 ${scheduler_settings:-}
+reject_overdue_jobs = ${reject_overdue_jobs:-no}
 [job_log]
 address = ${2:-$store}
 INI
