Limit what misbehaving clients hold

Cause: mb_http_server collected each body up to 1 MiB with no bound on the sum, read bodies over the limit to their end, and had no limit of time but the idle time-out.

mb_http_connection carries out the decisions of mb_intake: bodies, responses and connections draw from a budget of three quarters of the memory; bodies over the limit are refused when announced or passed; the limits of time get stricter as the budget fills; connections that hold most without progress are closed first. A connection's phase changes by compare-and-swap, so a request that was passed to its handler is never cut, and one that was refused never runs. Refusals are 413, 408 or 503 (with Retry-After), with X-Magnoliabarrow-Run: no. Defaults come from sysinfo and getrlimit or from [daemon] memory_mb and max_fds, and are checked at startup. All HTTP listeners have limits, links without HELLO are limited, and HTTP clients hold at most 24 MB of responses.

A budget for each client address was ruled out, since clients share the address of a load balancer, and a lock for each request or chunk.

--- a/lib/transport/mb_agent_node.c
+++ b/lib/transport/mb_agent_node.c
@@ -15,6 +15,8 @@
 /* Maximum number of connections of each HTTP server: the one for the worker
    and the one for metrics. */
 #define CONNECTIONS_MAX 32u
+/* What the requests on each of these addresses may hold, in bytes. */
+#define HTTP_BYTES_MAX (16u * 1024u * 1024u)
 /* Idle time after which the HTTP servers close a connection, in seconds. */
 #define IDLE_TIMEOUT_S 60u
 /* Time without an order and without an announcement after which the agent
@@ -298,6 +300,10 @@
     mb_gauge_set(node->runs_metric, node->agent.runs->len);
     mb_gauge_set(node->throttle_metric,
                  mb_throttle_percent(&node->agent.throttle));
+    mb_http_server_tick(&node->registration);
+    if (node->config.metrics_ip != 0) {
+        mb_http_server_tick(&node->metrics_server);
+    }
 }
 
 /* Task that handles a request of the worker on the thread of the loop. */
@@ -413,6 +419,10 @@
                                       .threads = 1,
                                       .max_connections = CONNECTIONS_MAX,
                                       .idle_timeout_s = IDLE_TIMEOUT_S,
+                                      .limits.bytes_max = HTTP_BYTES_MAX,
+                                      .name = "agent",
+                                      .log = &node->log,
+                                      .metrics = &node->http_metrics,
                                       .handle = handle,
                                       .context = node};
     return mb_http_server_init(server, &config, error);
@@ -454,6 +464,7 @@
                   &node->clock, &node->log);
     mb_journal_init(&node->journal, &journal, keyed_log, &node->clock,
                     &node->log);
+    mb_http_metrics_add(&node->http_metrics, node->counters);
     mb_loop_set_tick(&node->loop, TICK_MS, tick, node);
     return start_server(node, &node->registration, config->registration_ip,
                         config->registration_port, handle_registration,
--- a/lib/transport/mb_agent_node.h
+++ b/lib/transport/mb_agent_node.h
@@ -72,6 +72,7 @@
     mb_loop_deferred_t flush; /* see defer_flush */
     mb_http_server_t registration;
     mb_http_server_t metrics_server;
+    mb_http_metrics_t http_metrics;
     mb_counters_t *counters;
     mb_metric_t *runs_metric;
     mb_metric_t *rejected_metric; /* requests of the worker's address that
--- a/lib/transport/mb_control_node.c
+++ b/lib/transport/mb_control_node.c
@@ -164,6 +164,9 @@
     }
     set_metrics(node, reachable);
     mb_http_api_tick(&node->api);
+    if (node->api.server.daemon != NULL) {
+        mb_http_server_tick(&node->api.server);
+    }
 }
 
 /* Returns the rank of this process among those that write snapshots of the
--- a/lib/transport/mb_entry_node.c
+++ b/lib/transport/mb_entry_node.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "mb_clock.h"
+#include "mb_atomic.h"
 #include "mb_entry_peer.h"
 #include "mb_entry_request.h"
 
@@ -36,6 +37,10 @@
     uint64_t now_us = mb_clock_us(&clock);
     mb_entry_peers_tick(entry_loop, now_us / MB_US_PER_MS);
     mb_entry_requests_tick(entry_loop, now_us);
+    if (entry_loop == &entry_loop->node->loops[0] &&
+        mb_atomic_load(&entry_loop->node->serves_clients) != 0) {
+        mb_http_server_tick(&entry_loop->node->http_server);
+    }
 }
 
 /* An accepted connection that is being passed to its link thread. */
@@ -191,6 +196,7 @@
     node->log = mb_log_for(log, "entry");
     node->next_counter = 1;
     add_metrics(&node->metrics, counters);
+    mb_http_metrics_add(&node->http_metrics, counters);
     mb_clock_t clock = mb_clock_monotonic();
     mb_route_init(&node->route, epoch);
     mb_admission_init(&node->admission, epoch, &clock, config->max_connections,
@@ -217,10 +223,18 @@
         .threads = config->http_threads,
         .max_connections = config->max_connections,
         .idle_timeout_s = 120,
+        .limits = config->limits,
+        .name = "clients",
+        .log = &node->log,
+        .metrics = &node->http_metrics,
         .handle = mb_entry_handle_request,
         .context = node,
     };
-    return mb_http_server_init(&node->http_server, &server_config, error);
+    if (!mb_http_server_init(&node->http_server, &server_config, error)) {
+        return false;
+    }
+    mb_atomic_store(&node->serves_clients, 1);
+    return true;
 }
 
 /* Replaces the settings of all declared services; from any thread. */
--- a/lib/transport/mb_entry_node.h
+++ b/lib/transport/mb_entry_node.h
@@ -28,6 +28,7 @@
     uint32_t http_threads;
     uint32_t link_threads;        /* up to MB_ENTRY_LOOPS_MAX */
     uint32_t max_connections;     /* of clients; also bounds open requests */
+    mb_intake_limits_t limits;    /* of what clients may hold */
     uint32_t default_deadline_ms; /* for services without a deadline */
     uint64_t process;             /* id of this process, from its name */
     uint64_t incarnation;         /* differs after each restart */
@@ -80,11 +81,13 @@
     mb_admission_t admission;
     mb_log_t log;
     mb_entry_metrics_t metrics;
+    mb_http_metrics_t http_metrics;
     mb_http_server_t http_server;
     mb_entry_loop_t loops[MB_ENTRY_LOOPS_MAX];
     mb_loop_source_t listener;
-    uint64_t next_counter; /* of request ids; atomic */
-    uint32_t next_loop;    /* gets the next connection; on the first loop */
+    uint64_t serves_clients; /* not 0: http_server is set up; atomic */
+    uint64_t next_counter;   /* of request ids; atomic */
+    uint32_t next_loop;      /* gets the next connection; on the first loop */
 };
 
 /* Starts the role and all its threads. The epoch and the counters are
--- a/lib/transport/mb_entry_peer.c
+++ b/lib/transport/mb_entry_peer.c
@@ -9,6 +9,9 @@
 /* A connection on which no HELLO has been received for this time is closed, in
    milliseconds. */
 #define HELLO_TIMEOUT_MS 5000u
+/* Maximum number of connections without a HELLO on a link thread. Sidecars
+   send it at once; all of a region may reconnect at the same time. */
+#define CONNECTIONS_UNKNOWN_MAX 512u
 /* A link on which nothing has been received for this time is closed, in
    milliseconds. A sidecar that is alive replaces its link long before. */
 #define SILENCE_TIMEOUT_MS 10000u
@@ -403,10 +406,28 @@
     free_connection(connection);
 }
 
-/* Starts serving an accepted connection; its socket is closed on failure. */
+/* Returns the number of connections that have not sent a HELLO. */
+static guint
+count_unknown(const mb_entry_loop_t *entry_loop)
+{
+    guint count = 0;
+    for (guint i = 0; i < entry_loop->connections->len; i++) {
+        const mb_entry_connection_t *connection =
+            g_ptr_array_index(entry_loop->connections, i);
+        count += connection->peer == NULL;
+    }
+    return count;
+}
+
+/* Starts serving an accepted connection; its socket is closed on failure, or
+   if too many others have not told which sidecar they belong to. */
 void
 mb_entry_add_connection(mb_entry_loop_t *entry_loop, int fd)
 {
+    if (count_unknown(entry_loop) >= CONNECTIONS_UNKNOWN_MAX) {
+        (void)close(fd);
+        return;
+    }
     mb_entry_connection_t *connection = g_new0(mb_entry_connection_t, 1);
     mb_link_callbacks_t callbacks = {handle_message, connection_closed,
                                      connection};
--- a/lib/transport/mb_http_api.c
+++ b/lib/transport/mb_http_api.c
@@ -15,6 +15,8 @@
 
 #define THREADS 2
 #define CONNECTIONS_MAX 512
+/* What the requests of operators may hold, in bytes. */
+#define HTTP_BYTES_MAX (16u * 1024u * 1024u)
 #define IDLE_TIMEOUT_S 60
 /* Polling interval while stopping, in nanoseconds. */
 #define STOP_POLL_NS 5000000L
@@ -500,6 +502,9 @@
                                       .threads = THREADS,
                                       .max_connections = CONNECTIONS_MAX,
                                       .idle_timeout_s = IDLE_TIMEOUT_S,
+                                      .limits.bytes_max = HTTP_BYTES_MAX,
+                                      .name = "api",
+                                      .log = &api->log,
                                       .handle = handle,
                                       .context = api};
     api->config = *config;
--- a/lib/transport/mb_http_client.h
+++ b/lib/transport/mb_http_client.h
@@ -58,6 +58,11 @@
     uint32_t active;            /* calls in progress */
     uint32_t max_active;
     size_t max_body; /* maximum size of a response body, in bytes */
+    /* Bytes of the responses of all calls in progress, and their maximum, set
+       after mb_http_client_init; 0: unlimited. A call that exceeds it fails
+       like one whose response is too large. */
+    size_t received;
+    size_t received_max;
 } mb_http_client_t;
 
 /* Initializes a client that runs up to `max_connections` calls at a time,
--- a/lib/transport/mb_http_server.h
+++ b/lib/transport/mb_http_server.h
@@ -5,6 +5,7 @@
 
 #include <microhttpd.h>
 
+#include "mb_http_connection.h"
 #include "mb_message.h"
 
 /* Maximum size of a request target (path with query), in bytes. */
@@ -20,6 +21,16 @@
     uint32_t threads; /* in the pool that handles connections */
     uint32_t max_connections;
     uint32_t idle_timeout_s;
+    /* Limits of what clients may hold; those that are 0 are defaults, and
+       `max_connections` is the limit of connections. */
+    mb_intake_limits_t limits;
+    size_t body_max; /* of a request; 0: MB_BODY_MAX */
+    /* Returns a lower limit of the body that is in force now, or is NULL;
+       called on the server threads. */
+    size_t (*get_body_max)(void *context);
+    const char *name;                 /* of the listener; NULL: "http" */
+    const mb_log_t *log;              /* or NULL */
+    const mb_http_metrics_t *metrics; /* or NULL */
     /* Handles a complete request; called on several server threads at once.
        Each request must get exactly one response, during the call or later,
        from any thread. */
@@ -30,6 +41,7 @@
 typedef struct mb_http_server {
     mb_http_server_config_t config;
     struct MHD_Daemon *daemon;
+    mb_http_registry_t registry;
     uint64_t open_exchanges; /* atomic */
 } mb_http_server_t;
 
@@ -38,7 +50,11 @@
 bool mb_http_server_init(mb_http_server_t *server,
                          const mb_http_server_config_t *config,
                          GError **error);
-/* Closes the listening socket; open connections are still served. */
+/* Enforces the limits of clients; called at least ten times a second by one
+   thread. Without it, only the limits of memory and of connections hold. */
+void mb_http_server_tick(mb_http_server_t *server);
+/* Closes the listening socket; open connections are still served, with strict
+   limits of time. */
 void mb_http_server_quiesce(mb_http_server_t *server);
 /* Stops the server. All requests must have been answered. */
 void mb_http_server_finish(mb_http_server_t *server);
--- a/lib/transport/mb_http_transfer.c
+++ b/lib/transport/mb_http_transfer.c
@@ -57,6 +57,7 @@
 void
 mb_http_transfer_free(mb_http_transfer_t *transfer)
 {
+    transfer->client->received -= transfer->received;
     curl_easy_cleanup(transfer->easy);
     curl_slist_free_all(transfer->headers);
     mb_buf_finish(&transfer->request_body);
@@ -140,9 +141,28 @@
     return 0;
 }
 
+/* Appends a part of a response to a buffer of up to `max` bytes. Returns the
+   size of the part, or 0, which fails the call, if the buffer or the responses
+   of all calls become too large. */
+static size_t
+collect(mb_http_transfer_t *transfer, mb_buf_t *buf, mb_str_t part, size_t max)
+{
+    mb_http_client_t *client = transfer->client;
+    bool exhausted = client->received_max != 0 &&
+                     client->received + part.len > client->received_max;
+    if (buf->len + part.len > max || exhausted) {
+        transfer->too_large = true;
+        return 0;
+    }
+    client->received += part.len;
+    transfer->received += part.len;
+    mb_buf_append(buf, part);
+    return part.len;
+}
+
 /* Header callback of libcurl: collects a header line. A status line begins a
-   new response, so that the headers of the final one are kept. Returns 0,
-   which fails the call, when the headers exceed MB_BODY_MAX bytes. */
+   new response, so that the headers of the final one are kept. The headers may
+   have MB_BODY_MAX bytes. */
 static size_t
 collect_header(char *data, size_t size, size_t count, void *context)
 {
@@ -151,27 +171,17 @@
     if (mb_str_starts_with(line, MB_STR_LIT("HTTP/"))) {
         mb_buf_clear(&transfer->response_head);
     }
-    if (transfer->response_head.len + line.len > MB_BODY_MAX) {
-        transfer->too_large = true;
-        return 0;
-    }
-    mb_buf_append(&transfer->response_head, line);
-    return line.len;
+    return collect(transfer, &transfer->response_head, line, MB_BODY_MAX);
 }
 
-/* Write callback of libcurl: collects a part of the body. Returns 0, which
-   fails the call, when the body exceeds the limit of the client. */
+/* Write callback of libcurl: collects a part of the body, up to the limit of
+   the client. */
 static size_t
 collect_body(char *data, size_t size, size_t count, void *context)
 {
     mb_http_transfer_t *transfer = context;
-    mb_str_t part = {data, size * count};
-    if (transfer->response_body.len + part.len > transfer->client->max_body) {
-        transfer->too_large = true;
-        return 0;
-    }
-    mb_buf_append(&transfer->response_body, part);
-    return part.len;
+    return collect(transfer, &transfer->response_body,
+                   (mb_str_t){data, size * count}, transfer->client->max_body);
 }
 
 /* Adds the headers of a call, except hop-by-hop headers. */
--- a/lib/transport/mb_http_transfer.h
+++ b/lib/transport/mb_http_transfer.h
@@ -14,6 +14,7 @@
     size_t request_sent;    /* bytes of the body that libcurl has read */
     mb_buf_t response_head; /* raw header lines of the latest response */
     mb_buf_t response_body;
+    size_t received;           /* part of the client's `received` */
     bool too_large;            /* the response exceeds a limit */
     uint64_t idle_timeout_us;  /* 0: unlimited */
     uint64_t progress_us;      /* when a byte was last sent or received */
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -23,6 +23,8 @@
 /* Maximum number of connections to the readiness address and to the metrics
    address. */
 #define PROBE_CONNECTIONS_MAX 32u
+/* Maximum size of the body of a request there, in bytes. */
+#define PROBE_BODY_MAX 4096u
 /* Idle time after which the HTTP servers close a connection, in seconds. */
 #define IDLE_TIMEOUT_S 15u
 
@@ -224,6 +226,11 @@
     update_outage(node);
     mb_scheduler_update_metrics(node);
     run_flush(node);
+    mb_http_server_tick(&node->client_server);
+    mb_http_server_tick(&node->ready_server);
+    if (node->config.metrics_ip != 0) {
+        mb_http_server_tick(&node->metrics_server);
+    }
 }
 
 /* Answers the readiness probe of the load balancer, on an HTTP thread. */
@@ -311,23 +318,58 @@
                     &node->log);
 }
 
-/* Starts one HTTP server. The server for clients gets the configured number of
-   threads, others get one. */
+/* Returns the maximum size of a body by the configuration in force, on an HTTP
+   thread. */
+static size_t
+get_body_max(void *context)
+{
+    mb_scheduler_node_t *node = context;
+    mb_epoch_enter(node->epoch);
+    const mb_queue_version_t *version = mb_queue_table_load(&node->queues);
+    size_t body_max = version != NULL ? version->body_max : MB_BODY_MAX;
+    mb_epoch_leave(node->epoch);
+    return body_max;
+}
+
+/* Starts the HTTP server for clients. */
+static bool
+start_client_server(mb_scheduler_node_t *node, GError **error)
+{
+    const mb_scheduler_config_t *config = &node->config;
+    mb_http_server_config_t server = {.ip = config->client_ip,
+                                      .port = config->client_port,
+                                      .threads = config->http_threads,
+                                      .max_connections =
+                                          config->max_connections,
+                                      .idle_timeout_s = IDLE_TIMEOUT_S,
+                                      .limits = config->limits,
+                                      .get_body_max = get_body_max,
+                                      .name = "clients",
+                                      .log = &node->log,
+                                      .metrics = &node->http_metrics,
+                                      .handle = mb_scheduler_handle,
+                                      .context = node};
+    return mb_http_server_init(&node->client_server, &server, error);
+}
+
+/* Starts the HTTP server for probes of readiness or that for the metrics. */
 static bool
-start_server(mb_scheduler_node_t *node, mb_http_server_t *server, uint32_t ip,
-             uint16_t port, uint32_t connections,
-             void (*handle)(void *context, mb_http_exchange_t *exchange),
-             GError **error)
+start_probe_server(mb_scheduler_node_t *node, mb_http_server_t *server,
+                   uint32_t ip, uint16_t port, const char *name,
+                   void (*handle)(void *context, mb_http_exchange_t *exchange),
+                   GError **error)
 {
-    mb_http_server_config_t config = {
-        .ip = ip,
-        .port = port,
-        .threads =
-            handle == mb_scheduler_handle ? node->config.http_threads : 1,
-        .max_connections = connections,
-        .idle_timeout_s = IDLE_TIMEOUT_S,
-        .handle = handle,
-        .context = node};
+    mb_http_server_config_t config = {.ip = ip,
+                                      .port = port,
+                                      .threads = 1,
+                                      .max_connections = PROBE_CONNECTIONS_MAX,
+                                      .idle_timeout_s = IDLE_TIMEOUT_S,
+                                      .body_max = PROBE_BODY_MAX,
+                                      .name = name,
+                                      .log = &node->log,
+                                      .metrics = &node->http_metrics,
+                                      .handle = handle,
+                                      .context = node};
     return mb_http_server_init(server, &config, error);
 }
 
@@ -344,16 +386,15 @@
     node->keyed_log = *keyed_log;
     mb_scheduler_init_modules(node);
     mb_loop_set_tick(&node->loop, TICK_MS, tick, node);
-    return start_server(node, &node->client_server, config->client_ip,
-                        config->client_port, config->max_connections,
-                        mb_scheduler_handle, error) &&
-           start_server(node, &node->ready_server, config->ready_ip,
-                        config->ready_port, PROBE_CONNECTIONS_MAX,
-                        handle_ready, error) &&
+    mb_http_metrics_add(&node->http_metrics, node->counters);
+    return start_client_server(node, error) &&
+           start_probe_server(node, &node->ready_server, config->ready_ip,
+                              config->ready_port, "ready", handle_ready,
+                              error) &&
            (config->metrics_ip == 0 ||
-            start_server(node, &node->metrics_server, config->metrics_ip,
-                         config->metrics_port, PROBE_CONNECTIONS_MAX,
-                         mb_scheduler_handle_metrics, error)) &&
+            start_probe_server(node, &node->metrics_server, config->metrics_ip,
+                               config->metrics_port, "metrics",
+                               mb_scheduler_handle_metrics, error)) &&
            mb_loop_start(&node->loop, error);
 }
 
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -31,6 +31,7 @@
     uint16_t metrics_port;
     uint32_t http_threads;        /* of the server for clients */
     uint32_t max_connections;     /* of the server for clients */
+    mb_intake_limits_t limits;    /* of the server for clients */
     uint32_t default_deadline_ms; /* for requests without a deadline; also
                                      the longest deadline */
     uint32_t retention_ms;        /* how long closed jobs stay in the log */
@@ -100,6 +101,7 @@
     mb_http_server_t client_server;
     mb_http_server_t ready_server;
     mb_http_server_t metrics_server;
+    mb_http_metrics_t http_metrics;
     mb_loop_t loop;
     mb_loop_deferred_t flush; /* see mb_scheduler_defer_flush */
     mb_counters_t *counters;
--- a/programs/magnoliabarrowd/job_roles.c
+++ b/programs/magnoliabarrowd/job_roles.c
@@ -1,5 +1,6 @@
 #include "job_roles.h"
 
+#include "intake.h"
 #include "mb_agent_node.h"
 #include "mb_scheduler_node.h"
 #include "mbp_executor.h"
@@ -14,6 +15,10 @@
 /* Maximum size of a response body, in bytes. */
 #define RESPONSE_MAX (4u * 1024u * 1024u)
 
+/* Maximum size of all responses that a client is reading, in bytes: a few of
+   the largest pages of the log at a time. */
+#define RESPONSES_MAX (24u * 1024u * 1024u)
+
 /* The node of the role scheduler (mb_daemon_role_t) and its adapter. */
 typedef struct scheduler_role {
     mb_scheduler_node_t node;
@@ -64,7 +69,10 @@
 bool
 check_job_role(const mb_settings_t *settings, GError **error)
 {
-    return check_metrics_address(settings, "scheduler", error) &&
+    bool is_scheduler = mb_str_equal(
+        mb_settings_text(settings, "daemon", "role"), MB_STR_LIT("scheduler"));
+    return (!is_scheduler || intake_check(settings, "scheduler", error)) &&
+           check_metrics_address(settings, "scheduler", error) &&
            check_metrics_address(settings, "agent", error);
 }
 
@@ -84,8 +92,6 @@
     mb_scheduler_config_t config = {
         .http_threads =
             daemon_setting_u32(daemon, "scheduler", "http_threads"),
-        .max_connections =
-            daemon_setting_u32(daemon, "scheduler", "max_connections"),
         .default_deadline_ms =
             daemon_setting_u32(daemon, "scheduler", "default_deadline_ms"),
         .retention_ms =
@@ -100,6 +106,11 @@
                  &config.ready_port);
     read_address(daemon, "scheduler", "metrics_address", &config.metrics_ip,
                  &config.metrics_port);
+    if (!intake_read(&daemon->settings, "scheduler", &config.limits, error)) {
+        return NULL;
+    }
+    config.max_connections = (uint32_t)config.limits.connections_max;
+    intake_log(&config.limits, &daemon->log);
     scheduler_role_t *role = g_new0(scheduler_role_t, 1);
     mb_job_codec_t codec = mbp_job_codec();
     if (!mb_scheduler_node_init(&role->node, &config, &daemon->epoch,
@@ -108,6 +119,7 @@
                              RESPONSE_MAX, error)) {
         return NULL;
     }
+    role->http.received_max = RESPONSES_MAX;
     mbp_store_init(&role->store, &role->http,
                    daemon_setting_text(daemon, "job_log", "address"),
                    &daemon->log);
@@ -161,6 +173,8 @@
                              WORKER_CALLS_MAX, RESPONSE_MAX, error)) {
         return NULL;
     }
+    role->log_http.received_max = RESPONSES_MAX;
+    role->worker_http.received_max = RESPONSES_MAX;
     mbp_store_init(&role->store, &role->log_http,
                    daemon_setting_text(daemon, "job_log", "address"),
                    &daemon->log);
--- a/programs/magnoliabarrowd/main.c
+++ b/programs/magnoliabarrowd/main.c
@@ -1,11 +1,18 @@
 /* magnoliabarrowd: runs one daemon, whose role is set in its settings file. */
 #include <argtable2.h>
 #include <curl/curl.h>
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "magnoliabarrow.h"
 
+/* Size from which on the allocator maps memory for itself and returns it when
+   it is freed, in bytes: bodies of this size leave no gaps between smaller
+   blocks. If it is not set, the allocator raises it up to 32 MB after the
+   first large block is freed. */
+#define MMAP_THRESHOLD_BYTES (64 * 1024)
+
 /* The options of the command line. */
 typedef struct command_line {
     struct arg_lit *help;
@@ -103,6 +110,7 @@
         code = mb_kind_info(MB_KIND_INVALID)->exit_code;
     }
     else {
+        (void)mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
         (void)curl_global_init(CURL_GLOBAL_DEFAULT);
         code = run(&line);
         curl_global_cleanup();
--- a/programs/magnoliabarrowd/roles.c
+++ b/programs/magnoliabarrowd/roles.c
@@ -1,6 +1,7 @@
 #include "roles.h"
 
 #include "control.h"
+#include "intake.h"
 #include "job_roles.h"
 #include "mb_entry_node.h"
 #include "mb_sidecar_node.h"
@@ -33,7 +34,8 @@
 static bool
 check_entry(const mb_settings_t *settings, GError **error)
 {
-    return control_check(settings, false, error);
+    return intake_check(settings, "entry", error) &&
+           control_check(settings, false, error);
 }
 
 /* Appends the settings of a declared service to the GArray of
@@ -97,8 +99,6 @@
     mb_entry_config_t config = {
         .http_threads = daemon_setting_u32(daemon, "entry", "http_threads"),
         .link_threads = daemon_setting_u32(daemon, "entry", "link_threads"),
-        .max_connections =
-            daemon_setting_u32(daemon, "entry", "max_connections"),
         .default_deadline_ms =
             daemon_setting_u32(daemon, "entry", "default_deadline_ms"),
         .process = daemon->process,
@@ -112,6 +112,11 @@
     (void)mb_address_parse(
         daemon_setting_text(daemon, "entry", "link_address"), &config.link_ip,
         &config.link_port);
+    if (!intake_read(&daemon->settings, "entry", &config.limits, error)) {
+        return NULL;
+    }
+    config.max_connections = (uint32_t)config.limits.connections_max;
+    intake_log(&config.limits, &daemon->log);
     entry_role_t *role = g_new0(entry_role_t, 1);
     if (!init_control(daemon, &role->control, NULL, error) ||
         !mb_entry_node_init(&role->node, &config, &daemon->epoch,
--- a/tests/system/jobs.sh
+++ b/tests/system/jobs.sh
@@ -24,13 +24,15 @@
 }
 
 # Writes the settings of a scheduler and starts it, with the log at LOG (default
-# the store): start_scheduler NUMBER [LOG].
+# the store): start_scheduler NUMBER [LOG]. $scheduler_daemon_settings are
+# further lines of its section [daemon].
 start_scheduler() {
   cat > "$dir/scheduler-$1.ini" << INI
 [daemon]
 role = scheduler
 name = scheduler-$1
 failure_domain = domain-$1
+${scheduler_daemon_settings:-}
 [scheduler]
 client_address = $(address $((510 + $1)))
 ready_address = $(address $((520 + $1)))
--- a/tests/system/test_crowd_entry.sh
+++ b/tests/system/test_crowd_entry.sh
@@ -11,6 +11,7 @@
 [daemon]
 role = entry
 name = entry-1
+memory_mb = 160
 [entry]
 client_address = $(address 80)
 link_address = $(address 70)
--- a/tests/system/test_crowd_scheduler.sh
+++ b/tests/system/test_crowd_scheduler.sh
@@ -7,6 +7,7 @@
 . "$(dirname "$0")/crowd.sh"
 crowd_options=(-a "$(address 511)" -t /q/00000000000000aa -H jobs.example)
 submitted=0
+scheduler_daemon_settings='memory_mb = 160'
 
 # Starts the scheduler.
 start_target() {
--- a/tests/unit/test_http_client.cc
+++ b/tests/unit/test_http_client.cc
@@ -288,6 +288,22 @@
     EXPECT_EQ(server.requests, 1);
 }
 
+/* Guards against servers whose responses, within the limit of each, take more
+   memory together than the process has, and against a budget that is not
+   returned. */
+TEST_F(HttpClient, ResponsesOfAllCallsAreLimited)
+{
+    client.received_max = 200;
+    Server large("HTTP/1.1 200 OK\r\nContent-Length: 300\r\n"
+                 "Connection: close\r\n\r\n" +
+                 std::string(300, 'x'));
+    Server small("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
+                 "Connection: close\r\n\r\n" +
+                 std::string(100, 'x'));
+    EXPECT_EQ(post(large.url).first, MB_KIND_UPSTREAM_FAILED);
+    EXPECT_EQ(post(small.url).first, MB_KIND_COUNT);
+}
+
 /* Guards against a POST that runs twice because libcurl itself repeats it when
    a reused connection ends without a response. */
 TEST_F(HttpClient, PostOnAReusedConnectionIsSentOnce)
