--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -15,7 +15,8 @@
 targets() {
   printf '%s\n' "$@" | grep -v '^system_' | sort -u || true
   if printf '%s\n' "$@" | grep -q '^system_'; then
-    printf '%s\n' magnoliabarrowd magnoliabarrow standin-log standin-upstream standin-relay
+    printf '%s\n' magnoliabarrowd magnoliabarrow standin-log standin-upstream standin-relay \
+      standin-store standin-crowd
   fi
 }
 
--- a/tests/unit/test_intake.cc
+++ b/tests/unit/test_intake.cc
@@ -40,6 +40,11 @@
     {
         for (int i = 0; i < 1000 && drawBody(kMiB); i++) {
         }
+        for (uint64_t size = kMiB; size >= 1024; size /= 2) {
+            for (int i = 0; i < 1000 && mb_intake_draw(&intake, kMiB, size);
+                 i++) {
+            }
+        }
     }
     mb_intake_reason_t judge(mb_intake_phase_t phase, uint64_t age_ms,
                              uint64_t stalled_ms)
