--- a/tests/system/test_bad_input.sh
+++ b/tests/system/test_bad_input.sh
@@ -75,6 +75,8 @@
 expect_start_error 78 "range.ini:5: .*http_threads.*1 to 16" -c "$dir/range.ini"
 printf '[daemon]\nrole = entry\nname = x\nspeed = 3\n' > "$dir/unknown.ini"
 expect_start_error 78 "unknown.ini:4: .*speed: unknown key" -c "$dir/unknown.ini"
+printf '[daemon]\nrole = entry\nname = x\nmemory_mb = 160\n[entry]\nbuffer_mb = 160\n' > "$dir/limits.ini"
+expect_start_error 78 "limits.ini: .*buffer_mb: .* 160 MB of memory" -c "$dir/limits.ini"
 write_entry entry-2 80 71 "$log" "$(address 21)"
 expect_start_error 74 "cannot listen on port $((port_base + 80))" -c "$dir/entry-2.ini"
 pass "invalid settings and an occupied port end the daemon with an exit code"
