Close idle connections when they alone hold the budget of a listener

Cause: a new connection is refused when the bytes of the budget have run out, too. An idle connection was closed for it only if the connections were near their own limit. On a listener whose connections_max x 36 KiB exceeds its bytes, such as the API (512 connections, 16 MiB), silent connections held all bytes and were never closed for others: each new client was refused until the time limit of idle connections.

Change: mb_http_registry_admit closes an idle connection if no other one can be closed, also while the connections are not crowded.

--- a/lib/transport/mb_http_connection.c
+++ b/lib/transport/mb_http_connection.c
@@ -358,9 +358,12 @@
         return true;
     }
     (void)pthread_mutex_lock(&registry->lock);
+    uint64_t now_ms = mb_clock_ms(&registry->clock);
+    /* Idle connections alone can hold all bytes. They are closed if no other
+       connection can be, also where the limit of connections is far. */
     bool crowded = mb_intake_is_crowded(&registry->intake, 0);
-    bool evicted =
-        evict_one(registry, crowded, mb_clock_ms(&registry->clock)) > 0;
+    bool evicted = evict_one(registry, crowded, now_ms) > 0 ||
+                   (!crowded && evict_one(registry, true, now_ms) > 0);
     (void)pthread_mutex_unlock(&registry->lock);
     if (!evicted) {
         count_limited(registry, MB_INTAKE_NO_CONNECTION);
--- a/tests/unit/test_http_server.cc
+++ b/tests/unit/test_http_server.cc
@@ -259,3 +259,25 @@
     EXPECT_NE(answer.find("size=2"), std::string::npos);
     EXPECT_LE(mb_atomic_load(&server.registry.intake.connections), 68u);
 }
+
+/* Guards against silent connections that keep out other clients where the
+   bytes of the budget, and not the connections, run out. */
+TEST_F(HttpServer, SilentConnectionsMakeRoomInASmallBudget)
+{
+    mb_intake_limits_t limits = {};
+    limits.bytes_max = 8 * MB_INTAKE_CONNECTION_BYTES;
+    restart(limits);
+    std::vector<std::unique_ptr<Client>> crowd;
+    for (int i = 0; i < 8; i++) {
+        crowd.push_back(std::make_unique<Client>(address));
+    }
+    sweepFor(1500);
+    std::string answer;
+    for (int i = 0; i < 20 && answer.empty(); i++) {
+        Client client(address);
+        client.send("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+        answer = client.read("size=0");
+        sweepFor(100);
+    }
+    EXPECT_NE(answer.find("size=0"), std::string::npos);
+}
