Keep a repeated submission known until all its appends have failed

Cause: the backlog kept one entry for each job that this process has queued for the log. When a client repeated a submission, the failure of one append removed the entry while the other append was still under way, and so did a failed append of a cancellation. The next repeat could be rejected with 503 although the job was stored afterwards. The work of the job was counted twice.

Change: an entry counts its appends, and is removed when the last one has failed. Only appends of submissions are counted. The work is added once.

The check of the kind of request in mb_scheduler_requests.c has no test.

--- a/lib/coordination/mb_backlog.c
+++ b/lib/coordination/mb_backlog.c
@@ -586,7 +586,13 @@
     if (g_hash_table_size(backlog->entries) >= ENTRIES_MAX) {
         keep_unread(backlog, now_us);
     }
-    (void)add_entry(backlog, job);
+    mb_backlog_entry_t *entry =
+        g_hash_table_lookup(backlog->entries, &job->id);
+    if (entry == NULL) {
+        entry = add_entry(backlog, job);
+    }
+    entry->since_us = now_us;
+    entry->appends++;
 }
 
 /* Notes that a job was rejected; see the header. */
@@ -617,13 +623,18 @@
     }
 }
 
-/* Notes that an admitted job was not stored; see the header. */
+/* Notes that an append was not done; see the header. A client that repeats a
+   submission has several for the same job: it may be stored until all have
+   failed. */
 void
 mb_backlog_note_withdrawn(mb_backlog_t *backlog, mb_dag_id_t id)
 {
-    const mb_backlog_entry_t *entry =
-        g_hash_table_lookup(backlog->entries, &id);
-    if (entry != NULL && !entry->read) {
+    mb_backlog_entry_t *entry = g_hash_table_lookup(backlog->entries, &id);
+    if (entry == NULL) {
+        return;
+    }
+    entry->appends -= entry->appends > 0;
+    if (entry->appends == 0 && !entry->read) {
         (void)g_hash_table_remove(backlog->entries, &id);
     }
 }
--- a/lib/coordination/mb_backlog.h
+++ b/lib/coordination/mb_backlog.h
@@ -141,7 +141,7 @@
                               const mb_backlog_decision_t *decision);
 void mb_backlog_note_rejected(mb_backlog_t *backlog,
                               const mb_backlog_job_t *job);
-/* Notes that an admitted job was not stored. */
+/* Notes that an append of an admitted job was not done. */
 void mb_backlog_note_withdrawn(mb_backlog_t *backlog, mb_dag_id_t id);
 /* Notes a job that was read from the log, admitted by any scheduler. */
 void mb_backlog_note_stored(mb_backlog_t *backlog,
--- a/lib/coordination/mb_backlog_internal.h
+++ b/lib/coordination/mb_backlog_internal.h
@@ -8,6 +8,7 @@
 typedef struct mb_backlog_entry {
     mb_backlog_job_t job;
     uint64_t since_us; /* when it was admitted or read */
+    uint32_t appends;  /* of this process that have not failed */
     bool read;         /* it was read from the log */
 } mb_backlog_entry_t;
 
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -119,7 +119,9 @@
         respond_to_write(request, 200, "stored");
     }
     else if (result == MB_KEYED_NOT_DONE) {
-        mb_backlog_note_withdrawn(&node->backlog, request->id);
+        if (request->kind == MB_JOB_REQUEST_SUBMIT) {
+            mb_backlog_note_withdrawn(&node->backlog, request->id);
+        }
         respond_to_write(request, 503, "log_unavailable");
     }
     else {
--- a/tests/unit/test_backlog.cc
+++ b/tests/unit/test_backlog.cc
@@ -238,6 +238,29 @@
     EXPECT_TRUE(admission.rejects(mine));
 }
 
+/* Guards against the rejection of a job that may still be stored: its client
+   has repeated the submission, and only one of the two appends has failed. The
+   work of such a job counts once. */
+TEST(Backlog, RepeatedSubmissionIsKnownUntilAllAppendsFail)
+{
+    Admission admission;
+    admission.set_work(1, 4000000);
+    admission.publish();
+    admission.use_share({admission.job()});
+    mb_backlog_job_t mine = admission.job();
+    mb_backlog_decision_t admitted = {};
+    uint64_t ahead_ms = admission.decide(admission.job()).expected_ms;
+    mb_backlog_note_admitted(&admission.backlog, &mine, &admitted);
+    uint64_t once_ms = admission.decide(admission.job()).expected_ms;
+    mb_backlog_note_admitted(&admission.backlog, &mine, &admitted);
+    EXPECT_GT(once_ms, ahead_ms);
+    EXPECT_EQ(admission.decide(admission.job()).expected_ms, once_ms);
+    mb_backlog_note_withdrawn(&admission.backlog, mine.id);
+    EXPECT_FALSE(admission.rejects(mine));
+    mb_backlog_note_withdrawn(&admission.backlog, mine.id);
+    EXPECT_TRUE(admission.rejects(mine));
+}
+
 /* Guards against small and urgent jobs that are rejected because of work that
    comes after them, and against urgent ones that return after others. */
 TEST(Backlog, SmallAndUrgentJobsHaveLessAhead)
