Keep rejecting after a job that was let in without a confirmation

Cause: a rejection needs a read of the log that confirms that the job is not stored. Without one in time the job is admitted, and noting it ended the band in which its queue rejects jobs of that size, as if the forecast had admitted it. A slow read of the log made the answer change from job to job.

Change: only a decision that admits ends the band.

Result: Backlog.RejectsUntilTheBacklogIsBelowTheLowerBound, with a job of that kind added, fails without the change; the 15 tests of test_backlog pass.

--- a/lib/coordination/mb_backlog.c
+++ b/lib/coordination/mb_backlog.c
@@ -578,7 +578,7 @@
             (double)work_ms;
         queue->credit_us = now_us;
     }
-    else if (decision->expected_ms > 0) {
+    else if (decision->admitted && decision->expected_ms > 0) {
         queue->rejecting &= ~(UINT64_C(1) << mb_backlog_size_class(work_ms));
     }
     backlog->own_jobs += 1;
--- a/tests/unit/test_backlog.cc
+++ b/tests/unit/test_backlog.cc
@@ -340,6 +340,15 @@
     admission.now_us += SECOND;
     EXPECT_TRUE(rejects_with(200000));
     EXPECT_TRUE(rejects_with(55000));
+    /* Nor does a rejected job change it that was let in because no read of the
+       log confirmed in time that it is not stored. */
+    mb_backlog_job_t unconfirmed = admission.job();
+    mb_backlog_decision_t rejected = admission.decide(unconfirmed);
+    mb_backlog_note_admitted(&admission.backlog, &unconfirmed, &rejected);
+    EXPECT_TRUE(admission.rejects(admission.job()));
+    mb_backlog_note_withdrawn(&admission.backlog, unconfirmed.id);
+    admission.publish();
+    EXPECT_TRUE(rejects_with(55000));
     EXPECT_FALSE(rejects_with(45000));
     EXPECT_FALSE(rejects_with(55000));
 
