Leave time for responses while draining

Change: draining makes the limits strict for requests that are still being received, not for responses; those follow the room in the buffer as before.

--- a/lib/coordination/mb_intake.c
+++ b/lib/coordination/mb_intake.c
@@ -183,15 +183,20 @@
 mb_intake_pressure(const mb_intake_t *intake)
 {
     mb_intake_pressure_t pressure = {
-        fullness(mb_atomic_load(&intake->bytes), large_max(intake)),
-        fullness(mb_atomic_load(&intake->connections),
-                 intake->limits.connections_max)};
-    if (mb_atomic_load(&intake->draining) != 0) {
-        return (mb_intake_pressure_t){MILLI, MILLI};
-    }
+        .bytes = fullness(mb_atomic_load(&intake->bytes), large_max(intake)),
+        .connections = fullness(mb_atomic_load(&intake->connections),
+                                intake->limits.connections_max)};
     if (pressure.bytes < pressure.connections) {
         pressure.bytes = pressure.connections;
     }
+    pressure.responses = pressure.bytes;
+    if (mb_atomic_load(&intake->draining) != 0) {
+        pressure.bytes = MILLI;
+        pressure.connections = MILLI;
+#ifdef MB_MUTANT_INTAKE_DRAIN_CUTS_RESPONSES
+        pressure.responses = MILLI;
+#endif
+    }
     return pressure;
 }
 
@@ -253,7 +258,7 @@
                    : MB_INTAKE_ALLOWED;
     case MB_INTAKE_RESPONSE:
         return age_ms > time_limit(calm->response_ms, strict->response_ms,
-                                   pressure->bytes)
+                                   pressure->responses)
                    ? MB_INTAKE_UNREAD
                    : MB_INTAKE_ALLOWED;
     case MB_INTAKE_REFUSED:
--- a/lib/coordination/mb_intake.h
+++ b/lib/coordination/mb_intake.h
@@ -87,6 +87,8 @@
 typedef struct mb_intake_pressure {
     uint32_t bytes;       /* or connections, whichever is fuller */
     uint32_t connections; /* only */
+    uint32_t responses;   /* as `bytes`, but not raised by draining: the
+                             request has run, and the client waits for it */
 } mb_intake_pressure_t;
 
 typedef struct mb_intake {
@@ -96,7 +98,8 @@
     uint64_t connections;   /* atomic */
     uint64_t exhausted;     /* not 0: something was refused; atomic */
     uint64_t retry_after_s; /* see mb_intake_forecast_t; atomic */
-    uint64_t draining;      /* not 0: strict limits of time; atomic */
+    /* Not 0: strict limits of time, except for responses; atomic. */
+    uint64_t draining;
 } mb_intake_t;
 
 /* Initializes an empty budget; for strict limits of time that are shorter than
--- a/tests/unit/test_intake.cc
+++ b/tests/unit/test_intake.cc
@@ -119,6 +119,17 @@
     EXPECT_EQ(mb_intake_rank(&holder, true, 1000000), 0u);
 }
 
+/* Guards against a planned stop that cuts the response of a request that has
+   run, because its client reads slowly. */
+TEST_F(Intake, DrainingLeavesTimeForResponses)
+{
+    intake.draining = 1;
+    EXPECT_EQ(judge(MB_INTAKE_RESPONSE, 30000, 30000), MB_INTAKE_ALLOWED);
+    EXPECT_EQ(judge(MB_INTAKE_BODY, 3000, 3000), MB_INTAKE_STALLED);
+    exhaust();
+    EXPECT_EQ(judge(MB_INTAKE_RESPONSE, 30000, 30000), MB_INTAKE_UNREAD);
+}
+
 /* Guards against closing a client that makes progress before one that holds
    memory without any, and idle clients when memory is short. */
 TEST_F(Intake, TheLongestWithoutProgressAndTheLargestGoFirst)
