Name the evacuation when the domain is still occupied

A job that only evacuated workers can take was logged with reason=no_room while the runs left there took their room, and a gang with reason=behind_other_tasks, as each of its members fits elsewhere. An operator would add workers or wait instead of withdrawing the request.

The reason is now evacuated if all workers without room are evacuated, and for a gang if an evacuated worker has room.

FleetEvacuation.JobsThatNeedTheDomainSaySo fails without the change and passes with it.

--- a/lib/coordination/mb_fleet_waiting.c
+++ b/lib/coordination/mb_fleet_waiting.c
@@ -16,7 +16,8 @@
 /* What keeps the workers from taking a task. */
 typedef struct obstacles {
     uint32_t workers[MB_FLEET_OBSTACLE_COUNT];
-    uint64_t lowest_cost; /* UINT64_MAX if no worker has a cost */
+    uint32_t evacuated_full; /* evacuated workers without room */
+    uint64_t lowest_cost;    /* UINT64_MAX if no worker has a cost */
 } obstacles_t;
 
 /* Finds the first task of a job that is neither done nor running and whose
@@ -56,6 +57,8 @@
         mb_fleet_obstacle_t obstacle =
             mb_fleet_placement_obstacle(inputs, worker, run);
         obstacles.workers[obstacle]++;
+        obstacles.evacuated_full +=
+            obstacle == MB_FLEET_OBSTACLE_ROOM && worker->evacuated;
         if (obstacle == MB_FLEET_OBSTACLE_COST) {
             obstacles.lowest_cost =
                 MIN(obstacles.lowest_cost,
@@ -65,6 +68,21 @@
     return obstacles;
 }
 
+/* Tells whether a task waits for workers that are evacuated: one of them has
+   room, or all workers without room are evacuated, which would take it once
+   the runs left there have ended. Each member of a gang may fit elsewhere
+   although the gang does not. */
+static bool
+waits_for_evacuated(const mb_fleet_run_t *run, const obstacles_t *obstacles)
+{
+    uint32_t with_room = obstacles->workers[MB_FLEET_OBSTACLE_EVACUATED];
+    uint32_t full = obstacles->workers[MB_FLEET_OBSTACLE_ROOM];
+    if (obstacles->workers[MB_FLEET_OBSTACLE_COST] > 0) {
+        return run->job->steps[run->step].gang && with_room > 0;
+    }
+    return with_room > 0 || (full > 0 && full == obstacles->evacuated_full);
+}
+
 /* Names the main reason why a task waits. */
 static const char *
 name_reason(const mb_fleet_cost_inputs_t *inputs, const mb_fleet_run_t *run,
@@ -83,15 +101,15 @@
     if (task->not_before_us > inputs->now_us) {
         return "retry_delay";
     }
+    if (waits_for_evacuated(run, obstacles)) {
+        return "evacuated";
+    }
     if (obstacles->workers[MB_FLEET_OBSTACLE_COST] > 0) {
         return obstacles->lowest_cost >=
                        mb_fleet_placement_cost_limit(inputs, run)
                    ? "service_latency"
                    : "behind_other_tasks";
     }
-    if (obstacles->workers[MB_FLEET_OBSTACLE_EVACUATED] > 0) {
-        return "evacuated";
-    }
     return obstacles->workers[MB_FLEET_OBSTACLE_ROOM] > 0 ? "no_room"
                                                           : "no_usable_worker";
 }
--- a/tests/unit/test_fleet_evacuation.cc
+++ b/tests/unit/test_fleet_evacuation.cc
@@ -93,6 +93,17 @@
             original.send(context, worker, order);
         };
     }
+    /* Collects the lines that the owner logs. */
+    void collect_lines()
+    {
+        simulation.fleet.log = {
+            [](void *context, mb_severity_t, mb_str_t line) {
+                *static_cast<std::string *>(context) +=
+                    to_std_string(line) + "\n";
+            },
+            &lines, MB_SEVERITY_INFO, "scheduler"};
+    }
+    std::string lines;
     FleetSimulation simulation{4};
     mb_evacuation_t table;
     mb_dag_step_t step;
@@ -136,6 +147,30 @@
     EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
 }
 
+/* Guards against a waiting job whose line names the room that the runs left in
+   the domain take, or other tasks, and not the evacuation. */
+TEST_F(FleetEvacuation, JobsThatNeedTheDomainSaySo)
+{
+    collect_lines();
+    simulation.task_ms = 60000;
+    submit(first_id, 16, 1000, false);
+    advance(500);
+    ASSERT_EQ(running_in("a"), 8u);
+    set_evacuated("a", true);
+    set_evacuated("b", true);
+    submit(second_id, 1, 1000, false);
+    advance(6000);
+    EXPECT_NE(lines.find("task waits job=bbbbbbbbbbbbbbbb task=0.0.0 "
+                         "reason=evacuated"),
+              std::string::npos);
+    set_evacuated("b", false);
+    lines.clear();
+    advance(6000);
+    EXPECT_NE(lines.find("task waits job=bbbbbbbbbbbbbbbb task=0.0.0 "
+                         "reason=no_room"),
+              std::string::npos);
+}
+
 /* Guards against probes of suspended workers in the domain. */
 TEST_F(FleetEvacuation, SuspendedWorkersAreNotProbed)
 {
