Keep waiting gangs idle during trial placements

Each pass places the members of a waiting gang on trial and removes them, and the removal restarted the idle time of the job. Thus no line told why a gang waits, and the cost limit that a best-effort job loses after a while without a run never ended for a gang.

choose_gang_workers keeps the idle time of the job.

FleetEvacuation.AGangThatNeedsTheDomainSaysSo fails without the change, as nothing is logged, and passes with it.

--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -404,12 +404,14 @@
 /* Chooses a worker for each member of a gang, on `rack` unless it is empty,
    and appends it to `workers`. Members are added to their workers meanwhile so
    that the costs of the next ones include them, and removed again at the end.
-   Returns false if a member finds no worker. */
+   The job stays idle: nothing of it has run. Returns false if a member finds
+   no worker. */
 static bool
 choose_gang_workers(const pass_t *pass, const mb_fleet_run_t *run,
                     mb_str_t rack, GPtrArray *workers)
 {
     uint32_t count = run->job->steps[run->step].count;
+    uint64_t idle_since_us = run->job->idle_since_us;
     mb_fleet_run_t member = *run;
     bool all_placed = true;
     member.number = next_gang_run_number(pass, run);
@@ -429,6 +431,7 @@
         mb_fleet_remove_run(pass->inputs.fleet, worker,
                             mb_fleet_find_run(worker, &id, member.number));
     }
+    run->job->idle_since_us = idle_since_us;
     return all_placed;
 }
 
--- a/tests/unit/test_fleet_evacuation.cc
+++ b/tests/unit/test_fleet_evacuation.cc
@@ -171,6 +171,20 @@
               std::string::npos);
 }
 
+/* Guards against a gang that waits for the domain without a line, because the
+   trial placements of its members count as runs, and against a line that names
+   other tasks, because each member would fit elsewhere. */
+TEST_F(FleetEvacuation, AGangThatNeedsTheDomainSaysSo)
+{
+    collect_lines();
+    set_evacuated("a", true);
+    submit(first_id, 3, 4000, true);
+    advance(6000);
+    EXPECT_NE(lines.find("task waits job=aaaaaaaaaaaaaaaa task=0.0.0 "
+                         "reason=evacuated"),
+              std::string::npos);
+}
+
 /* Guards against probes of suspended workers in the domain. */
 TEST_F(FleetEvacuation, SuspendedWorkersAreNotProbed)
 {
