Send no stops for gang members whose starts are dropped

When the starts of a gang were dropped from an unsent order, each dropped member ordered the stop of the others, also of those whose starts were in the same order or in one that was dropped next. Their agents stopped runs that they did not know, listed them meanwhile, and reported them as refused because the worker had not answered. As the code reads, an owner that adopts such a run from a complete report would count the refusal as a failure of a healthy worker; no test shows this.

All starts of an order are now taken back before the gangs are stopped, and the stop of a run whose start is dropped is removed.

--- a/lib/coordination/mb_fleet_evacuation.c
+++ b/lib/coordination/mb_fleet_evacuation.c
@@ -94,8 +94,23 @@
             mb_evacuation_may_start(fleet->evacuation, NULL));
 }
 
-/* Takes back the start of a run that was not sent: its task waits again. The
-   other members of its gang, whose starts may have been sent, are stopped. */
+/* Removes the stop of a run from an order that has no start of it any more.
+   The agent would stop a run that it does not know, and report it as refused
+   by its worker. */
+static void
+remove_stop(mb_order_t *order, const mb_order_start_t *start)
+{
+    for (guint i = order->stops->len; i-- > 0;) {
+        const mb_order_stop_t *stop =
+            &g_array_index(order->stops, mb_order_stop_t, i);
+        if (stop->run == start->run &&
+            mb_dag_task_id_equal(&stop->task, &start->task)) {
+            (void)g_array_remove_index_fast(order->stops, i);
+        }
+    }
+}
+
+/* Takes back the start of a run that was not sent: its task waits again. */
 static void
 take_back(mb_fleet_t *fleet, mb_fleet_worker_t *worker,
           const mb_order_start_t *start, mb_fleet_run_t *run)
@@ -111,8 +126,8 @@
     mb_fleet_remove_run(fleet, worker, run);
     mb_fleet_mark_job_startable(fleet, removed.job);
     fleet->counts.dropped_starts++;
-    if (removed.job->steps[removed.step].gang) {
-        mb_fleet_stop_gang(fleet, &removed);
+    if (removed.stopping) {
+        remove_stop(&worker->pending_order, start);
     }
 }
 
@@ -139,7 +154,8 @@
 #ifdef MB_MUTANT_FLEET_UNSENT_STARTS_KEPT
     return;
 #endif
-    /* Stops of a gang may send the order if it is full, without the starts. */
+    g_autoptr(GArray) gangs =
+        g_array_new(FALSE, FALSE, sizeof(mb_fleet_run_t));
     g_autoptr(GArray) starts = g_array_copy(worker->pending_order.starts);
     (void)g_array_set_size(worker->pending_order.starts, 0);
     for (guint i = 0; i < starts->len; i++) {
@@ -151,9 +167,17 @@
             g_array_append_val(worker->pending_order.starts, *start);
         }
         else if (run != NULL) {
+            if (run->job->steps[run->step].gang) {
+                g_array_append_val(gangs, *run);
+            }
             take_back(fleet, worker, start, run);
         }
     }
+    /* The other members, whose starts may have been sent, are stopped. This
+       may send the order if it is full. */
+    for (guint i = 0; i < gangs->len; i++) {
+        mb_fleet_stop_gang(fleet, &g_array_index(gangs, mb_fleet_run_t, i));
+    }
 }
 
 /* Counts the workers and runs of a domain; see the header. */
--- a/tests/unit/test_fleet_evacuation.cc
+++ b/tests/unit/test_fleet_evacuation.cc
@@ -223,6 +223,23 @@
     EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
 }
 
+/* Guards against stops of gang members whose own starts are dropped: the agent
+   would report runs that never were, and refusals that count against the
+   worker. */
+TEST_F(FleetEvacuation, DroppedGangMembersOnOneWorkerAreNotStopped)
+{
+    when_starts_are_sent([this] { set_evacuated("b", true); });
+    submit(first_id, 16, 1000, true);
+    advance(3000);
+    EXPECT_EQ(simulation.fleet.counts.dropped_starts, 8u);
+    EXPECT_EQ(simulation.fleet.counts.refusals[MB_REFUSAL_UNANSWERED], 0u);
+    for (guint i = 2; i < 4; i++) {
+        EXPECT_EQ(
+            mb_fleet_get_worker(&simulation.fleet, i)->health.failure_count,
+            0u);
+    }
+}
+
 /* Guards against a run that is given up, and started a second time elsewhere,
    because the repeated start that tells a restarted agent about it is taken
    for a new one. */
