--- a/tests/unit/test_fleet_evacuation.cc
+++ b/tests/unit/test_fleet_evacuation.cc
@@ -93,6 +93,17 @@
             original.send(context, worker, order);
         };
     }
+    /* Collects the lines that the owner logs. */
+    void collect_lines()
+    {
+        simulation.fleet.log = {
+            [](void *context, mb_severity_t, mb_str_t line) {
+                *static_cast<std::string *>(context) +=
+                    to_std_string(line) + "\n";
+            },
+            &lines, MB_SEVERITY_INFO, "scheduler"};
+    }
+    std::string lines;
     FleetSimulation simulation{4};
     mb_evacuation_t table;
     mb_dag_step_t step;
@@ -136,6 +147,44 @@
     EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
 }
 
+/* Guards against a waiting job whose line names the room that the runs left in
+   the domain take, or other tasks, and not the evacuation. */
+TEST_F(FleetEvacuation, JobsThatNeedTheDomainSaySo)
+{
+    collect_lines();
+    simulation.task_ms = 60000;
+    submit(first_id, 16, 1000, false);
+    advance(500);
+    ASSERT_EQ(running_in("a"), 8u);
+    set_evacuated("a", true);
+    set_evacuated("b", true);
+    submit(second_id, 1, 1000, false);
+    advance(6000);
+    EXPECT_NE(lines.find("task waits job=bbbbbbbbbbbbbbbb task=0.0.0 "
+                         "reason=evacuated"),
+              std::string::npos);
+    set_evacuated("b", false);
+    lines.clear();
+    advance(6000);
+    EXPECT_NE(lines.find("task waits job=bbbbbbbbbbbbbbbb task=0.0.0 "
+                         "reason=no_room"),
+              std::string::npos);
+}
+
+/* Guards against a gang that waits for the domain without a line, because the
+   trial placements of its members count as runs, and against a line that names
+   other tasks, because each member would fit elsewhere. */
+TEST_F(FleetEvacuation, AGangThatNeedsTheDomainSaysSo)
+{
+    collect_lines();
+    set_evacuated("a", true);
+    submit(first_id, 3, 4000, true);
+    advance(6000);
+    EXPECT_NE(lines.find("task waits job=aaaaaaaaaaaaaaaa task=0.0.0 "
+                         "reason=evacuated"),
+              std::string::npos);
+}
+
 /* Guards against probes of suspended workers in the domain. */
 TEST_F(FleetEvacuation, SuspendedWorkersAreNotProbed)
 {
@@ -174,6 +223,23 @@
     EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
 }
 
+/* Guards against stops of gang members whose own starts are dropped: the agent
+   would report runs that never were, and refusals that count against the
+   worker. */
+TEST_F(FleetEvacuation, DroppedGangMembersOnOneWorkerAreNotStopped)
+{
+    when_starts_are_sent([this] { set_evacuated("b", true); });
+    submit(first_id, 16, 1000, true);
+    advance(3000);
+    EXPECT_EQ(simulation.fleet.counts.dropped_starts, 8u);
+    EXPECT_EQ(simulation.fleet.counts.refusals[MB_REFUSAL_UNANSWERED], 0u);
+    for (guint i = 2; i < 4; i++) {
+        EXPECT_EQ(
+            mb_fleet_get_worker(&simulation.fleet, i)->health.failure_count,
+            0u);
+    }
+}
+
 /* Guards against a run that is given up, and started a second time elsewhere,
    because the repeated start that tells a restarted agent about it is taken
    for a new one. */
