Correct comments and pages of evacuation, overload and client limits

Comments, doc comments and pages only; no code, figure or check changes.

Wrong: mb_intake_init said which limit of time holds the wrong way round; the estimates of mb_run_time were all said to take the time at work, but the mean does not; the server was said to apply strict limits to responses while draining; the heads of mb_fleet_internal.h and mb_intake.h described the forecast and the order of closing inexactly; fleet_stragglers.h described figures that it does not return.

Unclear: constants without unit or reason, figurative wording (finds no entrance, takes a look), comments that only repeated a name, and what calm means. Lines of the changed paragraphs are wrapped at 118 columns.

--- a/lib/coordination/mb_backlog.h
+++ b/lib/coordination/mb_backlog.h
@@ -19,12 +19,13 @@
  */
 #define MB_BACKLOG_CLASSES_MAX 256u
 #define MB_BACKLOG_QUEUES_MAX 256u
-/* Largest work, rate and time that is calculated with: sums and products of
-   them don't overflow. In milliseconds, 34 years of a processor. */
+/* Largest work (processor milliseconds, 34 years of a processor), rate
+   (thousandths of a processor) and time (milliseconds) that is accepted, so
+   that their sums and products don't overflow. */
 #define MB_BACKLOG_WORK_MAX_MS (UINT64_C(1) << 40)
 /* Age of a forecast from which on it admits everything, in milliseconds: the
-   owner publishes one a second, and after a takeover the next owner needs
-   about this time until it knows what runs. */
+   owner publishes one a second, and a new owner needs about this time until
+   it knows what runs. */
 #define MB_BACKLOG_AGE_MAX_MS 3000u
 /* A job is worth nothing to its caller after this multiple of its objective.
  */
@@ -91,7 +92,7 @@
     uint64_t forecast_age_ms;
 } mb_backlog_decision_t;
 
-/* The side that admits. */
+/* The state of a scheduler that admits jobs. */
 typedef struct mb_backlog {
     mb_clock_t clock;
     mb_backlog_forecast_t forecast;
@@ -119,10 +120,12 @@
    there are too many. Valid until the next one is added. */
 mb_backlog_class_t *mb_backlog_get_class(GArray *classes, uint64_t service,
                                          uint32_t priority);
+/* Returns the class of a job by its work; see MB_BACKLOG_SIZES. */
 uint32_t mb_backlog_size_class(uint64_t work_ms);
 
 void mb_backlog_init(mb_backlog_t *backlog, const mb_clock_t *clock);
 void mb_backlog_finish(mb_backlog_t *backlog);
+/* Returns what the decision about a job depends on. */
 mb_backlog_job_t mb_backlog_job(const mb_dag_spec_t *spec);
 /* Takes over a forecast that was read in order; it is copied. */
 void mb_backlog_set_forecast(mb_backlog_t *backlog,
--- a/lib/coordination/mb_backlog_meter.c
+++ b/lib/coordination/mb_backlog_meter.c
@@ -19,7 +19,8 @@
    it takes to be known. */
 #define RATIO_TASKS 32.0
 #define RATIO_TASKS_MIN 4u
-/* Bounds of a ratio, in thousandths: those of mb_sizing. */
+/* Bounds of a ratio, in thousandths: a factor of 8 either way, as
+   MB_SIZING_FACTOR_MAX. */
 #define RATIO_MIN_MILLI 125u
 #define RATIO_MAX_MILLI 8000u
 #define MILLI 1000.0
--- a/lib/coordination/mb_evacuation.c
+++ b/lib/coordination/mb_evacuation.c
@@ -27,7 +27,8 @@
 
 /* Returns how old the table may be when the owner decides on a start: the
    setting, less the time until the task starts at the worker. A setting that
-   leaves no time lets nothing start by knowledge of any age. */
+   is not longer than this time gives 1 ms, as 0 means that the age is not
+   checked. */
 static uint64_t
 get_age_max_us(uint64_t setting_ms)
 {
--- a/lib/coordination/mb_evacuation.h
+++ b/lib/coordination/mb_evacuation.h
@@ -16,9 +16,9 @@
    workers at once, in milliseconds. */
 #define MB_EVACUATION_RETURN_MS 10000u
 /* Time that may pass between the decision of the owner to start a task and the
-   start at the worker, in milliseconds: an agent refuses a start in an order
-   that answers a report older than MB_AGENT_ORDER_AGE_MAX_MS, and then calls
-   its worker. */
+   start at the worker, in milliseconds: an agent carries out starts only of an
+   order that answers a report of at most MB_AGENT_ORDER_AGE_MAX_MS (1,500 ms)
+   ago, and its call to the worker is given 300 ms. */
 #define MB_EVACUATION_START_MARGIN_MS 1800u
 
 /* A failure domain that is evacuated, or was until lately. */
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -116,12 +116,12 @@
     uint64_t end_effects[MB_FLEET_END_EFFECT_COUNT];
     uint64_t repeated_successes; /* of tasks that had succeeded before */
     uint64_t refusals[MB_REFUSAL_COUNT];
-    uint64_t lost_runs; /* runs given up without a reported end */
-    uint64_t stalls;    /* runs stopped because they made no progress */
-    uint64_t moves;     /* throttled runs stopped to go on elsewhere */
-    uint64_t copies_started;
-    uint64_t copies_won; /* their success counted */
-    uint64_t copies_ended;
+    uint64_t lost_runs;      /* runs given up without a reported end */
+    uint64_t stalls;         /* runs stopped because they made no progress */
+    uint64_t moves;          /* throttled runs stopped to go on elsewhere */
+    uint64_t copies_started; /* second runs of tasks */
+    uint64_t copies_won;     /* of them, those whose success counted */
+    uint64_t copies_ended;   /* all of them that have ended */
     uint64_t faulty_steps; /* times that failures were attributed to a step */
     uint64_t dropped_starts; /* starts removed from orders before they were
                                 sent, because they are no longer allowed */
@@ -222,7 +222,7 @@
     mb_buf_t service; /* name of the pool of workers that it belongs to */
     mb_buf_t rack;
     mb_buf_t failure_domain;
-    bool evacuated;       /* its failure domain is */
+    bool evacuated;       /* its failure domain is evacuated */
     uint64_t returned_us; /* when the request for its domain was withdrawn; 0:
                              not lately */
     mb_buf_t labels[MB_WORKER_LABELS_MAX];
--- a/lib/coordination/mb_fleet_backlog.c
+++ b/lib/coordination/mb_fleet_backlog.c
@@ -4,9 +4,11 @@
    scheduling pass, so that what fits has been started. */
 #include "mb_fleet_internal.h"
 
-/* A job that can no longer be completed while it is worth something counts as
-   ahead of new ones for as long again. It has been overtaken by newer jobs
-   that could be in time, and what is admitted now will be in the same way. */
+/* A job is no longer counted as ahead of new ones when it is expected to be
+   completed after this multiple of the time for which it is worth something.
+   Between once and twice that time it still counts: newer jobs that could be
+   in time have overtaken it, and those admitted now will be overtaken
+   likewise. */
 #define FORGOTTEN_FACTOR 2u
 /* The remaining work of a job is in thousandths of processor milliseconds. */
 #define MILLI 1000u
@@ -32,7 +34,8 @@
     mb_backlog_meter_ended(&fleet->backlog_meter, &end, now_us);
 }
 
-/* Tells whether a job counts: it has an end, and is due. */
+/* Tells whether a job counts: it is open, does not recur and has no
+   long-running steps. */
 static bool
 is_counted(const mb_dag_job_t *job)
 {
--- a/lib/coordination/mb_fleet_copies.c
+++ b/lib/coordination/mb_fleet_copies.c
@@ -16,10 +16,11 @@
 #define MARGIN_MILLI 1500u
 #define START_MS 300u
 /* Share of the processors of a service that copies may declare, in
-   thousandths: stragglers are few, and what copies use is idle only until the
-   next job arrives. */
+   thousandths. A small one is enough for stragglers, which are few, and jobs
+   that arrive later may need the room. */
 #define SHARE_MAX_MILLI 50u
-/* Copies started at a time. Each takes a look at all workers. */
+/* Maximum number of copies that one scheduling pass starts: for each, the cost
+   on all workers is calculated. */
 #define STARTS_MAX 8u
 /* Steps with waiting tasks that are remembered. With more, there is no room
    for copies. */
@@ -37,14 +38,14 @@
     uint64_t whole_ms; /* expected run time of a copy */
 } straggler_t;
 
-/* Initializes the state of a pass. */
+/* Initializes an empty list of waiting tasks. */
 void
 mb_fleet_copies_init(mb_fleet_copies_t *copies)
 {
     copies->waiting = g_array_new(FALSE, FALSE, sizeof(mb_fleet_run_t));
 }
 
-/* Releases the state of a pass. */
+/* Releases the list. */
 void
 mb_fleet_copies_finish(mb_fleet_copies_t *copies)
 {
@@ -185,7 +186,7 @@
 }
 
 /* Tells whether the waiting tasks need the room on all workers of the service
-   of a copy, which saves a look at each of them. */
+   of a copy, so that no single worker has to be checked. */
 static bool
 is_all_room_needed(const mb_fleet_copies_t *copies, const mb_fleet_run_t *copy)
 {
--- a/lib/coordination/mb_fleet_estimate.c
+++ b/lib/coordination/mb_fleet_estimate.c
@@ -190,7 +190,7 @@
 /* Returns the state of a step of an occurrence. Raises `typical_ms` by
    the tasks that have been at work for longer: each counts like a finished
    one, and the estimate so far like the finished tasks that it is from, or
-   like one of them. */
+   like one task if there are none. */
 static step_state_t
 get_state(const mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
           uint64_t now_us, double *typical_ms)
--- a/lib/coordination/mb_fleet_evacuation.c
+++ b/lib/coordination/mb_fleet_evacuation.c
@@ -17,7 +17,8 @@
     fleet->evacuation = evacuation;
 }
 
-/* Updates whether a worker is evacuated from the domain that it is in. */
+/* Updates whether the failure domain of a worker is evacuated, and when the
+   request for it was withdrawn. */
 static void
 update_worker(const mb_fleet_t *fleet, mb_fleet_worker_t *worker)
 {
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -15,9 +15,10 @@
    - mb_fleet_absence.c keeps the records of absent workers, and the tasks that
      wait for them after a change of ownership
    - mb_fleet_pools.c tells how much of each service's capacity is in use
-   - mb_fleet_evacuation.c tells which workers are evacuated, and has the last
-     check of the starts in an order before it is sent
-   - mb_fleet_backlog.c forecasts how long new jobs wait, for their admission
+   - mb_fleet_evacuation.c tells which workers are evacuated, and drops starts
+     that are no longer allowed from an order before it is sent
+   - mb_fleet_backlog.c collects the forecast of the backlog, by which
+     schedulers admit new jobs
    - these use mb_fleet_headroom.c (effect of best-effort work on service
      tasks), mb_fleet_estimate.c (expected run times) and mb_fleet_state.c
      (runs and jobs)
@@ -171,7 +172,6 @@
                                      mb_str_t service, uint32_t cpu_milli);
 bool mb_fleet_pools_job_in_time_waits(const mb_fleet_pools_t *pools,
                                       mb_str_t service);
-
 bool mb_fleet_pools_has_evacuated(const mb_fleet_pools_t *pools,
                                   mb_str_t service);
 
@@ -246,7 +246,8 @@
                                  const mb_fleet_worker_t *worker,
                                  const mb_fleet_run_t *run);
 
-/* What the copies of a pass depend on. */
+/* Tasks that found no worker in a scheduling pass: copies may not take their
+   room. */
 typedef struct mb_fleet_copies {
     GArray *waiting; /* mb_fleet_run_t; one for each step of which a task has
                         found no worker, up to a maximum */
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -107,7 +107,7 @@
     return mb_fleet_count_copies(task) > 0;
 }
 
-/* Returns what its task has on record of a run, or NULL if that is nothing. */
+/* Returns the entry of a run in its task, or NULL if there is none. */
 mb_dag_run_t *
 mb_fleet_find_copy(const mb_fleet_run_t *run)
 {
--- a/lib/coordination/mb_follower.h
+++ b/lib/coordination/mb_follower.h
@@ -28,8 +28,9 @@
        read in order, and so was written after loading began. */
     void (*apply)(void *context, const mb_keyed_record_t *record,
                   bool in_order);
-    /* A load of the newest records begins: its first page is applied next. A
-       load that was not complete has ended without `loaded`. May be NULL. */
+    /* A load of the newest records begins: its first page is applied next. If
+       `loaded` was not called for the previous load, that one was given up
+       before it was complete. May be NULL. */
     void (*load_begins)(void *context);
     /* All pages of a load of the newest records have been applied. Keys that
        were not among them are not in the log; keys that were removed since the
--- a/lib/coordination/mb_intake.c
+++ b/lib/coordination/mb_intake.c
@@ -12,10 +12,10 @@
    handlers copy. On 160 MB, 100 requests of 1 MiB fit. */
 #define MEMORY_NUMERATOR 3u
 #define MEMORY_DENOMINATOR 4u
-/* One part in so many of the budget is kept for small requests. */
+/* Divisor: this part of the budget is kept for small requests. */
 #define SMALL_SHARE 16u
-/* One part in so many of the descriptors is kept for links, the log, files and
-   the other listeners, but at least DESCRIPTORS_KEPT_MIN. */
+/* Divisor: this part of the descriptors, but at least DESCRIPTORS_KEPT_MIN, is
+   kept for links, the log, files and the other listeners. */
 #define DESCRIPTORS_KEPT_SHARE 5u
 #define DESCRIPTORS_KEPT_MIN 64u
 /* Least useful limits: a request of the largest size, and a few connections.
@@ -285,7 +285,8 @@
     return stalled_ms * (holder->bytes / 1024 + 1);
 }
 
-/* Returns whether an eighth of the bytes for large requests is not free. */
+/* Returns whether less than an eighth of the bytes for large requests would be
+   free once `bytes` are returned. */
 bool
 mb_intake_is_short(const mb_intake_t *intake, uint64_t bytes)
 {
@@ -293,7 +294,8 @@
     return mb_atomic_load(&intake->bytes) > max - max / 8 + bytes;
 }
 
-/* Returns whether a sixteenth of the connections is not free. */
+/* Returns whether less than a sixteenth of the connections would be free once
+   `connections` are closed. */
 bool
 mb_intake_is_crowded(const mb_intake_t *intake, uint64_t connections)
 {
--- a/lib/coordination/mb_intake.h
+++ b/lib/coordination/mb_intake.h
@@ -1,10 +1,11 @@
 /* Limits what the unfinished requests of a listener may hold. All connections
-   draw from one budget of bytes and of connections. While there is room, the
-   limits of time are generous, so that slow and stalled clients are served;
-   the fuller the budget, the stricter they get. When it is exhausted, requests
-   that need more are refused, and the connections are closed first that have
-   been longest without progress, or hold most for the progress they make. A
-   request that was passed to its handler is never cut.
+   draw from one budget of bytes and of connections. While at most three
+   quarters of it are used ("calm"), the limits of time are generous, so that
+   slow and stalled clients are served; from there on they shrink to the strict
+   ones, which hold at the full budget. When it is exhausted, requests that
+   need more are refused, and connections are closed in the order of the bytes
+   that they hold times the time since they made progress. A request that was
+   passed to its handler is never cut.
 
    The decisions need no network; mb_http_connection.h carries them out. The
    amounts are atomics, so that any thread draws without a mutex. */
@@ -17,13 +18,14 @@
 /* Memory of a connection without a body, in bytes: 32 KiB of libmicrohttpd for
    the request line and headers, and the rest for the request's state. */
 #define MB_INTAKE_CONNECTION_BYTES (36u * 1024u)
-/* Bytes that a connection holds in total, up to which it may draw from the
-   last part of the budget: enough for a connection and a submission with the
-   longest text and the most steps, so that a crowd of large bodies doesn't
-   keep out small requests. */
+/* A connection that holds at most this many bytes in total may draw from the
+   last sixteenth of the budget, so that many large bodies don't keep out small
+   requests. Enough for a connection and a submission with the longest text and
+   the most steps. */
 #define MB_INTAKE_SMALL_BYTES (72u * 1024u)
-/* A listener accepts one connection in so many more than its limit, so that
-   the connection to close for a new one is chosen here. */
+/* Divisor of the limit of connections: libmicrohttpd may accept this part more
+   than the limit, so that a connection to close for a new one is chosen here.
+   */
 #define MB_INTAKE_SPARE_SHARE 16u
 /* Time without progress from which on a connection may be closed to make room
    for others, in milliseconds. */
@@ -72,7 +74,7 @@
 typedef struct mb_intake_limits {
     uint64_t bytes_max; /* 0: not limited */
     uint64_t connections_max;
-    mb_intake_times_t calm; /* while there is room */
+    mb_intake_times_t calm; /* while at most 3/4 of the budget are used */
 } mb_intake_limits_t;
 
 /* The state of one connection, as far as decisions need it. */
@@ -86,7 +88,7 @@
 /* How full a budget is: 0 while there is room, up to 1000. */
 typedef struct mb_intake_pressure {
     uint32_t bytes;       /* or connections, whichever is fuller */
-    uint32_t connections; /* only */
+    uint32_t connections; /* connections alone */
     uint32_t responses;   /* as `bytes`, but not raised by draining: the
                              request has run, and the client waits for it */
 } mb_intake_pressure_t;
@@ -102,8 +104,8 @@
     uint64_t draining;
 } mb_intake_t;
 
-/* Initializes an empty budget; for strict limits of time that are shorter than
-   those in `limits`, the latter hold. */
+/* Initializes an empty budget. A limit of time in `limits` that is shorter
+   than the strict one also holds at the full budget. */
 void mb_intake_init(mb_intake_t *intake, const mb_intake_limits_t *limits);
 /* Derives the limits of bytes and connections from the memory and the file
    descriptors that the process has; `bytes_setting` and `connections_setting`
--- a/lib/coordination/mb_run_time.h
+++ b/lib/coordination/mb_run_time.h
@@ -10,9 +10,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Number of kinds in the table. A new one replaces one of a few, the one whose
-   latest observation is the oldest; its estimates are those of an unknown kind
-   from then on. */
+/* Number of kinds in the table. If the few slots that a new kind may use are
+   taken, it replaces the one that was observed the longest ago; that one is
+   estimated like an unknown kind from then on. */
 #define MB_RUN_TIME_KINDS_MAX 1024u
 /* Number of buckets of ratios: six for each doubling, from a quarter of the
    typical run time to 32 times as long. The outermost take what is beyond. */
@@ -54,8 +54,10 @@
 /* Returns the typical run time of a kind, 0 if none is known. */
 double mb_run_time_typical_ms(const mb_run_time_kind_t *kind);
 
-/* Estimates for tasks with a typical run time. All but the quantile are for
-   runs that have been at work for `elapsed_ms` and have not ended. */
+/* Estimates for tasks with a typical run time: the mean run time, the run time
+   within which a fraction of the runs end, the run time of the longest of
+   `count` runs and the rest of one run. The last two are for runs that have
+   been at work for `elapsed_ms` and have not ended. */
 double mb_run_time_mean_ms(const mb_run_time_kind_t *kind, double typical_ms);
 double mb_run_time_quantile_ms(const mb_run_time_t *times,
                                const mb_run_time_kind_t *kind,
--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -406,9 +406,9 @@
 
 /* Packs one class of a forecast as [service, priority, rate, rate with more
    urgent work, size of the smallest task that waits, the same of best-effort
-   tasks, class of the smallest overdue job, work], where sizes are three
-   numbers, and the work is one array:
-   class of size, processor milliseconds, class of size, ... */
+   tasks, class of the smallest overdue job, work]. A size is three elements:
+   processors in thousandths, memory in MB and accelerators. The work is one
+   array: class of size, processor milliseconds, class of size, ... */
 static void
 pack_class(msgpack_packer *packer, const mb_backlog_class_t *class)
 {
--- a/lib/protocol/mb_dag_record.h
+++ b/lib/protocol/mb_dag_record.h
@@ -2,8 +2,8 @@
    progress of jobs, the owner of the fleet, the addresses of agents, estimates
    of how best-effort work affects services, and the forecast of the backlog.
    The key of a record is one letter for its kind, followed by the id of a job
-   or the address of an agent. The value is a msgpack array whose first element
-   is the version of the format. */
+   or the address of an agent if the kind has a record for each. The value is a
+   msgpack array whose first element is the version of the format. */
 #ifndef MB_DAG_RECORD_H
 #define MB_DAG_RECORD_H
 
--- a/lib/transport/mb_http_connection.c
+++ b/lib/transport/mb_http_connection.c
@@ -17,10 +17,11 @@
 #define LEFT_CHECK_MS 1000u
 /* Interval of the log line about limited clients, in milliseconds. */
 #define LOG_INTERVAL_MS 10000u
-/* Connections closed at most in one sweep to make room. */
+/* Maximum number of connections that one sweep closes to make room: each takes
+   a search through all connections under the lock. */
 #define EVICTIONS_MAX 32
-/* Bytes that are read of a client that was refused: what is under way when it
-   learns of the refusal. */
+/* Maximum number of bytes that are read and dropped after a refusal: what the
+   client has sent before it learns of the refusal. */
 #define DROPPED_MAX (1024u * 1024u)
 /* Freed memory is returned to the system when the bytes drawn are this much
    less than their peak, at most once in TRIM_INTERVAL_MS. */
--- a/lib/transport/mb_http_server.h
+++ b/lib/transport/mb_http_server.h
@@ -21,8 +21,10 @@
     uint32_t threads; /* in the pool that handles connections */
     uint32_t max_connections;
     uint32_t idle_timeout_s;
-    /* Limits of what clients may hold; those that are 0 are defaults, and
-       `max_connections` is the limit of connections. */
+    /* Limits of what clients may hold. Of the limits of time, only those of
+       the headers and of a whole request are used; 0 gives their defaults.
+       Bytes of 0 are not limited, and `max_connections` is the limit of
+       connections. */
     mb_intake_limits_t limits;
     size_t body_max; /* of a request; 0: MB_BODY_MAX */
     /* Returns a lower limit of the body that is in force now, or is NULL;
@@ -54,7 +56,7 @@
    thread. Without it, only the limits of memory and of connections hold. */
 void mb_http_server_tick(mb_http_server_t *server);
 /* Closes the listening socket; open connections are still served, with strict
-   limits of time. */
+   limits of time except for responses. */
 void mb_http_server_quiesce(mb_http_server_t *server);
 /* Stops the server. All requests must have been answered. */
 void mb_http_server_finish(mb_http_server_t *server);
--- a/lib/transport/mb_scheduler_backlog.c
+++ b/lib/transport/mb_scheduler_backlog.c
@@ -8,17 +8,17 @@
 /* Interval at which a forecast is collected and published, in
    milliseconds. */
 #define PUBLISH_INTERVAL_MS 1000u
-/* Time after which the append of a forecast is given up, in milliseconds. It
-   would be old before the next one. */
+/* Time after which the append of a forecast is given up, in milliseconds. The
+   next one follows soon after and replaces it. */
 #define PUBLISH_TIMEOUT_MS 500u
-/* Before a job is rejected, a read of the log must have begun that much after
-   its receipt, in milliseconds: a client that got no answer from another
-   scheduler may have submitted it there, and a rejected job must not be
-   stored. Longer than an append usually takes. */
+/* Before a job is rejected, a read of the log must have begun at least this
+   long after its receipt, in milliseconds: a client that got no answer from
+   another scheduler may have submitted the job there, and a rejected job must
+   not be stored. Longer than an append usually takes. */
 #define CONFIRM_MS 200u
 /* Time after which a job that could not be rejected for lack of such a read is
-   admitted, in milliseconds. The rest of the time that an append has stays for
-   it. */
+   admitted, in milliseconds. The rest of the time until the deadline of the
+   client is left for the append. */
 #define CONFIRM_TIMEOUT_MS 600u
 
 /* Publishes the forecast if this process owns the fleet: at intervals while
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -23,7 +23,7 @@
 /* Maximum number of connections to the readiness address and to the metrics
    address. */
 #define PROBE_CONNECTIONS_MAX 32u
-/* Maximum size of the body of a request there, in bytes. */
+/* Maximum size of the body of a request to these addresses, in bytes. */
 #define PROBE_BODY_MAX 4096u
 /* Idle time after which the HTTP servers close a connection, in seconds. */
 #define IDLE_TIMEOUT_S 15u
--- a/programs/magnoliabarrowd/intake.c
+++ b/programs/magnoliabarrowd/intake.c
@@ -23,7 +23,7 @@
 }
 
 /* Returns the memory of the process in bytes: the setting, or that of the
-   machine and of the limits of the process. */
+   machine, or less if the resource limits of the process are lower. */
 static uint64_t
 get_memory(const mb_settings_t *settings)
 {
@@ -79,7 +79,7 @@
     return true;
 }
 
-/* Checks that limits fit. */
+/* Checks that useful limits fit; see the header. */
 bool
 intake_check(const mb_settings_t *settings, const char *section,
              GError **error)
--- a/programs/magnoliabarrowd/intake.h
+++ b/programs/magnoliabarrowd/intake.h
@@ -8,11 +8,11 @@
 #include "mb_settings.h"
 
 /* Derives the limits of the listener for clients from the settings of a
-   section. Returns false with the error set if none fit; so does each start
-   and each check of the settings. */
+   section. Returns false with the error set if no useful limits fit the memory
+   and the descriptors. */
 bool intake_read(const mb_settings_t *settings, const char *section,
                  mb_intake_limits_t *limits, GError **error);
-/* Checks that limits fit. */
+/* Checks that useful limits fit, for a check of the settings. */
 bool intake_check(const mb_settings_t *settings, const char *section,
                   GError **error);
 /* Logs the limits in force. */
--- a/programs/magnoliabarrowd/job_roles.c
+++ b/programs/magnoliabarrowd/job_roles.c
@@ -15,8 +15,8 @@
 /* Maximum size of a response body, in bytes. */
 #define RESPONSE_MAX (4u * 1024u * 1024u)
 
-/* Maximum size of all responses that a client is reading, in bytes: a few of
-   the largest pages of the log at a time. */
+/* Maximum size of all responses that one HTTP client of the process is
+   reading, in bytes: a few of the largest pages of the log at a time. */
 #define RESPONSES_MAX (24u * 1024u * 1024u)
 
 /* The node of the role scheduler (mb_daemon_role_t) and its adapter. */
--- a/programs/magnoliabarrowd/main.c
+++ b/programs/magnoliabarrowd/main.c
@@ -7,10 +7,10 @@
 
 #include "magnoliabarrow.h"
 
-/* Size from which on the allocator maps memory for itself and returns it when
-   it is freed, in bytes: bodies of this size leave no gaps between smaller
-   blocks. If it is not set, the allocator raises it up to 32 MB after the
-   first large block is freed. */
+/* Size of a block from which on the allocator maps it separately and unmaps it
+   when it is freed, in bytes, so that bodies of requests leave no gaps between
+   smaller blocks. If the threshold is not set, glibc raises it up to 32 MB
+   when large blocks are freed. */
 #define MMAP_THRESHOLD_BYTES (64 * 1024)
 
 /* The options of the command line. */
--- a/tests/standins/crowd.c
+++ b/tests/standins/crowd.c
@@ -22,9 +22,11 @@
 #define HEADER_BYTES 1000u
 /* Receive buffer of a connection that reads no responses, in bytes. */
 #define DEAF_RECEIVE_BYTES 4096
-/* Interval of what a connection sends after its burst, in milliseconds. */
+/* Interval at which a connection sends its drip (see kind_t) after its burst,
+   in milliseconds. */
 #define DRIP_INTERVAL_MS 1000u
-/* Interval at which connections are opened again, in milliseconds. */
+/* Maximum time that a poll waits, in milliseconds. Connections that reconnect
+   are opened again after it. */
 #define POLL_MS 50
 
 /* What a connection sends repeatedly after its head. */
--- a/tests/unit/fleet_stragglers.h
+++ b/tests/unit/fleet_stragglers.h
@@ -57,8 +57,7 @@
         return job->remaining_us / 1000;
     }
 
-    /* Returns the number of runs of a task at the workers, as a whole and of
-       one machine. */
+    /* Returns the number of runs of a task at all workers. */
     uint32_t runs_of(uint32_t index) const
     {
         uint32_t count = 0;
--- a/tests/unit/test_backlog_play.cc
+++ b/tests/unit/test_backlog_play.cc
@@ -14,7 +14,7 @@
 /* What the clients of a queue got. */
 struct Answers {
     uint32_t submitted = 0;
-    uint32_t rejections = 0; /* each time that a job was */
+    uint32_t rejections = 0; /* of submissions, also of the same job */
     uint32_t admitted = 0;
     uint32_t completed = 0; /* within the time that it was worth something */
     uint32_t completed_late = 0;
