Make a conversion to char explicit in the label of a queue

`make lint` failed on x86-64, where char is signed: the conditional of a character literal and a char has the type int, and its narrowing is implementation-defined there. No behaviour changes.

--- a/lib/transport/mb_scheduler_backlog.c
+++ b/lib/transport/mb_scheduler_backlog.c
@@ -201,7 +201,8 @@
         if (name.data[i] == '"' || name.data[i] == '\\') {
             mb_buf_append_byte(out, '\\');
         }
-        mb_buf_append_byte(out, name.data[i] == '\n' ? ' ' : name.data[i]);
+        mb_buf_append_byte(out,
+                           (char)(name.data[i] == '\n' ? ' ' : name.data[i]));
     }
 }
 
