--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -105,12 +105,14 @@
 }
 
 /* Returns the worker where a run has the lowest cost, or NULL if the cost is
-   below the limit nowhere. Unless it is empty, `rack` restricts the choice. */
+   below `cost_limit` nowhere. Unless it is empty, `rack` restricts the
+   choice. */
 static mb_fleet_worker_t *
-choose_worker(const pass_t *pass, const mb_fleet_run_t *run, mb_str_t rack)
+choose_worker(const pass_t *pass, const mb_fleet_run_t *run, mb_str_t rack,
+              uint64_t cost_limit)
 {
     mb_fleet_worker_t *best = NULL;
-    uint64_t best_cost = mb_fleet_placement_cost_limit(&pass->inputs, run);
+    uint64_t best_cost = cost_limit;
     for (guint i = 0; i < pass->inputs.fleet->workers->len; i++) {
         mb_fleet_worker_t *worker = mb_fleet_get_worker(pass->inputs.fleet, i);
         if (rack.len > 0 && !mb_str_equal(mb_buf_view(&worker->rack), rack)) {
@@ -278,8 +280,10 @@
     mb_fleet_candidates_t *candidates = &pass->candidates;
     bool has_failed = mb_fleet_run_task(run)->last_failed_worker != 0;
     mb_fleet_worker_t *worker =
-        has_failed ? choose_worker(pass, run, MB_STR_EMPTY)
-                   : mb_fleet_candidates_best(candidates, &pass->inputs, run);
+        has_failed
+            ? choose_worker(pass, run, MB_STR_EMPTY,
+                            mb_fleet_placement_cost_limit(&pass->inputs, run))
+            : mb_fleet_candidates_best(candidates, &pass->inputs, run);
     if (worker == NULL) {
         add_hopeless(pass, run);
         return false;
@@ -404,20 +408,26 @@
 /* Chooses a worker for each member of a gang, on `rack` unless it is empty,
    and appends it to `workers`. Members are added to their workers meanwhile so
    that the costs of the next ones include them, and removed again at the end.
-   The job stays idle: nothing of it has run. Returns false if a member finds
-   no worker. */
+   The job stays idle: nothing of it has run, and the limit of the cost is that
+   of a job without a run for all members. Returns false if a member finds no
+   worker. */
 static bool
 choose_gang_workers(const pass_t *pass, const mb_fleet_run_t *run,
                     mb_str_t rack, GPtrArray *workers)
 {
     uint32_t count = run->job->steps[run->step].count;
     uint64_t idle_since_us = run->job->idle_since_us;
+    uint64_t cost_limit = mb_fleet_placement_cost_limit(&pass->inputs, run);
     mb_fleet_run_t member = *run;
     bool all_placed = true;
     member.number = next_gang_run_number(pass, run);
     for (member.index = 0; all_placed && member.index < count;
          member.index++) {
-        mb_fleet_worker_t *worker = choose_worker(pass, &member, rack);
+#ifdef MB_MUTANT_FLEET_PLACED_MEMBERS_RUN
+        cost_limit = mb_fleet_placement_cost_limit(&pass->inputs, &member);
+#endif
+        mb_fleet_worker_t *worker =
+            choose_worker(pass, &member, rack, cost_limit);
         all_placed = worker != NULL;
         if (all_placed) {
             g_ptr_array_add(workers, worker);
--- a/tests/unit/test_fleet_idle_jobs.cc
+++ b/tests/unit/test_fleet_idle_jobs.cc
@@ -304,6 +304,28 @@
     expect_no_violations(simulation);
 }
 
+/* LOST: a gang that lost a worker was never started again, because the members
+   that were only placed counted as runs of a job that is not idle. */
+TEST(FleetIdleJobs, AGangStartsOnFewerWorkersAfterALoss)
+{
+    FleetSimulation simulation(3);
+    mb_dag_step_t step;
+    simulation.task_ms = 60000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_dag_spec_t spec = best_effort_job(&step, waiting_id, 8, "batch");
+    step.gang = true;
+    simulation.submit(spec);
+    simulation.advance(500);
+    EXPECT_EQ(simulation.running(), 8u);
+    simulation.machines[2]->worker.is_up = false;
+    simulation.machines[2]->worker.crash();
+    simulation.advance(20000);
+    EXPECT_EQ(simulation.machines[0]->worker.runs.size(), 4u);
+    EXPECT_EQ(simulation.machines[1]->worker.runs.size(), 4u);
+    expect_no_violations(simulation);
+}
+
 /* HARM: guards against a service that misses its target for 4 s because every
    job without a run has got a task beside it. */
 TEST(FleetIdleJobs, AServiceBesideThemKeepsItsTarget)
