--- a/lib/coordination/mb_fleet_backlog.c
+++ b/lib/coordination/mb_fleet_backlog.c
@@ -34,20 +34,13 @@
     mb_backlog_meter_ended(&fleet->backlog_meter, &end, now_us);
 }
 
-/* Tells whether a job counts: it is open, does not recur and has no
-   long-running steps. */
+/* Tells whether a job counts: it is open, does not recur and is not a
+   service. */
 static bool
 is_counted(const mb_dag_job_t *job)
 {
-    if (job->outcome != MB_DAG_OPEN || job->spec.occurrences != 0) {
-        return false;
-    }
-    for (uint32_t i = 0; i < job->spec.step_count; i++) {
-        if (job->steps[i].long_running) {
-            return false;
-        }
-    }
-    return true;
+    return job->outcome == MB_DAG_OPEN && job->spec.occurrences == 0 &&
+           !mb_fleet_job_is_service(job);
 }
 
 /* Tells whether a task of a step that waits shows that there is no room: it is
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -272,6 +272,7 @@
 /* mb_fleet_order.c */
 void mb_fleet_sort_jobs(mb_fleet_t *fleet, uint64_t now_us);
 bool mb_fleet_job_is_late(const mb_dag_job_t *job, uint64_t now_us);
+bool mb_fleet_job_is_service(const mb_dag_job_t *job);
 
 /* mb_fleet_schedule.c */
 void mb_fleet_schedule(mb_fleet_t *fleet);
--- a/lib/coordination/mb_fleet_order.c
+++ b/lib/coordination/mb_fleet_order.c
@@ -1,7 +1,8 @@
 /* Order in which a scheduling pass considers the open jobs: by priority of
-   their queue; within a priority, jobs that can still be completed in time
-   before late ones; and then the least remaining work first. Under overload,
-   this completes as many jobs in time as possible. */
+   their queue; within a priority by rank (job_rank_t); and then the least
+   remaining work first. Under overload, this completes as many jobs in time as
+   possible. Services are considered in the order of their arrival: each runs
+   for long, so that a large one would wait as long as smaller ones arrive. */
 #include "mb_fleet_internal.h"
 
 /* Interval after which the jobs are sorted again although none was added or
@@ -12,15 +13,36 @@
    of its priority, however late it is. */
 #define VERY_LATE_FACTOR 3u
 
-/* Sort key of a job; lower values come first. The priority is compared before
-   the lateness. */
+/* Rank of a job within its priority; lower values come first. A service has
+   no time by which it must be done, and is worth the same at any age. */
+typedef enum job_rank {
+    RANK_IN_TIME, /* can be completed within its objective */
+    RANK_SERVICE, /* has long-running steps */
+    RANK_LATE,
+    RANK_VERY_LATE
+} job_rank_t;
+
+/* Sort key of a job; the fields are compared in this order, and lower values
+   come first. */
 typedef struct sort_key {
-    uint32_t lateness; /* 0: can be in time, 1: late, 2: very late */
     uint32_t priority;
-    uint64_t remaining_work;
-    uint64_t due_us;
+    job_rank_t rank;
+    uint64_t remaining_work; /* 0 for services */
+    uint64_t due_us;         /* time of arrival for services */
 } sort_key_t;
 
+/* Tells whether a job has long-running steps. */
+bool
+mb_fleet_job_is_service(const mb_dag_job_t *job)
+{
+    for (uint32_t i = 0; i < job->spec.step_count; i++) {
+        if (job->steps[i].long_running) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Tells whether a job is expected to miss its objective. */
 bool
 mb_fleet_job_is_late(const mb_dag_job_t *job, uint64_t now_us)
@@ -35,17 +57,25 @@
 get_sort_key(const mb_dag_job_t *job, uint64_t now_us)
 {
     uint64_t age_us = now_us - MIN(now_us, job->arrived_us);
-    uint64_t total_us = age_us + job->remaining_us;
-    uint32_t lateness = 0;
-    if (total_us > job->objective_us * VERY_LATE_FACTOR) {
-        lateness = 2;
+    sort_key_t key = {.priority = job->spec.policy.priority,
+                      .rank = RANK_IN_TIME,
+                      .remaining_work = job->remaining_work,
+                      .due_us = job->arrived_us + job->objective_us};
+#ifndef MB_MUTANT_FLEET_SERVICES_BY_WORK
+    if (mb_fleet_job_is_service(job)) {
+        key.rank = RANK_SERVICE;
+        key.remaining_work = 0;
+        key.due_us = job->arrived_us;
+        return key;
+    }
+#endif
+    if (age_us + job->remaining_us > job->objective_us * VERY_LATE_FACTOR) {
+        key.rank = RANK_VERY_LATE;
     }
     else if (mb_fleet_job_is_late(job, now_us)) {
-        lateness = 1;
+        key.rank = RANK_LATE;
     }
-    return (sort_key_t){lateness, job->spec.policy.priority,
-                        job->remaining_work,
-                        job->arrived_us + job->objective_us};
+    return key;
 }
 
 /* GCompareDataFunc over mb_dag_job_t pointers; the one to start first is the
@@ -61,8 +91,8 @@
     if (key_a.priority != key_b.priority) {
         return key_a.priority < key_b.priority ? -1 : 1;
     }
-    if (key_a.lateness != key_b.lateness) {
-        return key_a.lateness < key_b.lateness ? -1 : 1;
+    if (key_a.rank != key_b.rank) {
+        return key_a.rank < key_b.rank ? -1 : 1;
     }
     if (key_a.remaining_work != key_b.remaining_work) {
         return key_a.remaining_work < key_b.remaining_work ? -1 : 1;
--- a/lib/coordination/mb_fleet_pools.c
+++ b/lib/coordination/mb_fleet_pools.c
@@ -77,7 +77,7 @@
 is_waiting_in_time(const mb_dag_job_t *job, uint64_t now_us)
 {
     return job->outcome == MB_DAG_OPEN && job->needs_scheduling &&
-           !job->steps[0].long_running && job->spec.occurrences == 0 &&
+           !mb_fleet_job_is_service(job) && job->spec.occurrences == 0 &&
 #ifdef MB_MUTANT_FLEET_IDLE_JOBS_BEFORE_IN_TIME
            false &&
 #endif
