Keep the runs of a deregistered worker while it answers

An executor that deregisters without an answer works on for seconds. Now a list call sent after the deregistration decides.

--- a/lib/coordination/mb_agent.c
+++ b/lib/coordination/mb_agent.c
@@ -135,9 +135,8 @@
     copy_info(agent, info);
 }
 
-/* Handles the deregistration of the worker: it runs nothing any more, or only
-   for MB_AGENT_DEPARTURE_GRACE_MS. Ignored if `name` is not that of the
-   worker. */
+/* Handles the deregistration of the worker; see the header. The next list call
+   tells whether it still works. */
 void
 mb_agent_deregister(mb_agent_t *agent, mb_str_t name)
 {
@@ -148,6 +147,8 @@
                   MB_STR_ARG(name), agent->runs->len);
     agent->departed = true;
     agent->departed_us = mb_clock_us(&agent->clock);
+    agent->departure_confirmed = false;
+    agent->list_due_us = 0;
     agent->report_due = true;
 }
 
--- a/lib/coordination/mb_agent.h
+++ b/lib/coordination/mb_agent.h
@@ -40,7 +40,7 @@
    answered a list call holds no unknown runs, in milliseconds: longer than any
    lease that an earlier agent may have granted. */
 #define MB_AGENT_UNLISTED_MAX_MS 6000u
-/* Time after the departure of a worker within which its runs end, in
+/* Least time after the departure of a worker for which its runs count, in
    milliseconds. */
 #define MB_AGENT_DEPARTURE_GRACE_MS 300u
 /* A heartbeat whose sequence number is not above the latest one, or is above
@@ -74,6 +74,10 @@
     bool worker_replaced;
     bool departed; /* the worker has deregistered */
     uint64_t departed_us;
+    /* A list call sent since then was not answered by the worker. Until then
+       it may work on, as it does for seconds if its deregistration got no
+       answer in time. */
+    bool departure_confirmed;
     uint64_t unlisted_us; /* since when it is unknown what the worker runs */
     bool has_clock;       /* the two members below are set */
     /* Clock of the worker, read at `worker_clock_read_us` of this process. */
--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -229,6 +229,9 @@
     if (!is_by_known_name(answer)) {
         agent->call_failed_us = now_us;
     }
+    if (agent->departed && agent->list_start_us >= agent->departed_us) {
+        agent->departure_confirmed = !is_by_known_name(answer);
+    }
     if (answer->result == MB_EXECUTOR_OTHER &&
         agent->list_start_us >= agent->known_since_us) {
         agent->worker_replaced = true;
@@ -301,6 +304,20 @@
     }
 }
 
+/* Returns whether the runs of a worker that has deregistered have ended with
+   it. */
+static bool
+has_ended(const mb_agent_t *agent, uint64_t now_us)
+{
+    bool confirmed = agent->departure_confirmed;
+#ifdef MB_MUTANT_AGENT_DEPARTURE_ASSUMED
+    confirmed = true;
+#endif
+    return agent->departed && confirmed &&
+           now_us - agent->departed_us >=
+               MB_AGENT_DEPARTURE_GRACE_MS * (uint64_t)MB_US_PER_MS;
+}
+
 /* Does what is due at this time. */
 void
 mb_agent_worker_tick(mb_agent_t *agent, uint64_t now_us)
@@ -309,9 +326,7 @@
         return;
     }
     mb_agent_ends_tick(agent, now_us);
-    if (agent->departed && agent->runs->len > 0 &&
-        now_us - agent->departed_us >=
-            MB_AGENT_DEPARTURE_GRACE_MS * (uint64_t)MB_US_PER_MS) {
+    if (agent->runs->len > 0 && has_ended(agent, now_us)) {
         (void)g_ptr_array_set_size(agent->runs, 0);
         agent->generation++;
         agent->complete_due = true;
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -1489,6 +1489,34 @@
     EXPECT_TRUE(mb_agent_worker_has_left(machine.agent));
 }
 
+/* TWICE: the deregistration of a worker was read after the agent's machine had
+   stood still. The worker had got no answer in time and worked on for seconds,
+   while its tasks were started elsewhere. */
+TEST(Agent, TasksOfADeregisteredWorkerThatWorksOnAreNotStartedElsewhere)
+{
+    FleetSimulation simulation(2);
+    mb_dag_step_t step;
+    simulation.task_ms = 60000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&step, first_id, 2, 800));
+    simulation.advance(500);
+    Machine &leaving = *simulation.machines[0];
+    Machine &other = *simulation.machines[1];
+    ASSERT_EQ(leaving.worker.runs.size(), 1u);
+    mb_agent_deregister(leaving.agent, MB_STR_LIT("worker-0"));
+    simulation.advance(5000);
+    EXPECT_EQ(leaving.worker.runs.size(), 1u);
+    EXPECT_EQ(other.worker.runs.size(), 1u);
+    EXPECT_FALSE(mb_agent_worker_has_left(leaving.agent));
+    leaving.worker.is_up = false;
+    leaving.worker.crash();
+    simulation.advance(2500);
+    EXPECT_EQ(other.worker.runs.size(), 2u);
+    EXPECT_TRUE(mb_agent_worker_has_left(leaving.agent));
+    expect_no_violations(simulation);
+}
+
 /* Makes another process the owner, up to 3 s after a worker became
    unreachable. The worker comes back to the new owner later or leaves. */
 static void
