Explain where a job would be placed now

Operators could only read why accepted jobs wait, in the log and after 3 s. GET /where on the metrics address of the owner, and `magnoliabarrow where`, answer for an accepted job or a described task by the functions of the scheduling pass, without starting or storing anything. The reasons why a task waits are an enum now, shared by the log line and the explanation.

--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -7,8 +7,8 @@
      mb_fleet_candidates.c keeps while the tasks of one step are placed
    - mb_fleet_copies.c starts second runs of stragglers
    - mb_fleet_waiting.c logs why tasks that have waited for long don't start,
-     and mb_fleet_latency_log.c what the headroom model expects beside what is
-     reported
+     mb_fleet_where.c explains it on request, and mb_fleet_latency_log.c what
+   the headroom model expects beside what is reported
    - mb_fleet_majority.c tells whether most agents obey the owner
    - mb_fleet_attribution.c tells whether failures of runs are held against the
      workers or the step, and mb_fleet_retry.c when a task is tried again
@@ -215,7 +215,36 @@
                             const mb_fleet_worker_t *worker,
                             const mb_fleet_run_t *run);
 
+/* What keeps the workers from taking a task. */
+typedef struct mb_fleet_obstacles {
+    uint32_t workers[MB_FLEET_OBSTACLE_COUNT];
+    uint32_t evacuated_full; /* evacuated workers without room */
+    uint64_t lowest_cost;    /* UINT64_MAX if no worker has a cost */
+} mb_fleet_obstacles_t;
+
+/* The main reason why a task waits. */
+typedef enum mb_fleet_wait {
+    MB_FLEET_WAIT_STARTS_WITHHELD,
+    MB_FLEET_WAIT_FORMER_RUNS_UNKNOWN,
+    MB_FLEET_WAIT_ABSENT_WORKER, /* the task may run on one */
+    MB_FLEET_WAIT_RETRY_DELAY,
+    MB_FLEET_WAIT_EVACUATED,
+    MB_FLEET_WAIT_SERVICE_LATENCY,
+    MB_FLEET_WAIT_OTHER_TASKS, /* a worker takes it, unless others come first
+                                */
+    MB_FLEET_WAIT_NO_ROOM,
+    MB_FLEET_WAIT_NO_USABLE_WORKER,
+    MB_FLEET_WAIT_COUNT
+} mb_fleet_wait_t;
+
 /* mb_fleet_waiting.c */
+mb_fleet_obstacles_t
+mb_fleet_find_obstacles(const mb_fleet_cost_inputs_t *inputs,
+                        const mb_fleet_run_t *run);
+mb_fleet_wait_t mb_fleet_find_wait(const mb_fleet_cost_inputs_t *inputs,
+                                   const mb_fleet_run_t *run,
+                                   const mb_fleet_obstacles_t *obstacles);
+const char *mb_fleet_wait_name(mb_fleet_wait_t wait);
 void mb_fleet_log_waiting(mb_fleet_t *fleet, uint64_t now_us);
 
 /* mb_fleet_latency_log.c */
@@ -273,6 +302,8 @@
 void mb_fleet_sort_jobs(mb_fleet_t *fleet, uint64_t now_us);
 bool mb_fleet_job_is_late(const mb_dag_job_t *job, uint64_t now_us);
 bool mb_fleet_job_is_service(const mb_dag_job_t *job);
+uint32_t mb_fleet_count_jobs_before(const mb_fleet_t *fleet,
+                                    const mb_dag_job_t *job, uint64_t now_us);
 
 /* mb_fleet_schedule.c */
 void mb_fleet_schedule(mb_fleet_t *fleet);
--- a/lib/coordination/mb_fleet_order.c
+++ b/lib/coordination/mb_fleet_order.c
@@ -78,29 +78,55 @@
     return key;
 }
 
+/* Returns a number below 0 if the key `a` comes before `b`, above 0 if after
+   it, 0 if they are equal. */
+static int
+compare_keys(const sort_key_t *a, const sort_key_t *b)
+{
+    if (a->priority != b->priority) {
+        return a->priority < b->priority ? -1 : 1;
+    }
+    if (a->rank != b->rank) {
+        return a->rank < b->rank ? -1 : 1;
+    }
+    if (a->remaining_work != b->remaining_work) {
+        return a->remaining_work < b->remaining_work ? -1 : 1;
+    }
+    if (a->due_us != b->due_us) {
+        return a->due_us < b->due_us ? -1 : 1;
+    }
+    return 0;
+}
+
 /* GCompareDataFunc over mb_dag_job_t pointers; the one to start first is the
    lower one. The context is the present time. */
 static gint
 compare_jobs(gconstpointer a, gconstpointer b, gpointer context)
 {
-    const mb_dag_job_t *job_a = *(mb_dag_job_t *const *)a;
-    const mb_dag_job_t *job_b = *(mb_dag_job_t *const *)b;
     uint64_t now_us = *(const uint64_t *)context;
-    sort_key_t key_a = get_sort_key(job_a, now_us);
-    sort_key_t key_b = get_sort_key(job_b, now_us);
-    if (key_a.priority != key_b.priority) {
-        return key_a.priority < key_b.priority ? -1 : 1;
-    }
-    if (key_a.rank != key_b.rank) {
-        return key_a.rank < key_b.rank ? -1 : 1;
-    }
-    if (key_a.remaining_work != key_b.remaining_work) {
-        return key_a.remaining_work < key_b.remaining_work ? -1 : 1;
-    }
-    if (key_a.due_us != key_b.due_us) {
-        return key_a.due_us < key_b.due_us ? -1 : 1;
+    sort_key_t key_a = get_sort_key(*(mb_dag_job_t *const *)a, now_us);
+    sort_key_t key_b = get_sort_key(*(mb_dag_job_t *const *)b, now_us);
+    return compare_keys(&key_a, &key_b);
+}
+
+/* Counts the open jobs of the same service that have waiting tasks and are
+   considered before a job, which need not be one of the open jobs. */
+uint32_t
+mb_fleet_count_jobs_before(const mb_fleet_t *fleet, const mb_dag_job_t *job,
+                           uint64_t now_us)
+{
+    uint32_t count = 0;
+    sort_key_t key = get_sort_key(job, now_us);
+    for (guint i = 0; i < fleet->open_jobs->len; i++) {
+        const mb_dag_job_t *other = g_ptr_array_index(fleet->open_jobs, i);
+        sort_key_t other_key = get_sort_key(other, now_us);
+        count += other != job && other->outcome == MB_DAG_OPEN &&
+                 other->needs_scheduling &&
+                 mb_str_equal(other->spec.policy.service,
+                              job->spec.policy.service) &&
+                 compare_keys(&other_key, &key) < 0;
     }
-    return 0;
+    return count;
 }
 
 /* Estimates and sorts the open jobs if they have changed or SORT_INTERVAL_US
--- a/lib/coordination/mb_fleet_waiting.c
+++ b/lib/coordination/mb_fleet_waiting.c
@@ -13,13 +13,6 @@
 #define PASS_INTERVAL_US UINT64_C(1000000)
 #define LINES_MAX 3u
 
-/* What keeps the workers from taking a task. */
-typedef struct obstacles {
-    uint32_t workers[MB_FLEET_OBSTACLE_COUNT];
-    uint32_t evacuated_full; /* evacuated workers without room */
-    uint64_t lowest_cost;    /* UINT64_MAX if no worker has a cost */
-} obstacles_t;
-
 /* Finds the first task of a job that is neither done nor running and whose
    step and time have come. Returns false if there is none. */
 static bool
@@ -47,10 +40,11 @@
 }
 
 /* Asks each worker why it does not get the task of a run. */
-static obstacles_t
-find_obstacles(const mb_fleet_cost_inputs_t *inputs, const mb_fleet_run_t *run)
+mb_fleet_obstacles_t
+mb_fleet_find_obstacles(const mb_fleet_cost_inputs_t *inputs,
+                        const mb_fleet_run_t *run)
 {
-    obstacles_t obstacles = {.lowest_cost = UINT64_MAX};
+    mb_fleet_obstacles_t obstacles = {.lowest_cost = UINT64_MAX};
     for (guint i = 0; i < inputs->fleet->workers->len; i++) {
         const mb_fleet_worker_t *worker =
             mb_fleet_get_worker(inputs->fleet, i);
@@ -73,7 +67,8 @@
    the runs left there have ended. Each member of a gang may fit elsewhere
    although the gang does not. */
 static bool
-waits_for_evacuated(const mb_fleet_run_t *run, const obstacles_t *obstacles)
+waits_for_evacuated(const mb_fleet_run_t *run,
+                    const mb_fleet_obstacles_t *obstacles)
 {
     uint32_t with_room = obstacles->workers[MB_FLEET_OBSTACLE_EVACUATED];
     uint32_t full = obstacles->workers[MB_FLEET_OBSTACLE_ROOM];
@@ -83,35 +78,54 @@
     return with_room > 0 || (full > 0 && full == obstacles->evacuated_full);
 }
 
-/* Names the main reason why a task waits. */
-static const char *
-name_reason(const mb_fleet_cost_inputs_t *inputs, const mb_fleet_run_t *run,
-            const obstacles_t *obstacles)
+/* Finds the main reason why the task of a run waits. */
+mb_fleet_wait_t
+mb_fleet_find_wait(const mb_fleet_cost_inputs_t *inputs,
+                   const mb_fleet_run_t *run,
+                   const mb_fleet_obstacles_t *obstacles)
 {
     const mb_dag_task_t *task = mb_fleet_run_task(run);
     if (inputs->fleet->starts_withheld) {
-        return "starts_withheld";
+        return MB_FLEET_WAIT_STARTS_WITHHELD;
     }
     if (run->job->inherited && !inputs->fleet->former_runs_resolved) {
-        return "former_runs_unknown";
+        return MB_FLEET_WAIT_FORMER_RUNS_UNKNOWN;
     }
     if (task->absent_workers > 0) {
-        return "may_run_on_absent_worker";
+        return MB_FLEET_WAIT_ABSENT_WORKER;
     }
     if (task->not_before_us > inputs->now_us) {
-        return "retry_delay";
+        return MB_FLEET_WAIT_RETRY_DELAY;
     }
     if (waits_for_evacuated(run, obstacles)) {
-        return "evacuated";
+        return MB_FLEET_WAIT_EVACUATED;
     }
     if (obstacles->workers[MB_FLEET_OBSTACLE_COST] > 0) {
         return obstacles->lowest_cost >=
                        mb_fleet_placement_cost_limit(inputs, run)
-                   ? "service_latency"
-                   : "behind_other_tasks";
+                   ? MB_FLEET_WAIT_SERVICE_LATENCY
+                   : MB_FLEET_WAIT_OTHER_TASKS;
     }
-    return obstacles->workers[MB_FLEET_OBSTACLE_ROOM] > 0 ? "no_room"
-                                                          : "no_usable_worker";
+    return obstacles->workers[MB_FLEET_OBSTACLE_ROOM] > 0
+               ? MB_FLEET_WAIT_NO_ROOM
+               : MB_FLEET_WAIT_NO_USABLE_WORKER;
+}
+
+/* Returns the name of a reason for operators, a static text. */
+const char *
+mb_fleet_wait_name(mb_fleet_wait_t wait)
+{
+    static const char *const names[MB_FLEET_WAIT_COUNT] = {
+        [MB_FLEET_WAIT_STARTS_WITHHELD] = "starts_withheld",
+        [MB_FLEET_WAIT_FORMER_RUNS_UNKNOWN] = "former_runs_unknown",
+        [MB_FLEET_WAIT_ABSENT_WORKER] = "may_run_on_absent_worker",
+        [MB_FLEET_WAIT_RETRY_DELAY] = "retry_delay",
+        [MB_FLEET_WAIT_EVACUATED] = "evacuated",
+        [MB_FLEET_WAIT_SERVICE_LATENCY] = "service_latency",
+        [MB_FLEET_WAIT_OTHER_TASKS] = "behind_other_tasks",
+        [MB_FLEET_WAIT_NO_ROOM] = "no_room",
+        [MB_FLEET_WAIT_NO_USABLE_WORKER] = "no_usable_worker"};
+    return names[wait];
 }
 
 /* Logs why the task of a run waits. */
@@ -121,7 +135,7 @@
     const mb_dag_job_t *job = run->job;
     const mb_dag_step_t *step = &job->steps[run->step];
     mb_str_t service = job->spec.policy.service;
-    obstacles_t obstacles = find_obstacles(inputs, run);
+    mb_fleet_obstacles_t obstacles = mb_fleet_find_obstacles(inputs, run);
     bool has_cost = obstacles.lowest_cost != UINT64_MAX;
     uint64_t limit = mb_fleet_placement_cost_limit(inputs, run);
     mb_log_notice(
@@ -133,7 +147,8 @@
         " excluded=%u unusable=%u no_room=%u evacuated=%u cost=%u "
         "lowest_cost=%" G_GINT64_FORMAT " cost_limit=%" G_GINT64_FORMAT,
         MB_STR_ARG(mb_dag_id_view(&job->spec.id)), run->occurrence, run->step,
-        run->index, name_reason(inputs, run, &obstacles),
+        run->index,
+        mb_fleet_wait_name(mb_fleet_find_wait(inputs, run, &obstacles)),
         (inputs->now_us - job->idle_since_us) / MB_US_PER_MS,
         step->best_effort, mb_fleet_pools_use_milli(inputs->pools, service),
         mb_fleet_pools_declared_milli(inputs->pools, service),
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -1,6 +1,7 @@
 /* Functions that the files of mb_scheduler_node share. All but
    mb_scheduler_handle, mb_scheduler_handle_metrics,
-   mb_scheduler_handle_evacuations, mb_scheduler_backlog_write_metrics,
+   mb_scheduler_handle_evacuations, mb_scheduler_handle_where,
+   mb_scheduler_backlog_write_metrics,
    mb_scheduler_is_stale and mb_scheduler_unix_ms are called only on the thread
    of the loop, or while it is not running. */
 #ifndef MB_SCHEDULER_INTERNAL_H
@@ -43,6 +44,10 @@
 bool mb_scheduler_handle_evacuations(mb_scheduler_node_t *node,
                                      mb_http_exchange_t *exchange);
 
+/* mb_scheduler_where.c */
+bool mb_scheduler_handle_where(mb_scheduler_node_t *node,
+                               mb_http_exchange_t *exchange);
+
 /* mb_scheduler_owner.c */
 void mb_scheduler_claim_fleet(mb_scheduler_node_t *node);
 bool mb_scheduler_append_owner_record(mb_scheduler_node_t *node,
--- a/lib/transport/mb_scheduler_metrics.c
+++ b/lib/transport/mb_scheduler_metrics.c
@@ -120,7 +120,8 @@
 {
     mb_scheduler_node_t *node = context;
     MB_AUTO_BUF mb_buf_t body = {0};
-    if (mb_scheduler_handle_evacuations(node, exchange)) {
+    if (mb_scheduler_handle_evacuations(node, exchange) ||
+        mb_scheduler_handle_where(node, exchange)) {
         return;
     }
     mb_prometheus_write(node->counters, &body);
--- a/programs/magnoliabarrow/main.c
+++ b/programs/magnoliabarrow/main.c
@@ -295,6 +295,17 @@
     return ok;
 }
 
+/* where QUERY: prints where a job would be placed now, and why, as JSON. The
+   query names the job or describes a task of one that has not been submitted.
+   The server is the metrics address of a scheduler; only the owner of the
+   fleet can tell. */
+static bool
+run_where(request_t *request, GError **error)
+{
+    g_autofree char *path = g_strdup_printf("/where?%s", get_word(request, 1));
+    return call_and_print(request, "GET", path, error);
+}
+
 /* check-config FILE: checks a file of resources (.json) or else a settings
    file of magnoliabarrowd, without a server. */
 static bool
@@ -340,6 +351,9 @@
     {"evacuations", 1, 1,
      "evacuations            show evacuated failure domains (metrics address)",
      run_evacuations},
+    {"where", 2, 2,
+     "where QUERY            show where a job would run (metrics address)",
+     run_where},
     {"check-config", 2, 2, "check-config FILE      check a file offline",
      run_check_config},
 };
--- a/tests/system/test_evacuation.sh
+++ b/tests/system/test_evacuation.sh
@@ -50,6 +50,14 @@
   list_evacuations | grep -qE '^domain-1 .* 1 +0 *$'
 }
 
+# Prints the explanations of schedulers 1 and 2: explain QUERY.
+explain() {
+  local i
+  for i in 1 2; do
+    "$bin/magnoliabarrow" -s "$(address $((530 + i)))" where "$1" || echo "exit code $?"
+  done
+}
+
 # Tells whether all accepted jobs are completed.
 all_completed() {
   local id
@@ -93,6 +101,14 @@
 wait_until "the list is $(list_evacuations)" domain_is_empty
 curl -s -m 2 "http://$(address 532)/metrics" | grep -qE 'evacuated_workers 1$' || fail "the metrics show no evacuated worker"
 pass "the owner lists the domain"
+explain 'service=echo&cpu_milli=100&memory_mb=10' > "$dir/where"
+[ "$(grep -c '"owner":false' "$dir/where")" = 1 ] || fail "another process than the owner explains: $(cat "$dir/where")"
+grep '"owner":true' "$dir/where" | grep -q '"evacuated":1' || fail "the obstacle is not named: $(cat "$dir/where")"
+explain "job=$(head -n 1 "$dir/accepted")" | grep -q '"outcome":"completed"' || fail "a job is not explained"
+for query in job=x job=ffffffffffffffff 'service=echo&cpu_milli=-1' 'service=echo&count=0' 'service=echo&gang=2'; do
+  explain "$query" 2> /dev/null | grep -q '^exit code' || fail "$query is explained"
+done
+pass "the owner explains where a task would be placed"
 
 write_config evacuate/domain-1 '' || fail "the withdrawal was not acknowledged"
 wait_until "no work returned to domain-1" has_started_more 1 "$starts"
