--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -219,24 +219,31 @@
     return MAX(task->last_run, base) + 1;
 }
 
+/* Returns the checkpoint of a task, which is empty if it has none. */
+static mb_str_t
+get_checkpoint(const mb_fleet_run_t *run)
+{
+    const mb_dag_task_t *task = mb_fleet_run_task(run);
+    return (mb_str_t){task->checkpoint, task->checkpoint_len};
+}
+
 /* Adds a run to a worker and its start to the worker's pending order. */
 static void
-start_run(const pass_t *pass, mb_fleet_worker_t *worker, mb_fleet_run_t *run)
+start_run(const pass_t *pass, mb_fleet_worker_t *worker, mb_fleet_run_t *run,
+          mb_str_t checkpoint)
 {
     mb_dag_job_t *job = run->job;
     const mb_dag_step_t *step = &job->steps[run->step];
-    mb_dag_task_t *task = mb_fleet_run_task(run);
     run->started_us = pass->inputs.now_us;
-    run->resumed = task->checkpoint_len > 0;
-    mb_order_start_t start = {
-        .task = mb_fleet_run_task_id(run),
-        .run = run->number,
-        .payload = job->spec.payload,
-        .checkpoint = {task->checkpoint, task->checkpoint_len},
-        .approval = MB_STR_EMPTY,
-        .image = step->image,
-        .latency_target_ms = step->latency_target_ms,
-        .best_effort = step->best_effort};
+    run->resumed = checkpoint.len > 0;
+    mb_order_start_t start = {.task = mb_fleet_run_task_id(run),
+                              .run = run->number,
+                              .payload = job->spec.payload,
+                              .checkpoint = checkpoint,
+                              .approval = MB_STR_EMPTY,
+                              .image = step->image,
+                              .latency_target_ms = step->latency_target_ms,
+                              .best_effort = step->best_effort};
     run->start_sequence =
         mb_fleet_order_start(pass->inputs.fleet, worker, &start);
     (void)mb_fleet_add_run(pass->inputs.fleet, worker, run);
@@ -289,7 +296,7 @@
         return false;
     }
     run->number = next_run_number(pass->inputs.fleet, mb_fleet_run_task(run));
-    start_run(pass, worker, run);
+    start_run(pass, worker, run, get_checkpoint(run));
     mb_fleet_candidates_changed(candidates, &pass->inputs, worker, run);
     return true;
 }
@@ -339,7 +346,7 @@
         return;
     }
     run.number = next_run_number(pass->inputs.fleet, mb_fleet_run_task(&run));
-    start_run(pass, worker, &run);
+    start_run(pass, worker, &run, get_checkpoint(&run));
 }
 
 /* Starts moved tasks in the places that are kept for them. */
@@ -483,6 +490,27 @@
     return choose_gang_workers(pass, run, MB_STR_EMPTY, workers);
 }
 
+/* Returns the checkpoint from which a gang is started. That of any member is
+   valid for all, and all have to carry the same one. Those of a worker that
+   was lost may be older than the others, so it is one of the latest run. */
+static mb_str_t
+get_gang_checkpoint(const mb_fleet_run_t *run)
+{
+    mb_fleet_run_t member = *run;
+    mb_str_t latest = MB_STR_EMPTY;
+    uint64_t latest_run = 0;
+    for (member.index = 0; member.index < run->job->steps[run->step].count;
+         member.index++) {
+        mb_str_t checkpoint = get_checkpoint(&member);
+        uint64_t saved_by = mb_fleet_run_task(&member)->checkpoint_run;
+        if (checkpoint.len > 0 && (latest.len == 0 || saved_by > latest_run)) {
+            latest = checkpoint;
+            latest_run = saved_by;
+        }
+    }
+    return latest;
+}
+
 /* Starts all members of a gang or none. Returns false if the gang has to
    wait. */
 static bool
@@ -502,10 +530,15 @@
         return false;
     }
     mb_fleet_run_t member = *run;
+    mb_str_t checkpoint = get_gang_checkpoint(run);
     member.number = next_gang_run_number(pass, run);
     for (member.index = 0; member.index < workers->len; member.index++) {
         mb_fleet_run_t copy = member;
-        start_run(pass, g_ptr_array_index(workers, member.index), &copy);
+#ifdef MB_MUTANT_FLEET_GANG_CHECKPOINTS_DIFFER
+        checkpoint = get_checkpoint(&copy);
+#endif
+        start_run(pass, g_ptr_array_index(workers, member.index), &copy,
+                  checkpoint);
     }
     return true;
 }
@@ -628,7 +661,7 @@
 {
     const pass_t *pass = context;
     run->number = next_run_number(pass->inputs.fleet, mb_fleet_run_task(run));
-    start_run(pass, worker, run);
+    start_run(pass, worker, run, get_checkpoint(run));
 }
 
 /* Runs one scheduling pass over the open jobs. Jobs that the former owner knew
--- a/tests/unit/fleet_simulation.h
+++ b/tests/unit/fleet_simulation.h
@@ -166,6 +166,8 @@
     std::vector<std::string> violations;    /* of invariants */
     std::map<std::string, uint32_t> starts; /* number of starts by task */
     std::map<std::string, uint64_t> latest_start_us; /* by task */
+    /* Checkpoint of the latest start in an order, by task. */
+    std::map<std::string, std::string> start_checkpoints;
     uint32_t capacity_milli = 4000; /* processors of each worker */
     uint32_t task_ms = 300;
     std::map<std::string, uint32_t> job_task_ms; /* in place of task_ms */
--- a/tests/unit/fleet_simulation_impl.h
+++ b/tests/unit/fleet_simulation_impl.h
@@ -286,6 +286,8 @@
         const mb_order_start_t &start =
             g_array_index(order.starts, mb_order_start_t, i);
         std::string wrong = work.check_start(order.token, start);
+        start_checkpoints[format_task(start.task)] =
+            to_std_string(start.checkpoint);
         mb_dag_job_t *job = mb_dag_find(owner_table, start.task.job);
         if (job != nullptr &&
             !mb_dag_step_ready(job, start.task.occurrence, start.task.step)) {
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -1300,6 +1300,33 @@
     expect_no_violations(simulation);
 }
 
+/* GANG: members that were started with checkpoints of their own, of which one
+   was older, did not work together, for good. */
+TEST(Fleet, MembersOfAGangStartFromOneCheckpoint)
+{
+    FleetSimulation simulation(2);
+    mb_dag_step_t step;
+    simulation.task_ms = 60000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_dag_spec_t spec = one_step_job(&step, first_id, 2, 3000);
+    step.gang = true;
+    step.checkpoints = true;
+    simulation.submit(spec);
+    simulation.advance(500);
+    ASSERT_EQ(simulation.running(), 2u);
+    simulation.machines[0]->worker.end_checkpoint = "one";
+    simulation.machines[1]->worker.end_checkpoint = "other";
+    simulation.machines[0]->worker.finish(0, MB_RUN_FAILED);
+    simulation.advance(2000);
+    EXPECT_EQ(simulation.running(), 2u);
+    ASSERT_EQ(simulation.start_checkpoints.size(), 2u);
+    std::string first = simulation.start_checkpoints.begin()->second;
+    EXPECT_FALSE(first.empty());
+    EXPECT_EQ(simulation.start_checkpoints.rbegin()->second, first);
+    expect_no_violations(simulation);
+}
+
 /* Guards against an occurrence that is started before its due time. */
 TEST(Fleet, WaitsForTheDueTimeOfAnOccurrence)
 {
