--- a/lib/coordination/mb_agent_worker.c
+++ b/lib/coordination/mb_agent_worker.c
@@ -186,7 +186,9 @@
 }
 
 /* Handles an answer of another incarnation of the worker than the known one.
-   Its heartbeat brings its other attributes, and the next list its runs. */
+   The next list brings its runs, and its heartbeat its other attributes, which
+   may differ from the known ones: until then it counts as absent and gets no
+   starts. */
 static void
 handle_restart(mb_agent_t *agent, const mb_executor_answer_t *answer)
 {
@@ -204,6 +206,9 @@
     mb_agent_note_foreign_lease(agent);
     agent->info.incarnation = answer->incarnation;
     agent->info.start_time_ms = answer->start_time_ms;
+#ifndef MB_MUTANT_AGENT_FORMER_ATTRIBUTES_KEPT
+    agent->info.state = MB_WORKER_ABSENT;
+#endif
     agent->heartbeat_sequence = 0;
     agent->list_due_us = 0;
 }
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -1516,6 +1516,26 @@
     EXPECT_TRUE(mb_agent_worker_has_left(machine.agent));
 }
 
+/* ROUTE: a worker that had started again with other labels and less room, and
+   whose restart was seen by a list call first, got starts by those that it had
+   before. */
+TEST(Agent, RestartedWorkerGetsNoStartsByItsFormerAttributes)
+{
+    FleetSimulation simulation(1);
+    mb_dag_step_t step;
+    Machine &machine = *simulation.machines[0];
+    simulation.task_ms = 60000;
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.heartbeat(machine);
+    machine.worker.crash();
+    simulation.capacity_milli = 2000;
+    simulation.submit(one_step_job(&step, first_id, 4, 1000));
+    simulation.advance(3000);
+    EXPECT_EQ(machine.worker.runs.size(), 2u);
+    expect_no_violations(simulation);
+}
+
 /* TWICE: the deregistration of a worker was read after the agent's machine had
    stood still. The worker had got no answer in time and worked on for seconds,
    while its tasks were started elsewhere. */
