--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -67,6 +67,7 @@
     mb_fleet_evidence_init(fleet);
     fleet->progress_rows =
         g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
+    fleet->progress_numbers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 }
 
 /* Releases everything that the fleet owns. Jobs and the table stay with the
@@ -79,6 +80,7 @@
     g_ptr_array_unref(fleet->open_jobs);
     g_ptr_array_unref(fleet->dirty_jobs);
     g_array_unref(fleet->progress_rows);
+    g_array_unref(fleet->progress_numbers);
     mb_headroom_finish(&fleet->headroom_model);
     mb_fleet_pools_finish(&fleet->pools);
     mb_run_time_finish(&fleet->run_times);
@@ -314,14 +316,9 @@
     job->idle_since_us = now_us;
     job->wait_logged_us = 0;
     job->estimated_us = 0;
-    for (uint32_t i = 0; i < job->occurrence_count; i++) {
-        uint64_t due_ms = job->spec.occurrences == 0
-                              ? 0
-                              : job->spec.first_ms + i * job->spec.interval_ms;
-        uint64_t wait_ms = due_ms - MIN(due_ms, now_ms);
-        job->occurrences[i].due_us =
-            wait_ms == 0 ? 0 : now_us + wait_ms * MB_US_PER_MS;
-    }
+    job->due_base_us = now_us;
+    job->due_base_ms = now_ms;
+    job->next_due = 0;
     mb_fleet_estimate_job(fleet, job);
     g_ptr_array_add(fleet->open_jobs, job);
     fleet->jobs_unsorted = true;
@@ -437,8 +434,10 @@
     fleet->store_pending = true;
     for (guint i = 0; i < fleet->dirty_jobs->len; i++) {
         mb_dag_job_t *job = g_ptr_array_index(fleet->dirty_jobs, i);
-        mb_dag_progress_t progress = {.rows = fleet->progress_rows};
+        mb_dag_progress_t progress = {.rows = fleet->progress_rows,
+                                      .numbers = fleet->progress_numbers};
         (void)g_array_set_size(fleet->progress_rows, 0);
+        (void)g_array_set_size(fleet->progress_numbers, 0);
         mb_dag_progress_collect(job, &fleet->done_bits, &progress);
         fleet->callbacks.store(fleet->callbacks.context, &progress);
         job->dirty = false;
@@ -545,13 +544,17 @@
     }
 }
 
-/* Removes jobs that have an outcome from the open ones. */
+/* Removes jobs that have an outcome from the open ones, and frees the finished
+   occurrences of the others. */
 static void
 remove_closed_jobs(mb_fleet_t *fleet)
 {
     for (guint i = 0; i < fleet->open_jobs->len;) {
         mb_dag_job_t *job = g_ptr_array_index(fleet->open_jobs, i);
         if (job->outcome == MB_DAG_OPEN) {
+            if (job->finished_count > 0) {
+                mb_dag_release_finished(job);
+            }
             i++;
             continue;
         }
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -307,6 +307,7 @@
     GPtrArray *dirty_jobs; /* mb_dag_job_t whose progress is to be stored */
     mb_buf_t done_bits;    /* scratch buffers for progress records */
     GArray *progress_rows;
+    GArray *progress_numbers;     /* uint32_t, the same */
     uint32_t running;             /* runs on all workers */
     uint64_t waiting_logged_us;   /* when waiting jobs were last looked for */
     mb_fleet_pools_t pools;       /* as of the start of the latest pass */
--- a/lib/coordination/mb_fleet_attribution.c
+++ b/lib/coordination/mb_fleet_attribution.c
@@ -142,8 +142,10 @@
         mb_dag_find(fleet->table, ((const mb_dag_job_t *)work->job)->spec.id);
     mb_fleet_run_t task = {.job = job, .step = work->step};
     bool has_room = true;
-    for (; has_room && task.occurrence < job->occurrence_count;
-         task.occurrence++) {
+    for (guint i = 0; has_room && i < job->open->len; i++) {
+        const mb_dag_occurrence_t *occurrence =
+            g_ptr_array_index(job->open, i);
+        task.occurrence = occurrence->number;
         for (task.index = 0;
              has_room && task.index < job->steps[work->step].count;
              task.index++) {
--- a/lib/coordination/mb_fleet_backlog.c
+++ b/lib/coordination/mb_fleet_backlog.c
@@ -61,7 +61,10 @@
 task_waits(const mb_dag_job_t *job, uint32_t step, uint64_t now_us)
 {
     for (uint32_t i = 0; i < job->steps[step].count; i++) {
-        const mb_dag_task_t *task = mb_dag_task(job, 0, step, i);
+        const mb_dag_task_t *task = mb_dag_find_task(job, 0, step, i);
+        if (task == NULL) {
+            return !mb_dag_is_finished(job, 0);
+        }
         if (!task->done && !mb_fleet_task_is_running(task) &&
             task->absent_workers == 0 && task->not_before_us <= now_us) {
             return true;
@@ -78,7 +81,7 @@
     for (uint32_t i = 0; i < job->spec.step_count; i++) {
         const mb_dag_step_t *step = &job->steps[i];
         mb_size_t *smallest = &into->waiting[step->best_effort];
-        if (job->occurrences[0].unfinished_tasks[i] > 0 &&
+        if (mb_dag_unfinished(job, 0, i) > 0 &&
             may_show_room(step, smallest) && mb_dag_step_ready(job, 0, i) &&
             task_waits(job, i, now_us)) {
             *smallest = step->size;
--- a/lib/coordination/mb_fleet_copies.c
+++ b/lib/coordination/mb_fleet_copies.c
@@ -126,8 +126,7 @@
 {
     mb_dag_job_t *job = run->job;
     const mb_dag_step_t *step = &job->steps[run->step];
-    uint32_t unfinished =
-        job->occurrences[run->occurrence].unfinished_tasks[run->step];
+    uint32_t unfinished = mb_dag_unfinished(job, run->occurrence, run->step);
     bool is_known = job->step_times[run->step].samples >= SAMPLES_MIN &&
                     2 * unfinished <= step->count;
     mb_fleet_step_model_t model = {0};
@@ -162,11 +161,14 @@
             GArray *stragglers)
 {
     for (uint32_t s = 0; s < job->spec.step_count; s++) {
-        for (uint32_t k = 0; mb_fleet_allows_copies(&job->steps[s]) &&
-                             k < job->occurrence_count;
-             k++) {
-            mb_fleet_run_t run = {.job = job, .occurrence = k, .step = s};
-            if (job->occurrences[k].unfinished_tasks[s] > 0) {
+        for (guint i = 0;
+             mb_fleet_allows_copies(&job->steps[s]) && i < job->open->len;
+             i++) {
+            const mb_dag_occurrence_t *occurrence =
+                g_ptr_array_index(job->open, i);
+            mb_fleet_run_t run = {
+                .job = job, .occurrence = occurrence->number, .step = s};
+            if (occurrence->unfinished_tasks[s] > 0) {
                 look_at_step(inputs, &run, stragglers);
             }
         }
--- a/lib/coordination/mb_fleet_ends.c
+++ b/lib/coordination/mb_fleet_ends.c
@@ -239,14 +239,17 @@
     if (job == NULL) {
         return MB_FLEET_END_JOB_UNKNOWN;
     }
-    mb_dag_task_t *task = mb_dag_task(job, end->task.occurrence,
-                                      end->task.step, end->task.index);
-    if (task == NULL) {
+    if (!mb_dag_has_task(job, &end->task)) {
         return MB_FLEET_END_TASK_UNKNOWN;
     }
     if (job->outcome != MB_DAG_OPEN) {
         return MB_FLEET_END_JOB_CLOSED;
     }
+    mb_dag_task_t *task = mb_dag_task(job, end->task.occurrence,
+                                      end->task.step, end->task.index);
+    if (task == NULL) {
+        return MB_FLEET_END_TASK_DONE;
+    }
     mb_fleet_run_t run = make_ended_run(fleet, job, end);
     bool is_newest =
         !mb_fleet_task_is_running(task) && end->run >= task->last_run;
--- a/lib/coordination/mb_fleet_estimate.c
+++ b/lib/coordination/mb_fleet_estimate.c
@@ -104,12 +104,13 @@
 {
     const mb_dag_job_t *job = run->job;
     g_autoptr(GArray) run_times = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-    if (job->occurrences[run->occurrence].unfinished_tasks[run->step] > 0) {
+    if (mb_dag_unfinished(job, run->occurrence, run->step) > 0) {
         return;
     }
     for (uint32_t i = 0; i < job->steps[run->step].count; i++) {
-        uint32_t run_ms =
-            mb_dag_task(job, run->occurrence, run->step, i)->run_ms;
+        const mb_dag_task_t *task =
+            mb_dag_find_task(job, run->occurrence, run->step, i);
+        uint32_t run_ms = task == NULL ? 0 : task->run_ms;
         if (run_ms > 0) {
             g_array_append_val(run_times, run_ms);
         }
@@ -195,16 +196,16 @@
 get_state(const mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
           uint64_t now_us, double *typical_ms)
 {
-    step_state_t state = {
-        .waiting = job->occurrences[occurrence].unfinished_tasks[step],
-        .youngest_ms = HUGE_VAL};
+    step_state_t state = {.waiting = mb_dag_unfinished(job, occurrence, step),
+                          .youngest_ms = HUGE_VAL};
     double deviations = 0;
     uint32_t longer = 0;
     const mb_dag_step_times_t *times = &job->step_times[step];
-    for (uint32_t i = 0;
-         job->running > 0 && state.waiting > 0 && i < job->steps[step].count;
+    const mb_dag_occurrence_t *open = mb_dag_find_open(job, occurrence);
+    for (uint32_t i = 0; job->running > 0 && state.waiting > 0 &&
+                         open != NULL && i < job->steps[step].count;
          i++) {
-        const mb_dag_task_t *task = mb_dag_task(job, occurrence, step, i);
+        const mb_dag_task_t *task = &open->tasks[job->first_task[step] + i];
         if (task->done || !mb_fleet_task_is_running(task)) {
             continue;
         }
@@ -353,7 +354,7 @@
             longest_path_before(step, left_paths, i) + estimate.left_ms;
         longest_ms = MAX(longest_ms, paths[i]);
         longest_left_ms = MAX(longest_left_ms, left_paths[i]);
-        work += job->occurrences[0].unfinished_tasks[i] * estimate.run_ms *
+        work += mb_dag_unfinished(job, 0, i) * estimate.run_ms *
                 step->size.cpu_milli;
     }
     double objective_ms = longest_ms * job->spec.policy.stretch_milli / MILLI +
--- a/lib/coordination/mb_fleet_reported_runs.c
+++ b/lib/coordination/mb_fleet_reported_runs.c
@@ -20,18 +20,18 @@
 /* Doublings of that time for tasks that have stalled before. */
 #define STALL_DOUBLINGS_MAX 10u
 
-/* Tells whether a reported run that this owner doesn't have on record may go
-   on: its task still needs it and has no newer run. Where the task may have
-   several, it may be the older of two. */
+/* Tells whether a reported run of an open job, which this owner doesn't have
+   on record, may go on: its task still needs it and has no newer run. Where
+   the task may have several, it may be the older of two. */
 static bool
-may_adopt(const mb_dag_job_t *job, const mb_dag_step_t *step,
-          const mb_dag_task_t *task, const mb_report_run_t *entry)
+may_adopt(const mb_dag_step_t *step, const mb_dag_task_t *task,
+          const mb_report_run_t *entry)
 {
     bool is_newest = entry->run >= task->last_run;
 #ifndef MB_MUTANT_FLEET_OLDER_COPY_NOT_ADOPTED
     is_newest = is_newest || mb_fleet_allows_copies(step);
 #endif
-    return job->outcome == MB_DAG_OPEN && !task->done && is_newest &&
+    return !task->done && is_newest &&
            mb_fleet_count_copies(task) <
                (step->speculative ? MB_DAG_COPIES_MAX : 1u);
 }
@@ -62,22 +62,24 @@
           const mb_report_run_t *entry)
 {
     mb_dag_job_t *job = mb_dag_find(fleet->table, entry->task.job);
+    bool is_known = job != NULL && mb_dag_has_task(job, &entry->task);
+    const mb_dag_step_t *step =
+        is_known ? &job->steps[entry->task.step] : NULL;
     mb_dag_task_t *task =
-        job == NULL ? NULL
-                    : mb_dag_task(job, entry->task.occurrence,
-                                  entry->task.step, entry->task.index);
+        is_known && job->outcome == MB_DAG_OPEN
+            ? mb_dag_task(job, entry->task.occurrence, entry->task.step,
+                          entry->task.index)
+            : NULL;
     if (task != NULL && entry->confirmed) {
         mb_fleet_mark_begun(fleet, worker, job);
     }
-    if (task == NULL ||
-        !may_adopt(job, &job->steps[entry->task.step], task, entry)) {
+    if (step == NULL || task == NULL || !may_adopt(step, task, entry)) {
         mb_log_info(&fleet->log,
                     "stopping an orphaned run job=%.*s run=%" G_GUINT64_FORMAT
                     " worker=%.*s",
                     MB_STR_ARG(mb_dag_id_view(&entry->task.job)), entry->run,
                     MB_STR_ARG(mb_buf_view(&worker->name)));
-        stop_orphan(fleet, worker, entry,
-                    task == NULL ? NULL : &job->steps[entry->task.step]);
+        stop_orphan(fleet, worker, entry, step);
         return;
     }
     mb_fleet_run_t run = {.job = job,
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -316,7 +316,8 @@
                             .occurrence = id->occurrence,
                             .step = id->step,
                             .index = id->index};
-    return !mb_fleet_run_task(run)->done;
+    const mb_dag_task_t *task = mb_fleet_run_task(run);
+    return task != NULL && !task->done;
 }
 
 /* Starts the task for which a worker keeps a place, once its former run has
@@ -368,9 +369,12 @@
 start_tasks(pass_t *pass, mb_fleet_run_t *run)
 {
     const mb_dag_step_t *step = &run->job->steps[run->step];
+    const mb_dag_occurrence_t *occurrence =
+        mb_dag_find_open(run->job, run->occurrence);
     bool none_waits = true;
     mb_fleet_candidates_clear(&pass->candidates);
-    for (run->index = 0; run->index < step->count; run->index++) {
+    for (run->index = occurrence->first_unfinished[run->step];
+         run->index < step->count; run->index++) {
         mb_dag_task_t *task = mb_fleet_run_task(run);
         if (!is_startable(pass, task)) {
             none_waits =
@@ -564,8 +568,7 @@
 note_waiting_step(const pass_t *pass, const mb_fleet_run_t *run)
 {
     const mb_dag_job_t *job = run->job;
-    uint32_t unfinished =
-        job->occurrences[run->occurrence].unfinished_tasks[run->step];
+    uint32_t unfinished = mb_dag_unfinished(job, run->occurrence, run->step);
     if (mb_fleet_pools_has_evacuated(pass->inputs.pools,
                                      job->spec.policy.service)) {
         pass->inputs.fleet->evacuated_tasks +=
@@ -580,13 +583,16 @@
 start_job(pass_t *pass, mb_dag_job_t *job)
 {
     bool none_waits = true;
-    for (uint32_t k = 0; k < job->occurrence_count; k++) {
-        if (job->occurrences[k].due_us > pass->inputs.now_us) {
+    mb_dag_open_due(job, pass->inputs.now_us);
+    for (guint i = 0; i < job->open->len; i++) {
+        mb_dag_occurrence_t *occurrence = g_ptr_array_index(job->open, i);
+        uint32_t k = occurrence->number;
+        if (mb_dag_due_us(job, k) > pass->inputs.now_us) {
             none_waits = false;
             continue;
         }
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            if (job->occurrences[k].unfinished_tasks[s] == 0 ||
+            if (occurrence->unfinished_tasks[s] == 0 ||
                 !mb_dag_step_ready(job, k, s)) {
                 continue;
             }
@@ -601,17 +607,22 @@
             }
         }
     }
-    job->needs_scheduling = !none_waits;
+    job->needs_scheduling =
+        !none_waits || job->next_due < job->occurrence_count;
 }
 
-/* Counts the tasks of a job that are neither done nor running. */
+/* Counts the tasks of a job's due occurrences that are neither done nor
+   running. */
 static uint32_t
-count_waiting_tasks(const mb_dag_job_t *job)
+count_waiting_tasks(mb_dag_job_t *job, uint64_t now_us)
 {
     uint32_t count = 0;
-    for (uint32_t k = 0; k < job->occurrence_count; k++) {
+    mb_dag_open_due(job, now_us);
+    for (guint i = 0; i < job->open->len; i++) {
+        const mb_dag_occurrence_t *occurrence =
+            g_ptr_array_index(job->open, i);
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            count += job->occurrences[k].unfinished_tasks[s];
+            count += occurrence->unfinished_tasks[s];
         }
     }
     return count - MIN(count, job->running);
@@ -689,7 +700,7 @@
             continue;
         }
         if (blocked) {
-            fleet->held_tasks += count_waiting_tasks(job);
+            fleet->held_tasks += count_waiting_tasks(job, pass.inputs.now_us);
             continue;
         }
         start_job(&pass, job);
--- a/lib/coordination/mb_fleet_waiting.c
+++ b/lib/coordination/mb_fleet_waiting.c
@@ -18,12 +18,16 @@
 static bool
 find_waiting_task(mb_dag_job_t *job, uint64_t now_us, mb_fleet_run_t *run)
 {
-    for (uint32_t k = 0; k < job->occurrence_count; k++) {
-        if (job->occurrences[k].due_us > now_us) {
+    mb_dag_open_due(job, now_us);
+    for (guint i = 0; i < job->open->len; i++) {
+        const mb_dag_occurrence_t *occurrence =
+            g_ptr_array_index(job->open, i);
+        uint32_t k = occurrence->number;
+        if (mb_dag_due_us(job, k) > now_us) {
             continue;
         }
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            if (job->occurrences[k].unfinished_tasks[s] == 0 ||
+            if (occurrence->unfinished_tasks[s] == 0 ||
                 !mb_dag_step_ready(job, k, s)) {
                 continue;
             }
--- a/lib/coordination/mb_fleet_where.c
+++ b/lib/coordination/mb_fleet_where.c
@@ -96,7 +96,7 @@
          s < job->spec.step_count && where->step_count < MB_FLEET_WHERE_STEPS;
          s++) {
         mb_fleet_run_t run;
-        if (job->occurrences[occurrence].unfinished_tasks[s] == 0 ||
+        if (mb_dag_unfinished(job, occurrence, s) == 0 ||
             !mb_dag_step_ready(job, occurrence, s)) {
             continue;
         }
@@ -117,11 +117,13 @@
     *where = (mb_fleet_where_t){
         .is_late = mb_fleet_job_is_late(job, inputs.now_us),
         .jobs_before = mb_fleet_count_jobs_before(fleet, job, inputs.now_us)};
-    for (uint32_t k = 0;
-         k < job->occurrence_count && where->step_count < MB_FLEET_WHERE_STEPS;
-         k++) {
-        if (job->occurrences[k].due_us <= inputs.now_us) {
-            explain_occurrence(&inputs, job, k, where);
+    mb_dag_open_due(job, inputs.now_us);
+    for (guint i = 0;
+         i < job->open->len && where->step_count < MB_FLEET_WHERE_STEPS; i++) {
+        const mb_dag_occurrence_t *occurrence =
+            g_ptr_array_index(job->open, i);
+        if (mb_dag_due_us(job, occurrence->number) <= inputs.now_us) {
+            explain_occurrence(&inputs, job, occurrence->number, where);
         }
     }
 }
--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -20,6 +20,10 @@
 #define SLOPE_SCALE 1000.0
 /* Version of the format. Records of other versions are rejected. */
 #define RECORD_VERSION 1u
+/* Version of the progress of a recurring job, which has more elements. */
+#define SPARSE_VERSION 2u
+/* Number of elements of a range of occurrences: first, end. */
+#define RANGE_ELEMENTS 2u
 
 /* First letter of the key for each kind of record. */
 static const char key_letters[MB_DAG_RECORD_KIND_COUNT] = {
@@ -30,6 +34,8 @@
 mb_dag_record_decoder_init(mb_dag_record_decoder_t *decoder)
 {
     decoder->rows = g_array_new(FALSE, FALSE, sizeof(mb_dag_progress_row_t));
+    decoder->finished = g_array_new(FALSE, FALSE, sizeof(mb_dag_range_t));
+    decoder->numbers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     decoder->pairs = g_array_new(FALSE, FALSE, sizeof(mb_headroom_pair_t));
     decoder->tasks = g_array_new(FALSE, FALSE, sizeof(mb_dag_task_id_t));
     mb_backlog_forecast_init(&decoder->backlog);
@@ -42,6 +48,8 @@
 {
     msgpack_zone_destroy(&decoder->zone);
     g_array_unref(decoder->rows);
+    g_array_unref(decoder->finished);
+    g_array_unref(decoder->numbers);
     g_array_unref(decoder->pairs);
     g_array_unref(decoder->tasks);
     mb_backlog_forecast_finish(&decoder->backlog);
@@ -198,16 +206,38 @@
     (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
 }
 
+/* Packs the elements that only the progress of a recurring job has: the ranges
+   of finished occurrences as one array (first, end, first, ...), and the
+   numbers of the occurrences that the bits describe. */
+static void
+pack_sparse(msgpack_packer *packer, const mb_dag_progress_t *progress)
+{
+    const GArray *finished = progress->finished;
+    const GArray *numbers = progress->numbers;
+    (void)msgpack_pack_array(packer, (size_t)finished->len * RANGE_ELEMENTS);
+    for (guint i = 0; i < finished->len; i++) {
+        mb_dag_range_t range = g_array_index(finished, mb_dag_range_t, i);
+        (void)msgpack_pack_uint32(packer, range.first);
+        (void)msgpack_pack_uint32(packer, range.end);
+    }
+    (void)msgpack_pack_array(packer, numbers->len);
+    for (guint i = 0; i < numbers->len; i++) {
+        (void)msgpack_pack_uint32(packer, g_array_index(numbers, uint32_t, i));
+    }
+}
+
 /* Appends the progress of a job as [version, outcome, whether a task has
-   started, bits of the tasks that are done, rows]. Each row is four elements:
-   occurrence, task, array of the failed runs, checkpoint. */
+   started, bits of the tasks that are done, rows], for a recurring job with
+   the elements of pack_sparse after it. Each row is four elements: occurrence,
+   task, array of the failed runs, checkpoint. */
 void
 mb_dag_record_encode_progress(mb_buf_t *out, const mb_dag_progress_t *progress)
 {
     msgpack_packer packer;
     mb_pack_init(&packer, out);
-    (void)msgpack_pack_array(&packer, 5);
-    (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
+    (void)msgpack_pack_array(&packer, progress->is_sparse ? 7 : 5);
+    (void)msgpack_pack_uint32(&packer, progress->is_sparse ? SPARSE_VERSION
+                                                           : RECORD_VERSION);
     (void)msgpack_pack_uint32(&packer, (uint32_t)progress->outcome);
     mb_pack_bool(&packer, progress->started);
     mb_pack_bin(&packer, progress->done);
@@ -223,6 +253,9 @@
         }
         mb_pack_bin(&packer, row->checkpoint);
     }
+    if (progress->is_sparse) {
+        pack_sparse(&packer, progress);
+    }
 }
 
 /* Reads the numbers of the failed runs of a task into the decoder's zone.
@@ -250,20 +283,45 @@
     outer->failed = outer->failed || runs.failed;
 }
 
-/* Reads the progress of a job. The rows are stored in the decoder. */
+/* Reads the elements of pack_sparse into the decoder. */
+static void
+unpack_sparse(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader)
+{
+    mb_unpack_t ranges = mb_unpack_next_array(reader);
+    while (ranges.left > 0 && !ranges.failed) {
+        mb_dag_range_t range = {0};
+        range.first = (uint32_t)mb_unpack_u64(&ranges, MB_DAG_OCCURRENCES_MAX);
+        range.end = (uint32_t)mb_unpack_u64(&ranges, MB_DAG_OCCURRENCES_MAX);
+        g_array_append_val(decoder->finished, range);
+    }
+    mb_unpack_t numbers = mb_unpack_next_array(reader);
+    while (numbers.left > 0 && !numbers.failed) {
+        uint32_t number =
+            (uint32_t)mb_unpack_u64(&numbers, MB_DAG_OCCURRENCES_MAX);
+        g_array_append_val(decoder->numbers, number);
+    }
+    reader->failed = reader->failed || ranges.failed || numbers.failed;
+}
+
+/* Reads the progress of a job. Its arrays are stored in the decoder. */
 static void
 unpack_progress(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader,
-                mb_dag_record_t *record)
+                bool is_sparse, mb_dag_record_t *record)
 {
     mb_dag_progress_t *progress = &record->body.progress;
     progress->id = record->id;
+    progress->is_sparse = is_sparse;
     progress->rows = decoder->rows;
+    progress->finished = decoder->finished;
+    progress->numbers = decoder->numbers;
     progress->outcome =
         (mb_dag_outcome_t)mb_unpack_u64(reader, MB_DAG_OUTCOME_COUNT - 1);
     progress->started = mb_unpack_bool(reader);
     progress->done = mb_unpack_bytes(reader, MB_DAG_TASKS_MAX);
     mb_unpack_t rows = mb_unpack_next_array(reader);
     (void)g_array_set_size(decoder->rows, 0);
+    (void)g_array_set_size(decoder->finished, 0);
+    (void)g_array_set_size(decoder->numbers, 0);
     while (rows.left > 0 && !rows.failed) {
         mb_dag_progress_row_t row = {0};
         row.occurrence = (uint32_t)mb_unpack_u64(&rows, UINT32_MAX);
@@ -273,6 +331,9 @@
         g_array_append_val(decoder->rows, row);
     }
     reader->failed = reader->failed || rows.failed;
+    if (is_sparse && !reader->failed) {
+        unpack_sparse(decoder, reader);
+    }
 }
 
 /* Appends the announcement or departure of an agent as [version, incarnation];
@@ -526,7 +587,10 @@
 unpack_body(mb_dag_record_decoder_t *decoder, mb_unpack_t *reader,
             mb_dag_record_t *record)
 {
-    if (mb_unpack_u64(reader, UINT32_MAX) != RECORD_VERSION) {
+    uint64_t version = mb_unpack_u64(reader, UINT32_MAX);
+    bool is_sparse =
+        record->kind == MB_DAG_RECORD_PROGRESS && version == SPARSE_VERSION;
+    if (version != RECORD_VERSION && !is_sparse) {
         reader->failed = true;
         return;
     }
@@ -535,7 +599,7 @@
         unpack_job(decoder, reader, record);
         break;
     case MB_DAG_RECORD_PROGRESS:
-        unpack_progress(decoder, reader, record);
+        unpack_progress(decoder, reader, is_sparse, record);
         break;
     case MB_DAG_RECORD_AGENT:
     case MB_DAG_RECORD_DEPARTURE:
--- a/lib/protocol/mb_dag_record.h
+++ b/lib/protocol/mb_dag_record.h
@@ -62,9 +62,11 @@
 /* Memory for decoding, reused for each record. Used on one thread. */
 typedef struct mb_dag_record_decoder {
     msgpack_zone zone;
-    GArray *rows;  /* mb_dag_progress_row_t */
-    GArray *pairs; /* mb_headroom_pair_t */
-    GArray *tasks; /* mb_dag_task_id_t */
+    GArray *rows;     /* mb_dag_progress_row_t */
+    GArray *finished; /* mb_dag_range_t */
+    GArray *numbers;  /* uint32_t */
+    GArray *pairs;    /* mb_headroom_pair_t */
+    GArray *tasks;    /* mb_dag_task_id_t */
     mb_backlog_forecast_t backlog;
     mb_dag_step_t steps[MB_DAG_STEPS_MAX];
 } mb_dag_record_decoder_t;
--- a/lib/state/mb_dag.c
+++ b/lib/state/mb_dag.c
@@ -27,25 +27,25 @@
     return (mb_str_t){g_memdup2(text.data, text.len), text.len};
 }
 
-/* Frees a copy made by copy_text. */
+/* Frees a copy made by copy_text and makes it empty. */
 static void
-free_text(mb_str_t text)
+free_text(mb_str_t *text)
 {
-    if (text.len > 0) {
-        g_free((char *)text.data);
+    if (text->len > 0) {
+        g_free((char *)text->data);
     }
+    *text = MB_STR_EMPTY;
 }
 
-/* Frees the tasks of one occurrence. */
+/* Frees the texts of the steps of a job. */
 static void
-finish_occurrence(const mb_dag_job_t *job, mb_dag_occurrence_t *occurrence)
+free_step_texts(mb_dag_job_t *job)
 {
-    for (uint32_t i = 0; i < job->task_count; i++) {
-        g_free(occurrence->tasks[i].checkpoint);
-        g_free(occurrence->tasks[i].failed_runs);
+    for (uint32_t i = 0; i < job->spec.step_count; i++) {
+        free_text(&job->steps[i].label);
+        free_text(&job->steps[i].rack);
+        free_text(&job->steps[i].image);
     }
-    g_free(occurrence->tasks);
-    g_free(occurrence->unfinished_tasks);
 }
 
 /* Frees a job; the destructor of the values of the hash table. */
@@ -53,18 +53,14 @@
 free_job(gpointer data)
 {
     mb_dag_job_t *job = data;
-    for (uint32_t i = 0; i < job->occurrence_count; i++) {
-        finish_occurrence(job, &job->occurrences[i]);
-    }
-    for (uint32_t i = 0; i < job->spec.step_count; i++) {
-        free_text(job->steps[i].label);
-        free_text(job->steps[i].rack);
-        free_text(job->steps[i].image);
-    }
-    free_text(job->spec.payload);
-    free_text(job->spec.policy.queue);
-    free_text(job->spec.policy.service);
-    g_free(job->occurrences);
+    mb_dag_close_all(job);
+    free_step_texts(job);
+    free_text(&job->spec.payload);
+    free_text(&job->spec.policy.queue);
+    free_text(&job->spec.policy.service);
+    job->table->weight -= job->weight;
+    g_ptr_array_unref(job->open);
+    g_array_unref(job->finished);
     g_free(job->first_task);
     g_free(job->step_times);
     g_free(job->steps);
@@ -75,6 +71,7 @@
 void
 mb_dag_table_init(mb_dag_table_t *table)
 {
+    *table = (mb_dag_table_t){0};
     table->jobs =
         g_hash_table_new_full(mb_dag_id_hash, mb_dag_id_equal, NULL, free_job);
 }
@@ -213,17 +210,6 @@
     job->spec.steps = job->steps;
 }
 
-/* Allocates the tasks of an occurrence. */
-static void
-init_occurrence(const mb_dag_job_t *job, mb_dag_occurrence_t *occurrence)
-{
-    occurrence->tasks = g_new0(mb_dag_task_t, job->task_count);
-    occurrence->unfinished_tasks = g_new(uint32_t, job->spec.step_count);
-    for (uint32_t i = 0; i < job->spec.step_count; i++) {
-        occurrence->unfinished_tasks[i] = job->steps[i].count;
-    }
-}
-
 /* Adds a job. The specification must be valid; its texts and steps are copied.
    Returns NULL and changes nothing if there is a job of the same id. */
 mb_dag_job_t *
@@ -233,226 +219,34 @@
         return NULL;
     }
     mb_dag_job_t *job = g_new0(mb_dag_job_t, 1);
+    job->table = table;
     job->spec = *spec;
     job->spec.payload = copy_text(spec->payload);
     job->spec.policy.queue = copy_text(spec->policy.queue);
     job->spec.policy.service = copy_text(spec->policy.service);
     copy_steps(job, spec);
     job->occurrence_count = MAX(1u, spec->occurrences);
-    job->occurrences = g_new0(mb_dag_occurrence_t, job->occurrence_count);
-    for (uint32_t i = 0; i < job->occurrence_count; i++) {
-        init_occurrence(job, &job->occurrences[i]);
-    }
+    job->open = g_ptr_array_new();
+    job->finished = g_array_new(FALSE, FALSE, sizeof(mb_dag_range_t));
+    job->weight = mb_dag_weigh(spec);
+    table->weight += job->weight;
     (void)g_hash_table_insert(table->jobs, &job->spec.id, job);
     return job;
 }
 
-/* Finds a task by occurrence, step and index in the step; NULL if a number is
-   out of range. */
-mb_dag_task_t *
-mb_dag_task(const mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
-            uint32_t index)
-{
-    if (occurrence >= job->occurrence_count || step >= job->spec.step_count ||
-        index >= job->steps[step].count) {
-        return NULL;
-    }
-    return &job->occurrences[occurrence].tasks[job->first_task[step] + index];
-}
-
-/* Returns the step of a task, given by its index in the occurrence. */
-uint32_t
-mb_dag_find_step(const mb_dag_job_t *job, uint32_t task)
-{
-    uint32_t step = job->spec.step_count - 1;
-    while (step > 0 && job->first_task[step] > task) {
-        step--;
-    }
-    return step;
-}
-
-/* Replaces the checkpoint of a task by a copy of the text. An empty text is
-   ignored, because the work saved by an earlier checkpoint would be lost, and
-   so is one longer than MB_DAG_CHECKPOINT_MAX. */
+/* Frees what is of no use any more after a job has its outcome and no runs:
+   its tasks, its payload and the texts of its steps. */
 void
-mb_dag_set_checkpoint(mb_dag_task_t *task, mb_str_t checkpoint)
+mb_dag_compact(mb_dag_job_t *job)
 {
-    if (checkpoint.len == 0 || checkpoint.len > MB_DAG_CHECKPOINT_MAX) {
+    if (job->compacted) {
         return;
     }
-    g_free(task->checkpoint);
-    task->checkpoint = g_memdup2(checkpoint.data, checkpoint.len);
-    task->checkpoint_len = (uint16_t)checkpoint.len;
-}
-
-/* Counts the failure of a run. Returns false if it was counted before or
-   MB_DAG_FAILURES_MAX failures are counted. */
-bool
-mb_dag_add_failure(mb_dag_task_t *task, uint64_t run)
-{
-    for (uint16_t i = 0; i < task->failures; i++) {
-        if (task->failed_runs[i] == run) {
-            return false;
-        }
-    }
-#ifdef MB_MUTANT_DAG_FAILURE_NOT_COUNTED
-    return false;
-#endif
-    if (task->failures == MB_DAG_FAILURES_MAX) {
-        return false;
-    }
-    task->failed_runs =
-        g_renew(uint64_t, task->failed_runs, (gsize)task->failures + 1);
-    task->failed_runs[task->failures++] = run;
-    return true;
-}
-
-/* Marks a task as done, which is final. Repeated calls have no effect. */
-void
-mb_dag_set_done(mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
-                mb_dag_task_t *task)
-{
-    mb_dag_occurrence_t *target = &job->occurrences[occurrence];
-    if (task->done) {
-        return;
-    }
-    task->done = true;
-    target->unfinished_tasks[step]--;
-    if (target->unfinished_tasks[step] == 0) {
-        target->finished_steps |= UINT64_C(1) << step;
-    }
-}
-
-/* Returns whether all steps that a step depends on are done. */
-bool
-mb_dag_step_ready(const mb_dag_job_t *job, uint32_t occurrence, uint32_t step)
-{
-    uint64_t needed = job->steps[step].depends_on;
-    return (job->occurrences[occurrence].finished_steps & needed) == needed;
-}
-
-/* Returns whether all tasks of all occurrences are done. */
-bool
-mb_dag_all_done(const mb_dag_job_t *job)
-{
-    for (uint32_t i = 0; i < job->occurrence_count; i++) {
-        for (uint32_t step = 0; step < job->spec.step_count; step++) {
-            if (job->occurrences[i].unfinished_tasks[step] > 0) {
-                return false;
-            }
-        }
-    }
-    return true;
-}
-
-/* Returns the size of the done bits of an occurrence, in bytes. */
-static size_t
-occurrence_bytes(const mb_dag_job_t *job)
-{
-    return (job->task_count + 7u) / 8u;
-}
-
-/* Returns the size of the done bits of a job, in bytes. */
-size_t
-mb_dag_done_bytes(const mb_dag_job_t *job)
-{
-    return occurrence_bytes(job) * job->occurrence_count;
-}
-
-/* Adds a row for a task that is not done but has failures or a checkpoint.
-   `number` is its index in the occurrence. */
-static void
-collect_row(const mb_dag_task_t *task, uint32_t occurrence, uint32_t number,
-            mb_dag_progress_t *progress)
-{
-    mb_dag_progress_row_t row = {
-        .occurrence = occurrence,
-        .task = number,
-        .failures = task->failures,
-        .failed_runs = task->failed_runs,
-        .checkpoint = {task->checkpoint, task->checkpoint_len}};
-    if (!task->done && (task->failures > 0 || task->checkpoint_len > 0)) {
-        (void)g_array_append_val(progress->rows, row);
-    }
-}
-
-/* Sets a bit; the bits of a byte are numbered from the lowest. */
-static void
-set_bit(char *bits, uint32_t number)
-{
-    unsigned char *byte = (unsigned char *)bits + number / 8;
-    *byte = (unsigned char)(*byte | (1u << (number % 8)));
-}
-
-/* Sets *progress to the progress of a job, to be stored. `progress->rows` must
-   be an empty array. The result is valid as long as neither `bits`, whose
-   content is replaced by the done bits, nor the job changes, as its rows point
-   into the job. */
-void
-mb_dag_progress_collect(const mb_dag_job_t *job, mb_buf_t *bits,
-                        mb_dag_progress_t *progress)
-{
-    size_t bytes = occurrence_bytes(job);
-    size_t all = mb_dag_done_bytes(job);
-    mb_buf_clear(bits);
-    mb_buf_reserve(bits, all);
-    memset(bits->data, 0, all);
-    bits->len = all;
-    for (uint32_t i = 0; i < job->occurrence_count; i++) {
-        const mb_dag_task_t *tasks = job->occurrences[i].tasks;
-        for (uint32_t t = 0; t < job->task_count; t++) {
-            if (tasks[t].done) {
-                set_bit(bits->data + bytes * i, t);
-            }
-            collect_row(&tasks[t], i, t, progress);
-        }
-    }
-    progress->id = job->spec.id;
-    progress->outcome = job->outcome;
-    progress->started = job->any_run_started;
-    progress->done = mb_buf_view(bits);
-}
-
-/* Marks the tasks of an occurrence as done whose bits are set. */
-static void
-apply_done_bits(mb_dag_job_t *job, uint32_t occurrence, mb_str_t bits)
-{
-    mb_dag_occurrence_t *target = &job->occurrences[occurrence];
-    for (uint32_t t = 0; t < job->task_count; t++) {
-        if (bits.data[t / 8] & (1 << (t % 8))) {
-            mb_dag_set_done(job, occurrence, mb_dag_find_step(job, t),
-                            &target->tasks[t]);
-        }
-    }
-}
-
-/* Applies stored progress to a job. Progress whose done bits don't have the
-   size that the job requires is ignored, and so are rows of tasks that the job
-   does not have. */
-void
-mb_dag_progress_apply(mb_dag_job_t *job, const mb_dag_progress_t *progress)
-{
-    size_t bytes = occurrence_bytes(job);
-    if (progress->done.len != mb_dag_done_bytes(job)) {
-        return;
-    }
-    for (uint32_t i = 0; i < job->occurrence_count; i++) {
-        apply_done_bits(job, i,
-                        (mb_str_t){progress->done.data + bytes * i, bytes});
-    }
-    for (guint i = 0; i < progress->rows->len; i++) {
-        const mb_dag_progress_row_t *row =
-            &g_array_index(progress->rows, mb_dag_progress_row_t, i);
-        if (row->occurrence < job->occurrence_count &&
-            row->task < job->task_count) {
-            mb_dag_task_t *task =
-                &job->occurrences[row->occurrence].tasks[row->task];
-            for (uint16_t k = 0; k < row->failures; k++) {
-                (void)mb_dag_add_failure(task, row->failed_runs[k]);
-            }
-            mb_dag_set_checkpoint(task, row->checkpoint);
-        }
-    }
-    job->outcome = progress->outcome;
-    job->any_run_started = job->any_run_started || progress->started;
+    job->compacted = true;
+    mb_dag_close_all(job);
+    free_text(&job->spec.payload);
+    free_step_texts(job);
+    job->table->weight -= job->weight;
+    job->weight = MIN(job->weight, mb_dag_weigh_compacted(job));
+    job->table->weight += job->weight;
 }
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -31,6 +31,9 @@
 #define MB_DAG_FAILURES_MAX 4096u
 /* Maximum number of concurrent runs of a task in a speculative step. */
 #define MB_DAG_COPIES_MAX 2u
+/* Memory of all jobs together for occurrences beyond the window of their job
+   (mb_dag_window), in bytes. */
+#define MB_DAG_SURPLUS_BYTES_MAX (4u * 1024u * 1024u)
 
 /* The id of a job, chosen by the client: hexadecimal digits. Not
    NUL-terminated. */
@@ -157,23 +160,39 @@
     uint32_t absent_workers;
 } mb_dag_task_t;
 
-/* An occurrence of a job. */
+/* An open occurrence of a job: one that has begun or is due, and is not known
+   to be finished. Only these are in memory. */
 typedef struct mb_dag_occurrence {
+    uint32_t number;
+    bool is_surplus;            /* it was opened beyond the job's window */
     mb_dag_task_t *tasks;       /* of all steps, in order of the steps */
     uint32_t *unfinished_tasks; /* number of tasks not done, by step */
-    uint64_t due_us;            /* by the clock of the owner */
-    uint64_t finished_steps;    /* mask of steps whose tasks are all done */
+    /* By step: all tasks of the step with a lower index are done. */
+    uint32_t *first_unfinished;
+    uint64_t finished_steps; /* mask of steps whose tasks are all done */
 } mb_dag_occurrence_t;
 
+/* Consecutive occurrences, from `first` to `end` - 1. */
+typedef struct mb_dag_range {
+    uint32_t first;
+    uint32_t end;
+} mb_dag_range_t;
+
 /* A job. Times in microseconds are by the clock of this process. */
 typedef struct mb_dag_job {
+    struct mb_dag_table *table;
     mb_dag_spec_t spec; /* owns its texts and steps */
     mb_dag_step_t *steps;
     uint32_t *first_task;            /* its index in an occurrence, by step */
     mb_dag_step_times_t *step_times; /* known to the owner, by step */
     uint32_t task_count;             /* of an occurrence */
     uint32_t occurrence_count;
-    mb_dag_occurrence_t *occurrences;
+    GPtrArray *open;  /* mb_dag_occurrence_t by number; those that are finished
+                         stay until mb_dag_release_finished */
+    GArray *finished; /* mb_dag_range_t, in order, with gaps between them */
+    uint32_t finished_count; /* number of finished occurrences */
+    uint64_t weight;         /* its part of the table's weight */
+    bool compacted;          /* see mb_dag_compact */
     /* As stored in the job log, and thus as reported to clients: */
     mb_dag_outcome_t stored_outcome;
     bool started; /* a worker has listed a run or its end */
@@ -190,7 +209,13 @@
     uint64_t idle_since_us; /* since when `running` is 0 */
     uint64_t wait_logged_us; /* when the log last got why it waits; 0: never */
     uint64_t arrived_us;     /* when the job was submitted */
-    uint64_t objective_us;   /* see mb_dag_policy_t; from `arrived_us` */
+    /* The same time by the clock of this process and as Unix time, from which
+       due times are computed. */
+    uint64_t due_base_us;
+    uint64_t due_base_ms;
+    uint32_t next_due; /* every occurrence before it was opened or is finished
+                        */
+    uint64_t objective_us; /* see mb_dag_policy_t; from `arrived_us` */
     /* Estimates for the first occurrence: */
     uint64_t remaining_work; /* in milliseconds of 1/1000 processor */
     uint64_t remaining_us;   /* of the critical path: minimum to completion */
@@ -211,21 +236,30 @@
     mb_dag_id_t id;
     mb_dag_outcome_t outcome;
     bool started;
+    /* Whether the record names the finished occurrences and those that `done`
+       describes, as for recurring jobs; otherwise `done` describes all. */
+    bool is_sparse;
+    GArray *finished; /* mb_dag_range_t */
+    GArray *numbers;  /* uint32_t: the occurrences that `done` describes */
     mb_str_t done; /* a bit for each task; every occurrence starts at a byte */
     GArray *rows;  /* mb_dag_progress_row_t */
 } mb_dag_progress_t;
 
 /* All jobs that a process knows. */
 typedef struct mb_dag_table {
-    GHashTable *jobs; /* mb_dag_job_t by id */
+    GHashTable *jobs;       /* mb_dag_job_t by id */
+    uint64_t weight;        /* of all jobs (mb_dag_weigh), in bytes */
+    uint64_t surplus_bytes; /* of occurrences opened beyond their window */
 } mb_dag_table_t;
 
+/* mb_dag.c */
 void mb_dag_table_init(mb_dag_table_t *table);
 void mb_dag_table_finish(mb_dag_table_t *table);
 void mb_dag_table_clear(mb_dag_table_t *table);
 mb_dag_job_t *mb_dag_find(const mb_dag_table_t *table, mb_dag_id_t id);
 mb_dag_job_t *mb_dag_add(mb_dag_table_t *table, const mb_dag_spec_t *spec);
 void mb_dag_remove(mb_dag_table_t *table, mb_dag_id_t id);
+void mb_dag_compact(mb_dag_job_t *job);
 bool mb_dag_spec_valid(const mb_dag_spec_t *spec, const char **reason);
 
 /* For a GHashTable whose keys are of type mb_dag_id_t. */
@@ -234,9 +268,31 @@
 bool mb_dag_id_parse(mb_str_t text, mb_dag_id_t *id);
 mb_str_t mb_dag_id_view(const mb_dag_id_t *id);
 
-mb_dag_task_t *mb_dag_task(const mb_dag_job_t *job, uint32_t occurrence,
+/* mb_dag_weight.c */
+uint32_t mb_dag_window(const mb_dag_spec_t *spec);
+uint64_t mb_dag_weigh(const mb_dag_spec_t *spec);
+uint64_t mb_dag_weigh_occurrence(const mb_dag_spec_t *spec);
+uint64_t mb_dag_weigh_compacted(const mb_dag_job_t *job);
+
+/* mb_dag_occurrence.c */
+mb_dag_occurrence_t *mb_dag_find_open(const mb_dag_job_t *job,
+                                      uint32_t number);
+mb_dag_occurrence_t *mb_dag_open(mb_dag_job_t *job, uint32_t number);
+void mb_dag_open_due(mb_dag_job_t *job, uint64_t now_us);
+void mb_dag_release_finished(mb_dag_job_t *job);
+void mb_dag_close_all(mb_dag_job_t *job);
+bool mb_dag_is_finished(const mb_dag_job_t *job, uint32_t number);
+void mb_dag_set_finished(mb_dag_job_t *job, mb_dag_range_t range);
+uint64_t mb_dag_due_us(const mb_dag_job_t *job, uint32_t number);
+bool mb_dag_has_task(const mb_dag_job_t *job, const mb_dag_task_id_t *id);
+mb_dag_task_t *mb_dag_task(mb_dag_job_t *job, uint32_t occurrence,
                            uint32_t step, uint32_t index);
+const mb_dag_task_t *mb_dag_find_task(const mb_dag_job_t *job,
+                                      uint32_t occurrence, uint32_t step,
+                                      uint32_t index);
 uint32_t mb_dag_find_step(const mb_dag_job_t *job, uint32_t task);
+uint32_t mb_dag_unfinished(const mb_dag_job_t *job, uint32_t occurrence,
+                           uint32_t step);
 void mb_dag_set_checkpoint(mb_dag_task_t *task, mb_str_t checkpoint);
 bool mb_dag_add_failure(mb_dag_task_t *task, uint64_t run);
 void mb_dag_set_done(mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
@@ -245,7 +301,7 @@
                        uint32_t step);
 bool mb_dag_all_done(const mb_dag_job_t *job);
 
-size_t mb_dag_done_bytes(const mb_dag_job_t *job);
+/* mb_dag_progress.c */
 void mb_dag_progress_collect(const mb_dag_job_t *job, mb_buf_t *bits,
                              mb_dag_progress_t *progress);
 void mb_dag_progress_apply(mb_dag_job_t *job,
--- a/tests/unit/test_dag.cc
+++ b/tests/unit/test_dag.cc
@@ -204,7 +204,7 @@
     auto runs = *rc::gen::unique<std::vector<uint64_t>>(
         rc::gen::inRange<uint64_t>(1, 100));
     for (uint32_t i = 0; i < 5; i++) {
-        mb_dag_task_t *task = &job->occurrences[0].tasks[i];
+        mb_dag_task_t *task = &mb_dag_open(job, 0)->tasks[i];
         if (done[i]) {
             mb_dag_set_done(job, 0, mb_dag_find_step(job, i), task);
         }
@@ -223,10 +223,14 @@
     mb_dag_job_t *next = mb_dag_add(&table, &spec);
     mb_dag_progress_apply(next, &record.body.progress);
     for (uint32_t i = 0; i < 5; i++) {
-        const mb_dag_task_t *task = &next->occurrences[0].tasks[i];
-        RC_ASSERT(task->done == done[i]);
-        RC_ASSERT(done[i] || task->failures == runs.size());
-        RC_ASSERT(done[i] || task->checkpoint_len == 10);
+        const mb_dag_occurrence_t *open = mb_dag_find_open(next, 0);
+        bool is_done = open == nullptr ? mb_dag_is_finished(next, 0)
+                                       : open->tasks[i].done;
+        RC_ASSERT(is_done == done[i]);
+        if (!is_done) {
+            RC_ASSERT(open->tasks[i].failures == runs.size());
+            RC_ASSERT(open->tasks[i].checkpoint_len == 10);
+        }
     }
     mb_buf_finish(&bits);
     mb_buf_finish(&key);
--- a/tests/unit/test_decoders.cc
+++ b/tests/unit/test_decoders.cc
@@ -157,13 +157,15 @@
 static std::vector<std::string>
 make_records()
 {
-    mb_buf_t values[7] = {};
+    mb_buf_t values[8] = {};
     mb_dag_step_t step = {};
     mb_dag_spec_t spec = {};
     mb_ownership_record_t owner = {7, 8, 9, false};
     mb_dag_task_id_t task = {job_id, 0, 0, 26};
     mb_headroom_pair_t pair = {1, 0.5, 2};
     uint64_t failed_runs[] = {1, 2};
+    mb_dag_range_t range = {3, 9};
+    uint32_t number = 11;
     mb_dag_progress_row_t row = {0, 1, 2, failed_runs, MB_STR_LIT("c")};
     g_autoptr(GArray) rows = g_array_new(FALSE, FALSE, sizeof(row));
     g_autoptr(GArray) tasks = g_array_new(FALSE, FALSE, sizeof(task));
@@ -178,8 +180,13 @@
     g_array_append_val(rows, row);
     g_array_append_val(tasks, task);
     g_array_append_val(pairs, pair);
-    mb_dag_progress_t progress = {job_id, MB_DAG_OPEN, true,
-                                  MB_STR_LIT("\x03"), rows};
+    g_autoptr(GArray) finished = g_array_new(FALSE, FALSE, sizeof(range));
+    g_autoptr(GArray) numbers = g_array_new(FALSE, FALSE, sizeof(number));
+    g_array_append_val(finished, range);
+    g_array_append_val(numbers, number);
+    mb_dag_progress_t progress = {
+        job_id,  MB_DAG_OPEN,        true, false, finished,
+        numbers, MB_STR_LIT("\x03"), rows};
     mb_dag_absence_record_t absence = {1, tasks};
     mb_dag_record_encode_job(&values[0], &spec);
     mb_dag_record_encode_progress(&values[1], &progress);
@@ -194,6 +201,8 @@
     g_array_append_val(backlog.ratios, ratio);
     mb_dag_record_encode_backlog(&values[6], &backlog);
     mb_backlog_forecast_finish(&backlog);
+    progress.is_sparse = true;
+    mb_dag_record_encode_progress(&values[7], &progress);
     std::string id = "0123456789abcdef ";
     std::string address = "10.0.0.1:7480 ";
     return {"j" + id + take_text(&values[0]),
@@ -202,7 +211,8 @@
             "o " + take_text(&values[3]),
             "l " + take_text(&values[4]),
             "a" + address + take_text(&values[5]),
-            "b " + take_text(&values[6])};
+            "b " + take_text(&values[6]),
+            "s" + id + take_text(&values[7])};
 }
 
 TEST(Decoders, DamagedRecords)
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -1347,6 +1347,69 @@
     EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
 }
 
+/* The lines of a crontab that recur for a month were started late, or each
+   pass went over all of their occurrences. */
+TEST(Fleet, CrontabOfSomeHundredLinesStartsInTime)
+{
+    const uint32_t lines = 400;
+    FleetSimulation simulation(4);
+    mb_dag_step_t step;
+    simulation.fail_over();
+    simulation.advance(2500);
+    uint64_t first_ms = simulation.now_us / 1000 + 2000;
+    for (uint32_t i = 0; i < lines; i++) {
+        char id[MB_DAG_ID_LEN + 1];
+        (void)snprintf(id, sizeof(id), "%016x", i);
+        mb_dag_spec_t spec = one_step_job(&step, id, 1, 100);
+        step.size = {10, 1, 0};
+        spec.occurrences = 43200;
+        spec.first_ms = first_ms + i * 10;
+        spec.interval_ms = 60000;
+        simulation.submit(spec);
+    }
+    simulation.advance(1900);
+    EXPECT_EQ(simulation.starts.size(), 0u);
+    simulation.advance(lines * 10 + 1000);
+    EXPECT_EQ(simulation.starts.size(), lines);
+    simulation.advance(60000);
+    EXPECT_EQ(simulation.starts.size(), 2 * lines);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, simulation.table.jobs);
+    while (g_hash_table_iter_next(&iter, nullptr, &value)) {
+        const mb_dag_job_t *job = static_cast<const mb_dag_job_t *>(value);
+        EXPECT_EQ(job->finished_count, 2u);
+        EXPECT_EQ(job->open->len, 0u);
+    }
+    expect_no_violations(simulation);
+}
+
+/* A recurring job that had been finished for a while was started again when
+   its ends were repeated, or by the next owner. */
+TEST(Fleet, FinishedOccurrencesStayFinishedForTheNextOwner)
+{
+    FleetSimulation simulation(2);
+    mb_dag_step_t step;
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_dag_spec_t spec = one_step_job(&step, first_id, 2, 100);
+    spec.occurrences = 30;
+    spec.first_ms = simulation.now_us / 1000;
+    spec.interval_ms = 500;
+    simulation.submit(spec);
+    for (int i = 0; i < 4; i++) {
+        simulation.advance(3000);
+        simulation.fail_over();
+    }
+    simulation.advance(12000);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    EXPECT_EQ(simulation.starts.size(), 60u);
+    for (const auto &start : simulation.starts) {
+        EXPECT_EQ(start.second, 1u) << start.first;
+    }
+    expect_no_violations(simulation);
+}
+
 /* Guards against an agent that follows a former owner, whose fencing token is
    older than one that the agent has seen. */
 TEST(Agent, RefusesAnOlderFencingToken)
--- a/tests/unit/test_fleet_attribution.cc
+++ b/tests/unit/test_fleet_attribution.cc
@@ -65,10 +65,11 @@
     mb_dag_id_t key;
     uint32_t count = 0;
     EXPECT_TRUE(mb_dag_id_parse({id.data(), id.size()}, &key));
-    const mb_dag_job_t *job = mb_dag_find(&simulation.table, key);
+    mb_dag_job_t *job = mb_dag_find(&simulation.table, key);
     for (uint32_t i = 0; i < job->steps[0].count; i++) {
         const mb_dag_task_t *task = mb_dag_task(job, 0, 0, i);
-        count += !task->done && !mb_fleet_task_is_running(task);
+        count +=
+            task != nullptr && !task->done && !mb_fleet_task_is_running(task);
     }
     return count;
 }
--- a/tests/unit/test_fleet_copies.cc
+++ b/tests/unit/test_fleet_copies.cc
@@ -163,7 +163,7 @@
     }
     test.simulation.advance(800);
     EXPECT_EQ(test.simulation.outcome(job_id), MB_DAG_COMPLETED);
-    EXPECT_EQ(test.job->occurrences[0].unfinished_tasks[0], 0u);
+    EXPECT_EQ(mb_dag_unfinished(test.job, 0, 0), 0u);
     EXPECT_EQ(test.counts().end_effects[MB_FLEET_END_COUNTED], 10u);
     EXPECT_EQ(test.counts().copies_ended, 1u);
     EXPECT_EQ(test.simulation.running(), 0u);
--- a/tests/unit/test_fleet_estimates.cc
+++ b/tests/unit/test_fleet_estimates.cc
@@ -26,7 +26,7 @@
     TenTasks test(600, 2);
     test.prolong(3, 3600);
     test.simulation.advance(5000);
-    ASSERT_EQ(test.job->occurrences[0].unfinished_tasks[0], 0u);
+    ASSERT_EQ(mb_dag_unfinished(test.job, 0, 0), 0u);
     EXPECT_NEAR(test.job->step_times[0].longest_ms, 4200, 200);
     EXPECT_GE(test.job->objective_us, 2 * 4800000u);
     EXPECT_FALSE(test.is_late());
@@ -57,7 +57,7 @@
     for (int i = 0; i < 40 && test.job->running == 10; i++) {
         test.simulation.tick();
     }
-    test.job->occurrences[0].tasks[0].not_before_us = UINT64_MAX;
+    mb_dag_task(test.job, 0, 0, 0)->not_before_us = UINT64_MAX;
     test.job->estimated_us = 0;
     mb_fleet_estimate_job(&test.simulation.fleet, test.job);
     EXPECT_GE(test.remaining_ms(), 600u);
--- a/tests/unit/test_fleet_successes.cc
+++ b/tests/unit/test_fleet_successes.cc
@@ -234,7 +234,8 @@
     ASSERT_NE(second->runs[0].number, 0u);
     test.list_end(test.machine, {spec.id, 0, 0, 0}, first->last_run - 1,
                   MB_RUN_DONE);
-    EXPECT_TRUE(first->done);
+    EXPECT_TRUE(mb_dag_is_finished(job, 0));
+    EXPECT_FALSE(mb_dag_is_finished(job, 1));
     EXPECT_FALSE(second->done);
     EXPECT_EQ(simulation.running(), 1u);
     EXPECT_EQ(simulation.starts[format_task(later)], 1u);
@@ -328,7 +329,7 @@
     older[0]->worker.is_cut = false;
     simulation.advance(3000);
     mb_dag_job_t *job = mb_dag_find(&simulation.table, spec.id);
-    EXPECT_EQ(job->occurrences[0].finished_steps, 1u);
+    EXPECT_EQ(mb_dag_find_open(job, 0)->finished_steps, 1u);
     EXPECT_EQ(simulation.running(), 1u);
     older[1]->worker.is_cut = false;
     simulation.advance(3000);
@@ -366,7 +367,7 @@
     EXPECT_EQ(test.effects(MB_FLEET_END_TASK_DONE), 0u);
     simulation.advance(2000);
     EXPECT_EQ(test.effects(MB_FLEET_END_TASK_DONE), 1u);
-    EXPECT_EQ(job->occurrences[0].unfinished_tasks[0], 1u);
+    EXPECT_EQ(mb_dag_unfinished(job, 0, 0), 1u);
     EXPECT_EQ(simulation.outcome(short_id), MB_DAG_OPEN);
     EXPECT_EQ(test.starts(), 1u);
 }
