Accept only jobs that fit the memory of every scheduler

Once they exceeded memory_mb, what they had accepted ended each of them again after every start.

Cause: memory_mb bounded the requests of clients only. No job was weighed before the 2xx, nothing bounded the sum of the jobs in the log, and a process with less memory than the others could not live with what they had accepted.

Each scheduler publishes its limit, a fifth of its memory, and the least one counts. Accepted at once is what fits N times into what is left, for N schedulers, as they learn late of one another's jobs; larger jobs are reserved in the log first. What does not fit is answered 503 once a read of the log has shown that it is not stored, or 504 if there is no such read in time. A scheduler that can't hold what is in the log sets jobs aside, answers for them, and does not claim the fleet. Closed jobs are compacted; the weight is drawn from the budget of the clients' requests. The append of a submission that had to wait has its full time from then on.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -338,12 +338,31 @@
     mb_fleet_stop_job(fleet, job);
 }
 
-/* Tells whether a job has no runs and no progress to be stored, so that it may
-   be removed from the table. */
+/* Tells whether an order that waits to be sent has a start of a job. Its texts
+   belong to the job. */
+static bool
+has_pending_start(const mb_fleet_t *fleet, const mb_dag_job_t *job)
+{
+    for (guint i = 0; i < fleet->workers->len; i++) {
+        const GArray *starts =
+            mb_fleet_get_worker(fleet, i)->pending_order.starts;
+        for (guint k = 0; k < starts->len; k++) {
+            const mb_order_start_t *start =
+                &g_array_index(starts, mb_order_start_t, k);
+            if (mb_dag_id_equal(&start->task.job, &job->spec.id)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/* Tells whether a job has no runs, no progress to be stored and no start that
+   waits to be sent, so that it may be compacted, or removed from the table. */
 bool
-mb_fleet_job_idle(const mb_dag_job_t *job)
+mb_fleet_job_idle(const mb_fleet_t *fleet, const mb_dag_job_t *job)
 {
-    return job->running == 0 && !job->dirty;
+    return job->running == 0 && !job->dirty && !has_pending_start(fleet, job);
 }
 
 /* Drops all references to a job. Must be called before the job is removed from
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -363,7 +363,7 @@
 /* Changes of the job table, and the results of storing progress. */
 void mb_fleet_job_added(mb_fleet_t *fleet, mb_dag_job_t *job);
 void mb_fleet_job_cancelled(mb_fleet_t *fleet, mb_dag_job_t *job);
-bool mb_fleet_job_idle(const mb_dag_job_t *job);
+bool mb_fleet_job_idle(const mb_fleet_t *fleet, const mb_dag_job_t *job);
 void mb_fleet_job_removed(mb_fleet_t *fleet, mb_dag_job_t *job);
 void mb_fleet_progress_stored(mb_fleet_t *fleet, bool ok);
 
--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -22,12 +22,15 @@
 #define RECORD_VERSION 1u
 /* Version of the progress of a recurring job, which has more elements. */
 #define SPARSE_VERSION 2u
+/* Largest amount of memory that is accepted, in bytes, so that sums don't
+   overflow. */
+#define SCHEDULER_BYTES_MAX (UINT64_C(1) << 48)
 /* Number of elements of a range of occurrences: first, end. */
 #define RANGE_ELEMENTS 2u
 
 /* First letter of the key for each kind of record. */
 static const char key_letters[MB_DAG_RECORD_KIND_COUNT] = {
-    'j', 'c', 's', 'w', 'o', 'l', 'd', 'a', 'b'};
+    'j', 'c', 's', 'w', 'o', 'l', 'd', 'a', 'm', 'b'};
 
 /* Initializes a decoder; returns false when out of memory. */
 bool
@@ -465,6 +468,29 @@
     reader->failed = reader->failed || rows.failed;
 }
 
+/* Appends the record of a scheduler as [version, memory for jobs, reserved
+   memory], in bytes; its name is in the key. */
+void
+mb_dag_record_encode_scheduler(mb_buf_t *out,
+                               const mb_job_memory_record_t *memory)
+{
+    msgpack_packer packer;
+    mb_pack_init(&packer, out);
+    (void)msgpack_pack_array(&packer, 3);
+    (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
+    (void)msgpack_pack_uint64(&packer, memory->bytes_max);
+    (void)msgpack_pack_uint64(&packer, memory->reserved_bytes);
+}
+
+/* Reads the record of a scheduler. */
+static void
+unpack_scheduler(mb_unpack_t *reader, mb_dag_record_t *record)
+{
+    record->body.memory.bytes_max = mb_unpack_u64(reader, SCHEDULER_BYTES_MAX);
+    record->body.memory.reserved_bytes =
+        mb_unpack_u64(reader, SCHEDULER_BYTES_MAX);
+}
+
 /* Packs one class of a forecast as [service, priority, rate, rate with more
    urgent work, size of the smallest task that waits, the same of best-effort
    tasks, class of the smallest overdue job, work]. A size is three elements:
@@ -611,6 +637,9 @@
     case MB_DAG_RECORD_ABSENCE:
         unpack_absence(decoder, reader, record);
         break;
+    case MB_DAG_RECORD_SCHEDULER:
+        unpack_scheduler(reader, record);
+        break;
     case MB_DAG_RECORD_HEADROOM:
         unpack_pairs(decoder, reader, record);
         break;
@@ -651,6 +680,10 @@
         record->address = name;
         return true;
     }
+    if (record->kind == MB_DAG_RECORD_SCHEDULER) {
+        record->scheduler = name;
+        return true;
+    }
     return record->kind == MB_DAG_RECORD_OWNER ||
            record->kind == MB_DAG_RECORD_HEADROOM ||
            record->kind == MB_DAG_RECORD_BACKLOG ||
--- a/lib/protocol/mb_dag_record.h
+++ b/lib/protocol/mb_dag_record.h
@@ -1,8 +1,9 @@
 /* Codec of the records in the job log: submitted and cancelled jobs, the
    progress of jobs, the owner of the fleet, the addresses of agents, estimates
-   of how best-effort work affects services, and the forecast of the backlog.
-   The key of a record is one letter for its kind, followed by the id of a job
-   or the address of an agent if the kind has a record for each. The value is a
+   of how best-effort work affects services, the memory of each scheduler, and
+   the forecast of the backlog. The key of a record is one letter for its kind,
+   followed by the id of a job, the address of an agent or the name of a
+   scheduler if the kind has a record for each. The value is a
    msgpack array whose first element is the version of the format. */
 #ifndef MB_DAG_RECORD_H
 #define MB_DAG_RECORD_H
@@ -13,6 +14,7 @@
 #include "mb_dag.h"
 #include "mb_error.h"
 #include "mb_headroom.h"
+#include "mb_job_memory.h"
 #include "mb_ownership.h"
 
 /* Maximum number of headroom estimates, for pairs of a service and best-effort
@@ -30,6 +32,7 @@
     MB_DAG_RECORD_HEADROOM,  /* estimates for the next owner */
     MB_DAG_RECORD_DEPARTURE, /* an agent has left, and nothing runs there */
     MB_DAG_RECORD_ABSENCE,   /* tasks that may run beside an absent agent */
+    MB_DAG_RECORD_SCHEDULER, /* memory of a scheduler */
     MB_DAG_RECORD_BACKLOG,   /* forecast by which schedulers admit jobs */
     MB_DAG_RECORD_KIND_COUNT
 } mb_dag_record_kind_t;
@@ -48,6 +51,7 @@
     mb_dag_id_t id; /* in the records of a job */
     /* Of an agent, in its records: where the owner connects, as IPv4:port. */
     mb_str_t address;
+    mb_str_t scheduler; /* its name, in its record */
     union {
         mb_dag_spec_t job;
         mb_dag_progress_t progress;
@@ -55,6 +59,7 @@
         mb_ownership_record_t owner;
         const GArray *pairs; /* mb_headroom_pair_t */
         mb_dag_absence_record_t absence;
+        mb_job_memory_record_t memory;
         const mb_backlog_forecast_t *backlog;
     } body;
 } mb_dag_record_t;
@@ -82,8 +87,8 @@
                           mb_str_t value, mb_dag_record_t *record,
                           GError **error);
 
-/* Appends the key of a record. `name` is the id of the job or the address of
-   the agent, and empty for the other kinds. */
+/* Appends the key of a record. `name` is the id of the job, the address of the
+   agent or the name of the scheduler, and empty for the other kinds. */
 void mb_dag_record_encode_key(mb_buf_t *out, mb_dag_record_kind_t kind,
                               mb_str_t name);
 /* Append the value of a record. */
@@ -98,6 +103,8 @@
 /* With at most MB_DAG_ABSENT_TASKS_MAX tasks. */
 void mb_dag_record_encode_absence(mb_buf_t *out,
                                   const mb_dag_absence_record_t *absence);
+void mb_dag_record_encode_scheduler(mb_buf_t *out,
+                                    const mb_job_memory_record_t *memory);
 /* `pairs` is an array of at most MB_DAG_HEADROOM_PAIRS_MAX mb_headroom_pair_t.
    Slopes are rounded down to thousandths. */
 void mb_dag_record_encode_headroom_pairs(mb_buf_t *out, const GArray *pairs);
--- a/lib/transport/mb_scheduler_accept.c
+++ b/lib/transport/mb_scheduler_accept.c
@@ -45,6 +45,7 @@
     }
     mb_dag_record_encode_job(&submission->request->value, spec);
     submission->request->job = mb_backlog_job(spec);
+    submission->request->weight = mb_dag_weigh(spec);
 }
 
 /* Decodes the job of a submission and encodes its record. Returns false with
--- a/lib/transport/mb_scheduler_agents.c
+++ b/lib/transport/mb_scheduler_agents.c
@@ -265,6 +265,7 @@
 {
     mb_scheduler_node_t *node = context;
     mb_fleet_agents_loaded(&node->fleet);
+    mb_scheduler_note_jobs_loaded(node);
     for (guint i = 0; i < node->agents->len; i++) {
         mb_scheduler_agent_t *agent = g_ptr_array_index(node->agents, i);
         if (!mb_fleet_is_owner(&node->fleet)) {
--- a/lib/transport/mb_scheduler_apply.c
+++ b/lib/transport/mb_scheduler_apply.c
@@ -7,6 +7,13 @@
 static void
 apply_job(mb_scheduler_node_t *node, const mb_dag_record_t *record)
 {
+    if (mb_scheduler_set_aside(node, &record->body.job)) {
+        if (g_hash_table_remove(node->early_cancels, &record->id)) {
+            mb_scheduler_set_aside_progress(node, record->id, false,
+                                            MB_DAG_CANCELLED);
+        }
+        return;
+    }
     mb_dag_job_t *job = mb_dag_add(&node->table, &record->body.job);
     if (job == NULL) {
         return;
@@ -32,6 +39,11 @@
 apply_cancel(mb_scheduler_node_t *node, const mb_dag_record_t *record)
 {
     mb_dag_job_t *job = mb_dag_find(&node->table, record->id);
+    if (g_hash_table_contains(node->set_aside, &record->id)) {
+        mb_scheduler_set_aside_progress(node, record->id, false,
+                                        MB_DAG_CANCELLED);
+        return;
+    }
     if (job == NULL) {
         (void)g_hash_table_add(node->early_cancels,
                                g_memdup2(&record->id, sizeof(record->id)));
@@ -58,6 +70,8 @@
     mb_dag_job_t *job = mb_dag_find(&node->table, record->id);
     const mb_dag_progress_t *progress = &record->body.progress;
     if (job == NULL) {
+        mb_scheduler_set_aside_progress(node, record->id, progress->started,
+                                        progress->outcome);
         return;
     }
     job->started = job->started || progress->started;
@@ -97,7 +111,8 @@
 remove_job(mb_scheduler_node_t *node, mb_dag_id_t id)
 {
     mb_dag_job_t *job = mb_dag_find(&node->table, id);
-    if (job != NULL && mb_fleet_job_idle(job)) {
+    mb_scheduler_set_aside_removed(node, id);
+    if (job != NULL && mb_fleet_job_idle(&node->fleet, job)) {
         mb_fleet_job_removed(&node->fleet, job);
         mb_dag_remove(&node->table, id);
     }
@@ -189,6 +204,10 @@
             mb_scheduler_apply_backlog(node, record.body.backlog, in_order);
         }
         break;
+    case MB_DAG_RECORD_SCHEDULER:
+        mb_job_memory_read(&node->job_memory, record.scheduler,
+                           record.removed ? NULL : &record.body.memory);
+        break;
     case MB_DAG_RECORD_KIND_COUNT:
         break;
     }
--- a/lib/transport/mb_scheduler_backlog.c
+++ b/lib/transport/mb_scheduler_backlog.c
@@ -69,8 +69,8 @@
 
 /* Tells whether the job of a request, which is not in the table, is certainly
    not in the log either. */
-static bool
-is_confirmed(const mb_scheduler_request_t *request)
+bool
+mb_scheduler_is_confirmed(const mb_scheduler_request_t *request)
 {
     uint64_t least_us =
         request->received_us + CONFIRM_MS * (uint64_t)MB_US_PER_MS;
@@ -105,7 +105,7 @@
     if (request->decision.admitted) {
         return MB_SCHEDULER_ADMITTED;
     }
-    if (is_confirmed(request)) {
+    if (mb_scheduler_is_confirmed(request)) {
         return MB_SCHEDULER_REJECTED;
     }
     return is_overdue(request, mb_clock_us(&node->clock))
@@ -161,6 +161,7 @@
 mb_scheduler_note_admitted(const mb_scheduler_request_t *request)
 {
     mb_scheduler_node_t *node = request->node;
+    mb_job_memory_admitted(&node->job_memory, request->id, request->weight);
     if (node->config.reject_overdue_jobs) {
         mb_counter_add(node->metrics.admitted_by_share,
                        request->decision.by_share);
--- a/lib/transport/mb_scheduler_internal.h
+++ b/lib/transport/mb_scheduler_internal.h
@@ -79,6 +79,29 @@
 void mb_scheduler_backlog_write_metrics(const mb_scheduler_node_t *node,
                                         mb_buf_t *out);
 
+/* mb_scheduler_memory.c */
+
+/* What clients are told of a job. */
+typedef struct mb_scheduler_job_state {
+    mb_dag_outcome_t outcome;
+    bool started;
+} mb_scheduler_job_state_t;
+
+void mb_scheduler_memory_init(mb_scheduler_node_t *node);
+void mb_scheduler_memory_finish(mb_scheduler_node_t *node);
+void mb_scheduler_memory_tick(mb_scheduler_node_t *node);
+bool mb_scheduler_set_aside(mb_scheduler_node_t *node,
+                            const mb_dag_spec_t *spec);
+void mb_scheduler_set_aside_progress(mb_scheduler_node_t *node, mb_dag_id_t id,
+                                     bool started, mb_dag_outcome_t outcome);
+void mb_scheduler_set_aside_removed(mb_scheduler_node_t *node, mb_dag_id_t id);
+bool mb_scheduler_find_job(const mb_scheduler_node_t *node, mb_dag_id_t id,
+                           mb_scheduler_job_state_t *state);
+uint64_t mb_scheduler_count_set_aside(const mb_scheduler_node_t *node,
+                                      mb_str_t queue);
+void mb_scheduler_reload_jobs(mb_scheduler_node_t *node);
+void mb_scheduler_note_jobs_loaded(mb_scheduler_node_t *node);
+
 /* mb_scheduler_accept.c */
 void mb_scheduler_handle(void *context, mb_http_exchange_t *exchange);
 
--- a/lib/transport/mb_scheduler_metrics.c
+++ b/lib/transport/mb_scheduler_metrics.c
@@ -96,6 +96,18 @@
         .dropped_starts =
             mb_counters_add(counters, MB_METRIC_GAUGE, "mb_run_starts_dropped",
                             "Starts that were dropped before they were sent"),
+        .rejected_memory = mb_counters_add(
+            counters, MB_METRIC_COUNTER, "mb_jobs_rejected_memory_total",
+            "Jobs rejected because there is no memory for them"),
+        .jobs_weight =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_jobs_weight_bytes",
+                            "Memory set aside for the jobs of the log"),
+        .jobs_weight_limit = mb_counters_add(
+            counters, MB_METRIC_GAUGE, "mb_jobs_weight_limit_bytes",
+            "Memory up to which new jobs are accepted; 0: not limited"),
+        .jobs_set_aside =
+            mb_counters_add(counters, MB_METRIC_GAUGE, "mb_jobs_set_aside",
+                            "Jobs of the log that this process can't hold"),
         .rejected_backlog = mb_counters_add(
             counters, MB_METRIC_COUNTER, "mb_jobs_rejected_backlog_total",
             "Jobs rejected because of the backlog"),
@@ -159,6 +171,18 @@
     mb_gauge_set(node->metrics.dropped_starts, fleet->counts.dropped_starts);
 }
 
+/* Updates the metrics of the memory that jobs take. */
+static void
+update_memory_metrics(mb_scheduler_node_t *node)
+{
+    uint64_t limit = mb_job_memory_limit(&node->job_memory);
+    mb_gauge_set(node->metrics.jobs_weight, node->table.weight);
+    mb_gauge_set(node->metrics.jobs_weight_limit,
+                 limit == UINT64_MAX ? 0 : limit);
+    mb_gauge_set(node->metrics.jobs_set_aside,
+                 g_hash_table_size(node->set_aside));
+}
+
 /* Copies the counters that other modules keep to the metrics. */
 void
 mb_scheduler_update_metrics(mb_scheduler_node_t *node)
@@ -192,6 +216,7 @@
     mb_gauge_set(node->metrics.reads,
                  node->jobs.reads + node->configs.follower.reads);
     update_evacuation_metrics(node);
+    update_memory_metrics(node);
     mb_scheduler_update_backlog_metrics(node);
 }
 
--- a/lib/transport/mb_scheduler_node.c
+++ b/lib/transport/mb_scheduler_node.c
@@ -130,7 +130,7 @@
            g_hash_table_iter_next(&iter, NULL, &value)) {
         mb_dag_job_t *job = value;
         if (job->closed_us != 0 && now_us >= job->closed_us + retention_us &&
-            mb_fleet_job_idle(job)) {
+            mb_fleet_job_idle(&node->fleet, job)) {
             /* Restart the retention period, so that the removal is tried
                again later if its append fails. */
             job->closed_us = now_us;
@@ -140,11 +140,14 @@
 }
 
 /* Claims the fleet or appends a heartbeat of its owner, if one is due. Nothing
-   is claimed before the job log has been read once. */
+   is claimed before the job log has been read once, or while jobs of the log
+   are set aside. */
 static void
 ownership_tick(mb_scheduler_node_t *node)
 {
-    if (!mb_follower_loaded(&node->jobs)) {
+    bool may_claim = g_hash_table_size(node->set_aside) == 0 ||
+                     mb_fleet_is_owner(&node->fleet);
+    if (!mb_follower_loaded(&node->jobs) || !may_claim) {
         return;
     }
     switch (mb_ownership_tick(&node->ownership)) {
@@ -219,6 +222,7 @@
     mb_scheduler_agents_tick(node);
     mb_fleet_tick(&node->fleet);
     mb_scheduler_requests_tick(node);
+    mb_scheduler_memory_tick(node);
     mb_scheduler_free_retired_journals(node);
     mb_scheduler_store_headroom_model(node);
     mb_scheduler_publish_backlog(node);
@@ -309,6 +313,7 @@
                        &node->clock, &node->log);
     mb_fleet_set_evacuation(&node->fleet, &node->evacuation);
     mb_scheduler_backlog_init(node);
+    mb_scheduler_memory_init(node);
     mb_ownership_init(&node->ownership, &node->clock, &rng,
                       node->config.incarnation,
                       mb_str_hash(node->config.name));
@@ -494,6 +499,7 @@
     mb_queue_table_finish(&node->queues);
     mb_dag_record_decoder_finish(&node->decoder);
     mb_scheduler_backlog_finish(node);
+    mb_scheduler_memory_finish(node);
     mb_order_decoder_finish(&node->report_decoder);
     g_hash_table_destroy(node->early_cancels);
     g_ptr_array_unref(node->agents);
--- a/lib/transport/mb_scheduler_node.h
+++ b/lib/transport/mb_scheduler_node.h
@@ -15,6 +15,7 @@
 #include "mb_http_client.h"
 #include "mb_http_server.h"
 #include "mb_job_codec.h"
+#include "mb_job_memory.h"
 #include "mb_journal.h"
 #include "mb_link.h"
 #include "mb_order_codec.h"
@@ -37,6 +38,7 @@
     uint32_t retention_ms;        /* how long closed jobs stay in the log */
     uint32_t config_age_max_ms;   /* an older configuration counts as stale */
     uint32_t evacuation_age_max_ms; /* see mb_evacuation_init */
+    uint64_t memory_bytes;          /* of the process; 0: not limited */
     bool reject_overdue_jobs; /* by the forecast of the backlog (mb_backlog) */
     mb_str_t name;            /* of the process; must outlive the node */
     uint64_t incarnation;     /* differs after each restart of the process */
@@ -98,6 +100,10 @@
     mb_metric_t *starts_withheld; /* 1 while this owner starts nothing because
                                      its knowledge of evacuations is old */
     mb_metric_t *dropped_starts;
+    mb_metric_t *rejected_memory;   /* submissions without room for the job */
+    mb_metric_t *jobs_weight;       /* see mb_dag_weigh, in bytes */
+    mb_metric_t *jobs_weight_limit; /* for new jobs */
+    mb_metric_t *jobs_set_aside;
     mb_metric_t *rejected_backlog;   /* submissions rejected by the forecast */
     mb_metric_t *admitted_by_share;  /* against it, by the queue's share */
     mb_metric_t *backlog_work_ms;    /* of the forecast in force */
@@ -178,6 +184,18 @@
                                      */
     bool backlog_published; /* a forecast that is not empty was published */
     mb_scheduler_rejections_t rejections;
+    mb_job_memory_t job_memory;
+    /* Jobs of the log for which there is no memory, by id, and their weight
+       (mb_scheduler_memory.c). */
+    GHashTable *set_aside;
+    uint64_t set_aside_bytes;
+    bool jobs_known;        /* the log has been read as a whole */
+    uint64_t former_weight; /* of the jobs before they were read anew; 0: they
+                               are all known */
+    uint64_t drawn_bytes;   /* from the budget of the clients' requests */
+    uint64_t reloaded_us;   /* when the log was read anew for jobs set aside */
+    uint64_t memory_swept_us;
+    uint64_t memory_published_us;
     uint64_t last_sweep_ms;      /* last search for expired jobs */
     uint64_t last_tick_us;       /* start of the previous tick */
     uint64_t headroom_stored_us; /* last store of the headroom model */
--- a/lib/transport/mb_scheduler_owner.c
+++ b/lib/transport/mb_scheduler_owner.c
@@ -327,7 +327,5 @@
     node->progress_group = NULL;
     mb_scheduler_close_agents(node);
     mb_scheduler_retire_journal(node);
-    mb_dag_table_clear(&node->table);
-    (void)g_hash_table_remove_all(node->early_cancels);
-    mb_follower_reload(&node->jobs);
+    mb_scheduler_reload_jobs(node);
 }
--- a/lib/transport/mb_scheduler_request.h
+++ b/lib/transport/mb_scheduler_request.h
@@ -24,13 +24,15 @@
     /* Of a submission. */
     mb_backlog_job_t job;
     mb_backlog_decision_t decision;
+    uint64_t weight; /* of the job, see mb_dag_weigh */
 } mb_scheduler_request_t;
 
 /* What becomes of a submission. */
 typedef enum mb_scheduler_verdict {
     MB_SCHEDULER_ADMITTED,
     MB_SCHEDULER_REJECTED,
-    MB_SCHEDULER_UNDECIDED /* to be rejected, once the log has been read */
+    MB_SCHEDULER_UNDECIDED,  /* to be rejected, once the log has been read */
+    MB_SCHEDULER_UNCONFIRMED /* the same, but the log was not read in time */
 } mb_scheduler_verdict_t;
 
 void mb_scheduler_request_free(mb_scheduler_request_t *request);
@@ -38,7 +40,13 @@
 void mb_scheduler_respond_empty(mb_scheduler_node_t *node,
                                 mb_http_exchange_t *exchange, uint32_t status);
 
+/* mb_scheduler_memory.c */
+mb_scheduler_verdict_t
+mb_scheduler_judge_memory(mb_scheduler_request_t *request);
+void mb_scheduler_note_no_memory(const mb_scheduler_request_t *request);
+
 /* mb_scheduler_backlog.c */
+bool mb_scheduler_is_confirmed(const mb_scheduler_request_t *request);
 mb_scheduler_verdict_t mb_scheduler_judge(mb_scheduler_request_t *request);
 void mb_scheduler_note_rejected(const mb_scheduler_request_t *request);
 void mb_scheduler_note_admitted(const mb_scheduler_request_t *request);
--- a/lib/transport/mb_scheduler_requests.c
+++ b/lib/transport/mb_scheduler_requests.c
@@ -139,7 +139,7 @@
     mb_scheduler_node_t *node = request->node;
     uint64_t timeout_us = APPEND_TIMEOUT_MS * (uint64_t)MB_US_PER_MS;
     uint64_t append_deadline_us =
-        MIN(request->received_us + timeout_us, request->deadline_us);
+        MIN(mb_clock_us(&node->clock) + timeout_us, request->deadline_us);
     mb_buf_clear(&node->key);
     mb_dag_record_encode_key(&node->key, kind, mb_dag_id_view(&request->id));
     if (mb_journal_stalled(&node->journal) ||
@@ -159,9 +159,9 @@
 
 /* Returns the status of a job that is shown to clients. */
 static mb_client_job_status_t
-get_client_status(const mb_dag_job_t *job)
+get_client_status(const mb_scheduler_job_state_t *state)
 {
-    switch (job->stored_outcome) {
+    switch (state->outcome) {
     case MB_DAG_COMPLETED:
         return MB_JOB_COMPLETED;
     case MB_DAG_FAILED:
@@ -172,7 +172,7 @@
     case MB_DAG_OUTCOME_COUNT:
         break;
     }
-    return job->started ? MB_JOB_RUNNING : MB_JOB_QUEUED;
+    return state->started ? MB_JOB_RUNNING : MB_JOB_QUEUED;
 }
 
 /* Returns whether the table of jobs is up to date except for jobs of the last
@@ -201,27 +201,28 @@
 handle_status(mb_scheduler_request_t *request)
 {
     mb_scheduler_node_t *node = request->node;
-    const mb_dag_job_t *job = mb_dag_find(&node->table, request->id);
+    mb_scheduler_job_state_t state;
     MB_AUTO_BUF mb_buf_t body = {0};
-    if (job == NULL) {
+    if (!mb_scheduler_find_job(node, request->id, &state)) {
         respond_unknown(request);
         return;
     }
-    node->codec.write_status(node->codec.context, get_client_status(job),
+    node->codec.write_status(node->codec.context, get_client_status(&state),
                              &body);
     log_query(request, MB_SEVERITY_DEBUG, mb_dag_id_view(&request->id), 200);
     respond(node, request->exchange, 200, mb_buf_view(&body), 0);
     mb_scheduler_request_free(request);
 }
 
-/* Handles a submission: appends the job to the log, or rejects it because of
-   the backlog. If a job with the same id is stored already, the submission is
-   accepted, so a client may retry. */
+/* Handles a submission: appends the job to the log, or rejects it for lack of
+   memory or because of the backlog. If a job with the same id is stored
+   already, the submission is accepted, so a client may retry. */
 static void
 handle_submit(mb_scheduler_request_t *request)
 {
     mb_scheduler_node_t *node = request->node;
-    if (mb_dag_find(&node->table, request->id) != NULL) {
+    mb_scheduler_job_state_t state;
+    if (mb_scheduler_find_job(node, request->id, &state)) {
         respond_to_write(request, 200, "known");
         mb_scheduler_request_free(request);
         return;
@@ -231,14 +232,28 @@
         mb_scheduler_request_free(request);
         return;
     }
-    switch (mb_scheduler_judge(request)) {
+    mb_scheduler_verdict_t verdict = mb_scheduler_judge_memory(request);
+    bool has_memory = verdict == MB_SCHEDULER_ADMITTED;
+    if (has_memory) {
+        verdict = mb_scheduler_judge(request);
+    }
+    switch (verdict) {
     case MB_SCHEDULER_ADMITTED:
         request->decision.retry_after_s = 0;
         append(request, MB_DAG_RECORD_JOB);
         break;
     case MB_SCHEDULER_REJECTED:
-        mb_scheduler_note_rejected(request);
-        respond_to_write(request, 503, "backlog");
+        if (has_memory) {
+            mb_scheduler_note_rejected(request);
+        }
+        else {
+            mb_scheduler_note_no_memory(request);
+        }
+        respond_to_write(request, 503, has_memory ? "backlog" : "memory");
+        mb_scheduler_request_free(request);
+        break;
+    case MB_SCHEDULER_UNCONFIRMED:
+        respond_to_write(request, 504, "log_not_read");
         mb_scheduler_request_free(request);
         break;
     case MB_SCHEDULER_UNDECIDED:
@@ -254,17 +269,18 @@
 handle_cancel(mb_scheduler_request_t *request)
 {
     mb_scheduler_node_t *node = request->node;
-    const mb_dag_job_t *job = mb_dag_find(&node->table, request->id);
-    if (job == NULL && is_table_current(node) &&
+    mb_scheduler_job_state_t state;
+    bool is_known = mb_scheduler_find_job(node, request->id, &state);
+    if (!is_known && is_table_current(node) &&
         node->ownership.last_read_start_us < request->received_us) {
         g_ptr_array_add(node->pending_cancels, request);
         return;
     }
-    if (job == NULL) {
+    if (!is_known) {
         respond_unknown(request);
         return;
     }
-    if (job->cancelled || job->stored_outcome != MB_DAG_OPEN) {
+    if (state.outcome != MB_DAG_OPEN) {
         respond_to_write(request, 200, "closed");
         mb_scheduler_request_free(request);
         return;
@@ -295,6 +311,8 @@
             job->stored_outcome == MB_DAG_OPEN && !job->started &&
             mb_str_equal(job->spec.policy.queue, mb_buf_view(&request->queue));
     }
+    pending +=
+        mb_scheduler_count_set_aside(node, mb_buf_view(&request->queue));
     node->codec.write_pending(node->codec.context, pending, &body);
     log_query(request, MB_SEVERITY_INFO, MB_STR_EMPTY, 200);
     respond(node, request->exchange, 200, mb_buf_view(&body), 0);
@@ -332,8 +350,9 @@
     for (guint i = 0; i < node->pending_cancels->len;) {
         mb_scheduler_request_t *request =
             g_ptr_array_index(node->pending_cancels, i);
+        mb_scheduler_job_state_t state;
         bool decidable =
-            mb_dag_find(&node->table, request->id) != NULL ||
+            mb_scheduler_find_job(node, request->id, &state) ||
             node->ownership.last_read_start_us >= request->received_us ||
             !is_table_current(node);
         if (!decidable && now_us < request->deadline_us) {
--- a/programs/magnoliabarrowd/intake.c
+++ b/programs/magnoliabarrowd/intake.c
@@ -22,10 +22,9 @@
     return MIN(value, (uint64_t)limit.rlim_cur);
 }
 
-/* Returns the memory of the process in bytes: the setting, or that of the
-   machine, or less if the resource limits of the process are lower. */
-static uint64_t
-get_memory(const mb_settings_t *settings)
+/* Returns the memory of the process; see the header. */
+uint64_t
+intake_memory(const mb_settings_t *settings)
 {
     uint64_t megabytes = mb_settings_number(settings, "daemon", "memory_mb");
     struct sysinfo info;
@@ -53,7 +52,7 @@
 intake_read(const mb_settings_t *settings, const char *section,
             mb_intake_limits_t *limits, GError **error)
 {
-    uint64_t memory = get_memory(settings);
+    uint64_t memory = intake_memory(settings);
     uint64_t descriptors = get_descriptors(settings);
     uint64_t bytes =
         mb_settings_number(settings, section, "buffer_mb") * BYTES_PER_MB;
--- a/programs/magnoliabarrowd/intake.h
+++ b/programs/magnoliabarrowd/intake.h
@@ -7,6 +7,9 @@
 #include "mb_log.h"
 #include "mb_settings.h"
 
+/* Returns the memory of the process in bytes: the setting, or that of the
+   machine, or less if the resource limits of the process are lower. */
+uint64_t intake_memory(const mb_settings_t *settings);
 /* Derives the limits of the listener for clients from the settings of a
    section. Returns false with the error set if no useful limits fit the memory
    and the descriptors. */
--- a/programs/magnoliabarrowd/job_roles.c
+++ b/programs/magnoliabarrowd/job_roles.c
@@ -100,6 +100,7 @@
             daemon_setting_u32(daemon, "scheduler", "config_age_max_ms"),
         .evacuation_age_max_ms =
             daemon_setting_u32(daemon, "scheduler", "evacuation_age_max_ms"),
+        .memory_bytes = intake_memory(&daemon->settings),
         .reject_overdue_jobs = mb_str_equal(
             daemon_setting_text(daemon, "scheduler", "reject_overdue_jobs"),
             MB_STR_LIT("yes")),
--- a/tests/unit/test_decoders.cc
+++ b/tests/unit/test_decoders.cc
@@ -157,7 +157,7 @@
 static std::vector<std::string>
 make_records()
 {
-    mb_buf_t values[8] = {};
+    mb_buf_t values[9] = {};
     mb_dag_step_t step = {};
     mb_dag_spec_t spec = {};
     mb_ownership_record_t owner = {7, 8, 9, false};
@@ -166,6 +166,7 @@
     uint64_t failed_runs[] = {1, 2};
     mb_dag_range_t range = {3, 9};
     uint32_t number = 11;
+    mb_job_memory_record_t memory = {1u << 25, 1u << 20};
     mb_dag_progress_row_t row = {0, 1, 2, failed_runs, MB_STR_LIT("c")};
     g_autoptr(GArray) rows = g_array_new(FALSE, FALSE, sizeof(row));
     g_autoptr(GArray) tasks = g_array_new(FALSE, FALSE, sizeof(task));
@@ -203,6 +204,7 @@
     mb_backlog_forecast_finish(&backlog);
     progress.is_sparse = true;
     mb_dag_record_encode_progress(&values[7], &progress);
+    mb_dag_record_encode_scheduler(&values[8], &memory);
     std::string id = "0123456789abcdef ";
     std::string address = "10.0.0.1:7480 ";
     return {"j" + id + take_text(&values[0]),
@@ -212,7 +214,8 @@
             "l " + take_text(&values[4]),
             "a" + address + take_text(&values[5]),
             "b " + take_text(&values[6]),
-            "s" + id + take_text(&values[7])};
+            "s" + id + take_text(&values[7]),
+            "m" + address + take_text(&values[8])};
 }
 
 TEST(Decoders, DamagedRecords)
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -867,7 +867,7 @@
     mb_fleet_job_cancelled(&simulation.fleet, job);
     simulation.advance(1000);
     EXPECT_EQ(simulation.running(), 0u);
-    EXPECT_TRUE(mb_fleet_job_idle(job));
+    EXPECT_TRUE(mb_fleet_job_idle(&simulation.fleet, job));
 }
 
 /* Guards against runs of a cancelled job that go on because the connection to
@@ -891,7 +891,7 @@
     simulation.connect(*simulation.machines[0]);
     simulation.advance(1500);
     EXPECT_EQ(simulation.running(), 0u);
-    EXPECT_TRUE(mb_fleet_job_idle(job));
+    EXPECT_TRUE(mb_fleet_job_idle(&simulation.fleet, job));
 }
 
 /* Guards against runs of a cancelled job that go on because the order to stop
@@ -914,7 +914,7 @@
     mb_fleet_job_cancelled(&simulation.fleet, job);
     simulation.advance(3000);
     EXPECT_EQ(simulation.running(), 0u);
-    EXPECT_TRUE(mb_fleet_job_idle(job));
+    EXPECT_TRUE(mb_fleet_job_idle(&simulation.fleet, job));
 }
 
 /* Guards against a service task that misses its latency target because of
--- a/tests/unit/test_scheduler_records.cc
+++ b/tests/unit/test_scheduler_records.cc
@@ -39,12 +39,13 @@
         return static_cast<SchedulerRecords *>(context)->now_us;
     }
 
-    SchedulerRecords()
+    explicit SchedulerRecords(uint64_t memory_bytes = 0)
     {
         mb_log_t log = mb_log_null();
         mb_scheduler_config_t config = {};
         config.name = MB_STR_LIT("scheduler-1");
         config.incarnation = 1;
+        config.memory_bytes = memory_bytes;
         mb_epoch_init(&epoch);
         mb_counters_init(&counters);
         EXPECT_TRUE(mb_scheduler_node_init(&node, &config, &epoch, &counters,
@@ -472,3 +473,133 @@
     mb_scheduler_agents_tick(&records.node);
     EXPECT_TRUE(agent->removed);
 }
+
+/* The id of the job with a number. */
+static std::string
+job_id(uint32_t number)
+{
+    char text[MB_DAG_ID_LEN + 1];
+    (void)snprintf(text, sizeof(text), "%016x", number);
+    return text;
+}
+
+/* Applies the record of a job of 10,000 tasks, about 1.5 MB. */
+static void
+apply_large_job(SchedulerRecords &records, uint32_t number,
+                uint32_t tasks = 10000)
+{
+    std::string id = job_id(number);
+    mb_dag_step_t step = {};
+    mb_dag_spec_t spec = {};
+    mb_buf_t value = {};
+    step.count = tasks;
+    step.estimate_ms = 1000;
+    spec.steps = &step;
+    spec.step_count = 1;
+    spec.policy.queue = MB_STR_LIT("queue");
+    spec.policy.service = MB_STR_LIT("pool");
+    EXPECT_TRUE(mb_dag_id_parse(mb_str_from_cstr(id.c_str()), &spec.id));
+    mb_dag_record_encode_job(&value, &spec);
+    records.apply("j" + id, value);
+    mb_buf_finish(&value);
+}
+
+/* Jobs that the log held ended a scheduler with less memory than those that
+   had accepted them, each time it started; or they were not known there. */
+TEST(SchedulerRecords, JobsThatDoNotFitAreSetAside)
+{
+    const uint64_t memory = 160u * 1024 * 1024;
+    SchedulerRecords records(memory);
+    mb_scheduler_job_state_t state;
+    mb_dag_id_t last;
+    for (uint32_t i = 0; i < 200; i++) {
+        apply_large_job(records, i);
+    }
+    EXPECT_TRUE(mb_dag_id_parse(mb_str_from_cstr(job_id(199).c_str()), &last));
+    EXPECT_LE(records.node.table.weight, memory / 5 * 2);
+    EXPECT_GT(records.node.table.weight, memory / 5);
+    EXPECT_GT(g_hash_table_size(records.node.set_aside), 100u);
+    for (uint32_t i = 0; i < 200; i++) {
+        mb_dag_id_t id;
+        EXPECT_TRUE(mb_dag_id_parse(mb_str_from_cstr(job_id(i).c_str()), &id));
+        EXPECT_TRUE(mb_scheduler_find_job(&records.node, id, &state)) << i;
+    }
+    EXPECT_EQ(mb_scheduler_count_set_aside(&records.node, MB_STR_LIT("queue")),
+              g_hash_table_size(records.node.set_aside));
+    mb_buf_t cancel = {};
+    mb_dag_record_encode_cancel(&cancel);
+    records.apply("c" + job_id(199), cancel);
+    mb_buf_finish(&cancel);
+    EXPECT_TRUE(mb_scheduler_find_job(&records.node, last, &state));
+    EXPECT_EQ(state.outcome, MB_DAG_CANCELLED);
+    records.apply("j" + job_id(199), mb_buf_t{});
+    EXPECT_FALSE(mb_scheduler_find_job(&records.node, last, &state));
+    /* Once the others are gone, the log is read anew for the rest. */
+    for (uint32_t i = 0; i < 180; i++) {
+        records.apply("j" + job_id(i), mb_buf_t{});
+    }
+    records.node.jobs.loaded = true;
+    records.node.jobs.reload_pending = false;
+    mb_scheduler_memory_tick(&records.node);
+    EXPECT_EQ(g_hash_table_size(records.node.set_aside), 0u);
+    EXPECT_EQ(records.node.table.weight, 0u);
+    EXPECT_FALSE(mb_follower_loaded(&records.node.jobs));
+}
+
+/* The owner dropped jobs whose runs it had to know. */
+TEST(SchedulerRecords, TheOwnerSetsNoJobAside)
+{
+    SchedulerRecords records(160u * 1024 * 1024);
+    records.own_fleet(1);
+    for (uint32_t i = 0; i < 100; i++) {
+        apply_large_job(records, i);
+    }
+    EXPECT_EQ(g_hash_table_size(records.node.set_aside), 0u);
+    EXPECT_EQ(g_hash_table_size(records.node.table.jobs), 100u);
+}
+
+/* Submissions were accepted until all schedulers were out of memory; or one
+   that another scheduler had stored was rejected, and ran. */
+TEST(SchedulerRecords, RejectsSubmissionsWithoutMemoryOnceTheLogIsRead)
+{
+    SchedulerRecords records(160u * 1024 * 1024);
+    for (uint32_t i = 0; i < 24; i++) {
+        apply_large_job(records, i);
+    }
+    mb_scheduler_note_jobs_read(&records.node, records.now_us);
+    mb_scheduler_request_t request = make_submission(records);
+    request.weight = 2u * 1024 * 1024;
+    /* What the log holds is not known before it has been read. */
+    EXPECT_EQ(mb_scheduler_judge_memory(&request), MB_SCHEDULER_UNDECIDED);
+    mb_scheduler_note_jobs_loaded(&records.node);
+    request.weight = 1000;
+    EXPECT_EQ(mb_scheduler_judge_memory(&request), MB_SCHEDULER_ADMITTED);
+    request.weight = 2u * 1024 * 1024;
+    EXPECT_EQ(mb_scheduler_judge_memory(&request), MB_SCHEDULER_UNDECIDED);
+    records.now_us += 2450000;
+    EXPECT_EQ(mb_scheduler_judge_memory(&request), MB_SCHEDULER_UNCONFIRMED);
+    mb_scheduler_note_jobs_read(&records.node, records.now_us - 230000);
+    EXPECT_EQ(mb_scheduler_judge_memory(&request), MB_SCHEDULER_REJECTED);
+    EXPECT_GE(request.decision.retry_after_s, 1u);
+}
+
+/* Jobs that had ended kept the memory of their tasks and texts until they were
+   removed. */
+TEST(SchedulerRecords, ClosedJobsKeepOnlyTheirState)
+{
+    SchedulerRecords records;
+    mb_buf_t cancel = {};
+    mb_dag_record_encode_cancel(&cancel);
+    for (uint32_t i = 0; i < 100; i++) {
+        apply_large_job(records, i, 1000);
+        records.apply("c" + job_id(i), cancel);
+    }
+    mb_buf_finish(&cancel);
+    mb_scheduler_memory_tick(&records.node);
+    EXPECT_LT(records.node.table.weight, 200000u);
+    mb_scheduler_job_state_t state;
+    mb_dag_id_t id;
+    EXPECT_TRUE(mb_dag_id_parse(mb_str_from_cstr(job_id(7).c_str()), &id));
+    EXPECT_TRUE(mb_scheduler_find_job(&records.node, id, &state));
+    EXPECT_EQ(state.outcome, MB_DAG_CANCELLED);
+}
