Leave jobs without a due occurrence out of scheduling passes

It now notes when its next occurrence is due, and a pass skips it until then.

Fleet.CrontabOfSomeHundredLinesStartsInTime checks that none of 400 such jobs is to be considered before its time; it failed before.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -319,6 +319,7 @@
     job->due_base_us = now_us;
     job->due_base_ms = now_ms;
     job->next_due = 0;
+    job->next_due_us = 0;
     mb_fleet_estimate_job(fleet, job);
     g_ptr_array_add(fleet->open_jobs, job);
     fleet->jobs_unsorted = true;
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -578,7 +578,7 @@
 
 /* Starts what can be started of a job. `needs_scheduling` stays set if the
    next pass has to consider the job again although none of its runs ends in
-   between: a task waits for room, for its retry delay or for its due time. */
+   between: a task waits for room or for its retry delay. */
 static void
 start_job(pass_t *pass, mb_dag_job_t *job)
 {
@@ -607,8 +607,10 @@
             }
         }
     }
-    job->needs_scheduling =
-        !none_waits || job->next_due < job->occurrence_count;
+    job->needs_scheduling = !none_waits;
+    job->next_due_us = job->next_due < job->occurrence_count
+                           ? mb_dag_due_us(job, job->next_due)
+                           : UINT64_MAX;
 }
 
 /* Counts the tasks of a job's due occurrences that are neither done nor
@@ -696,7 +698,9 @@
     for (guint i = 0; i < fleet->open_jobs->len; i++) {
         mb_dag_job_t *job = g_ptr_array_index(fleet->open_jobs, i);
         bool blocked = job->inherited && !fleet->former_runs_resolved;
-        if (job->outcome != MB_DAG_OPEN || !job->needs_scheduling) {
+        bool is_waiting =
+            job->needs_scheduling || job->next_due_us <= pass.inputs.now_us;
+        if (job->outcome != MB_DAG_OPEN || !is_waiting) {
             continue;
         }
         if (blocked) {
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -205,6 +205,8 @@
     bool dirty;             /* the progress differs from what is stored */
     bool inherited;         /* accepted before this process became the owner */
     bool needs_scheduling;  /* a task may be startable */
+    uint64_t next_due_us;   /* when the next occurrence is to be opened;
+                               UINT64_MAX: none */
     uint32_t running;       /* number of runs that occupy a worker */
     uint64_t idle_since_us; /* since when `running` is 0 */
     uint64_t wait_logged_us; /* when the log last got why it waits; 0: never */
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -1369,6 +1369,11 @@
     }
     simulation.advance(1900);
     EXPECT_EQ(simulation.starts.size(), 0u);
+    for (guint i = 0; i < simulation.fleet.open_jobs->len; i++) {
+        const mb_dag_job_t *job = static_cast<const mb_dag_job_t *>(
+            g_ptr_array_index(simulation.fleet.open_jobs, i));
+        EXPECT_FALSE(job->needs_scheduling);
+    }
     simulation.advance(lines * 10 + 1000);
     EXPECT_EQ(simulation.starts.size(), lines);
     simulation.advance(60000);
