Let occurrences of a recurring job age from their due times

What callers would see: a line of a crontab that was submitted a while ago starts late on a busy fleet, after all other jobs of its priority.

Cause: the age of a job, by which it is ranked as in time, late or very late, counts from its submission. A recurring job is very late for good after three times its objective, and its estimates were those of the first occurrence.

Fix: a recurring job ages from the due time of its oldest unfinished occurrence, for which it is also estimated.

FleetOrder.OccurrencesAgeFromTheirDueTimes fails without this (mutant FLEET_RECURRING_JOBS_AGE): the second occurrence waits behind 60 tasks that have waited for less time than the job exists.

--- a/lib/coordination/mb_fleet_estimate.c
+++ b/lib/coordination/mb_fleet_estimate.c
@@ -272,15 +272,25 @@
                              state->waiting > 0 ? run_ms : run_ms / 2};
 }
 
-/* Estimates the times of a step of the first occurrence. What is left is that
+/* Returns the occurrence for which a job is estimated: the oldest unfinished
+   one that has begun, or the first. */
+static uint32_t
+get_estimated_occurrence(const mb_dag_job_t *job)
+{
+    const mb_dag_occurrence_t *oldest = mb_dag_oldest_open(job);
+    return oldest == NULL ? 0 : oldest->number;
+}
+
+/* Estimates the times of a step of an occurrence. What is left is that
    of the tasks at work, and a whole run time of the longest one of those that
    wait. */
 static step_estimate_t
 estimate_step(const mb_run_time_t *times, const mb_run_time_kind_t *kind,
-              const mb_dag_job_t *job, uint32_t step, uint64_t now_us)
+              const mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
+              uint64_t now_us)
 {
     double typical_ms = get_typical_ms(kind, job, step);
-    step_state_t state = get_state(job, 0, step, now_us, &typical_ms);
+    step_state_t state = get_state(job, occurrence, step, now_us, &typical_ms);
     double run_ms = mb_run_time_mean_ms(kind, typical_ms);
     step_estimate_t estimate = {run_ms, job->step_times[step].longest_ms, 0};
     if (job->steps[step].long_running) {
@@ -328,8 +338,8 @@
    run times that its tasks really take, as far as they are known, times the
    stretch factor of its policy, plus the latency objective), the time for the
    rest of the critical path, and the remaining work. They are those of the
-   first occurrence. Does nothing if the job was estimated less than
-   INTERVAL_US ago. */
+   oldest unfinished occurrence. Does nothing if the job was estimated less
+   than INTERVAL_US ago. */
 void
 mb_fleet_estimate_job(const mb_fleet_t *fleet, mb_dag_job_t *job)
 {
@@ -345,16 +355,17 @@
         return;
     }
     job->estimated_us = now_us;
+    uint32_t occurrence = get_estimated_occurrence(job);
     for (uint32_t i = 0; i < job->spec.step_count; i++) {
         const mb_dag_step_t *step = &job->steps[i];
         step_estimate_t estimate =
-            estimate_step(&fleet->run_times, kind, job, i, now_us);
+            estimate_step(&fleet->run_times, kind, job, occurrence, i, now_us);
         paths[i] = longest_path_before(step, paths, i) + estimate.total_ms;
         left_paths[i] =
             longest_path_before(step, left_paths, i) + estimate.left_ms;
         longest_ms = MAX(longest_ms, paths[i]);
         longest_left_ms = MAX(longest_left_ms, left_paths[i]);
-        work += mb_dag_unfinished(job, 0, i) * estimate.run_ms *
+        work += mb_dag_unfinished(job, occurrence, i) * estimate.run_ms *
                 step->size.cpu_milli;
     }
     double objective_ms = longest_ms * job->spec.policy.stretch_milli / MILLI +
--- a/lib/coordination/mb_fleet_order.c
+++ b/lib/coordination/mb_fleet_order.c
@@ -43,11 +43,28 @@
     return false;
 }
 
+/* Returns since when a job is to be done: its submission or, if it recurs, the
+   due time of its oldest unfinished occurrence; the present time if none is
+   due. */
+static uint64_t
+get_wanted_since_us(const mb_dag_job_t *job, uint64_t now_us)
+{
+#ifndef MB_MUTANT_FLEET_RECURRING_JOBS_AGE
+    if (job->spec.occurrences > 0) {
+        const mb_dag_occurrence_t *oldest = mb_dag_oldest_open(job);
+        return oldest == NULL
+                   ? now_us
+                   : MIN(now_us, mb_dag_due_us(job, oldest->number));
+    }
+#endif
+    return MIN(now_us, job->arrived_us);
+}
+
 /* Tells whether a job is expected to miss its objective. */
 bool
 mb_fleet_job_is_late(const mb_dag_job_t *job, uint64_t now_us)
 {
-    uint64_t age_us = now_us - MIN(now_us, job->arrived_us);
+    uint64_t age_us = now_us - get_wanted_since_us(job, now_us);
     return age_us + job->remaining_us > job->objective_us;
 }
 
@@ -56,11 +73,12 @@
 static sort_key_t
 get_sort_key(const mb_dag_job_t *job, uint64_t now_us)
 {
-    uint64_t age_us = now_us - MIN(now_us, job->arrived_us);
+    uint64_t since_us = get_wanted_since_us(job, now_us);
+    uint64_t age_us = now_us - since_us;
     sort_key_t key = {.priority = job->spec.policy.priority,
                       .rank = RANK_IN_TIME,
                       .remaining_work = job->remaining_work,
-                      .due_us = job->arrived_us + job->objective_us};
+                      .due_us = since_us + job->objective_us};
 #ifndef MB_MUTANT_FLEET_SERVICES_BY_WORK
     if (mb_fleet_job_is_service(job)) {
         key.rank = RANK_SERVICE;
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -218,7 +218,7 @@
     uint32_t next_due; /* every occurrence before it was opened or is finished
                         */
     uint64_t objective_us; /* see mb_dag_policy_t; from `arrived_us` */
-    /* Estimates for the first occurrence: */
+    /* Estimates for the oldest unfinished occurrence: */
     uint64_t remaining_work; /* in milliseconds of 1/1000 processor */
     uint64_t remaining_us;   /* of the critical path: minimum to completion */
     uint64_t estimated_us;   /* when these and `objective_us` were estimated */
@@ -285,6 +285,7 @@
 void mb_dag_close_all(mb_dag_job_t *job);
 bool mb_dag_is_finished(const mb_dag_job_t *job, uint32_t number);
 void mb_dag_set_finished(mb_dag_job_t *job, mb_dag_range_t range);
+const mb_dag_occurrence_t *mb_dag_oldest_open(const mb_dag_job_t *job);
 uint64_t mb_dag_due_us(const mb_dag_job_t *job, uint32_t number);
 bool mb_dag_has_task(const mb_dag_job_t *job, const mb_dag_task_id_t *id);
 mb_dag_task_t *mb_dag_task(mb_dag_job_t *job, uint32_t occurrence,
--- a/lib/state/mb_dag_occurrence.c
+++ b/lib/state/mb_dag_occurrence.c
@@ -221,31 +221,53 @@
     (void)g_ptr_array_set_size(job->open, 0);
 }
 
-/* Returns when an occurrence is due, by the clock of the owner; 0 if it was
-   due when the owner got to know the job. */
+/* Adds two numbers; returns UINT64_MAX instead of an overflow. */
+static uint64_t
+add_saturated(uint64_t a, uint64_t b)
+{
+    return a > UINT64_MAX - b ? UINT64_MAX : a + b;
+}
+
+/* Multiplies two numbers; returns UINT64_MAX instead of an overflow. */
+static uint64_t
+multiply_saturated(uint64_t a, uint64_t b)
+{
+    return b != 0 && a > UINT64_MAX / b ? UINT64_MAX : a * b;
+}
+
+/* Returns when an occurrence is due, by the clock of the owner: 0 for a job
+   that does not recur, UINT64_MAX if it is beyond the range of the clock. */
 uint64_t
 mb_dag_due_us(const mb_dag_job_t *job, uint32_t number)
 {
     const mb_dag_spec_t *spec = &job->spec;
-    uint64_t delay_ms;
-    uint64_t due_ms;
-    uint64_t wait_us;
-    uint64_t due_us;
+    uint64_t base_ms = job->due_base_ms;
     if (spec->occurrences == 0) {
         return 0;
     }
-    if (__builtin_mul_overflow(number, spec->interval_ms, &delay_ms) ||
-        __builtin_add_overflow(spec->first_ms, delay_ms, &due_ms)) {
-        return UINT64_MAX;
+    uint64_t due_ms = add_saturated(
+        spec->first_ms, multiply_saturated(number, spec->interval_ms));
+    if (due_ms <= base_ms) {
+        uint64_t past_us = multiply_saturated(base_ms - due_ms, MB_US_PER_MS);
+        return job->due_base_us - MIN(job->due_base_us, past_us);
     }
-    if (due_ms <= job->due_base_ms) {
-        return 0;
+    return add_saturated(job->due_base_us,
+                         multiply_saturated(due_ms - base_ms, MB_US_PER_MS));
+}
+
+/* Returns the open occurrence with the lowest number that is not finished, or
+   NULL if there is none. */
+const mb_dag_occurrence_t *
+mb_dag_oldest_open(const mb_dag_job_t *job)
+{
+    for (guint i = 0; i < job->open->len; i++) {
+        const mb_dag_occurrence_t *occurrence =
+            g_ptr_array_index(job->open, i);
+        if (!mb_dag_is_finished(job, occurrence->number)) {
+            return occurrence;
+        }
     }
-    return __builtin_mul_overflow(due_ms - job->due_base_ms,
-                                  (uint64_t)MB_US_PER_MS, &wait_us) ||
-                   __builtin_add_overflow(job->due_base_us, wait_us, &due_us)
-               ? UINT64_MAX
-               : due_us;
+    return NULL;
 }
 
 /* Tells whether a job has a task. */
--- a/tests/unit/test_fleet_order.cc
+++ b/tests/unit/test_fleet_order.cc
@@ -6,6 +6,10 @@
 
 #include "fleet_histories.h"
 
+extern "C" {
+#include "mb_fleet_internal.h"
+}
+
 static const char *const filler_id = "aaaaaaaaaaaaaaaa";
 static const char *const large_id = "bbbbbbbbbbbbbbbb";
 static const char *const small_id = "cccccccccccccccc";
@@ -186,3 +190,32 @@
         EXPECT_GE(size.second.share(), all.share() / 2) << size.first;
     }
 }
+
+/* Guards against a recurring job that is taken for very late because of the
+   time since its submission, so that its occurrences come after all others. */
+TEST(FleetOrder, OccurrencesAgeFromTheirDueTimes)
+{
+    FleetSimulation simulation(1);
+    std::vector<mb_dag_step_t> steps(4);
+    simulation.fail_over();
+    simulation.advance(2500);
+    mb_dag_spec_t line = one_step_job(&steps[0], small_id, 2, 1000);
+    line.submitted_ms = simulation.now_us / 1000;
+    line.occurrences = 1000;
+    line.first_ms = line.submitted_ms;
+    line.interval_ms = 20000;
+    simulation.submit(line);
+    simulation.advance(19000);
+    /* Work that is late, and has waited for less than the recurring job. */
+    simulation.job_task_ms[filler_id] = 2000;
+    mb_dag_spec_t filler = one_step_job(&steps[1], filler_id, 60, 1000);
+    filler.submitted_ms = simulation.now_us / 1000 - 5000;
+    simulation.submit(filler);
+    simulation.advance(1000 + 2500);
+    EXPECT_EQ(simulation.starts[format_task({line.id, 1, 0, 0})], 1u);
+    EXPECT_EQ(simulation.starts[format_task({line.id, 1, 0, 1})], 1u);
+    mb_dag_job_t *job = mb_dag_find(&simulation.table, line.id);
+    EXPECT_TRUE(mb_dag_is_finished(job, 0));
+    EXPECT_FALSE(mb_fleet_job_is_late(job, simulation.now_us));
+    expect_no_violations(simulation);
+}
