Bound the stored progress of a job by the record size of the log

Cause: the checkpoints of all tasks that had begun went into one record, without a limit; the same class as a byte for each occurrence.

Fix: up to MB_DAG_PROGRESS_BYTES_MAX, in this order: failures, checkpoints of tasks without a run, and those of running tasks, which their workers report to the next owner too. What is left out is logged once for each job. The fixed part of the largest recurring job stays below a record.

Measured: the record of 3,000 tasks with checkpoints of 1 KB is shorter than 262,144 bytes, with all failures and the checkpoints of waiting tasks (DagOccurrences.ProgressWithManyCheckpointsFitsInARecord); with the mutant DAG_PROGRESS_NOT_BOUNDED it is longer.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -434,6 +434,23 @@
     }
 }
 
+/* Logs, once for each job, that its progress is too large to be stored as a
+   whole. */
+static void
+log_omission(const mb_fleet_t *fleet, mb_dag_job_t *job,
+             const mb_dag_progress_t *progress)
+{
+    if (progress->omitted == 0 || job->omission_logged) {
+        return;
+    }
+    job->omission_logged = true;
+    mb_log_notice(&fleet->log,
+                  "progress stored without some checkpoints or failures "
+                  "job=%.*s omitted=%u rows=%u",
+                  MB_STR_ARG(mb_dag_id_view(&job->spec.id)), progress->omitted,
+                  progress->rows->len);
+}
+
 /* Stores the progress of all dirty jobs as one group, unless the previous
    group is still being stored. Ends that have been applied so far are
    acknowledged once the group is stored. */
@@ -459,6 +476,7 @@
         (void)g_array_set_size(fleet->progress_rows, 0);
         (void)g_array_set_size(fleet->progress_numbers, 0);
         mb_dag_progress_collect(job, &fleet->done_bits, &progress);
+        log_omission(fleet, job, &progress);
         fleet->callbacks.store(fleet->callbacks.context, &progress);
         job->dirty = false;
     }
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -31,6 +31,10 @@
 #define MB_DAG_FAILURES_MAX 4096u
 /* Maximum number of concurrent runs of a task in a speculative step. */
 #define MB_DAG_COPIES_MAX 2u
+/* Size up to which failures and checkpoints are added to the stored progress
+   of a job, in bytes: below the maximum of a record in the log service, and so
+   small that a narrow link carries it in the time of an append. */
+#define MB_DAG_PROGRESS_BYTES_MAX (96u * 1024u)
 /* Memory of all jobs together for occurrences beyond the window of their job
    (mb_dag_window), in bytes. */
 #define MB_DAG_SURPLUS_BYTES_MAX (4u * 1024u * 1024u)
@@ -193,6 +197,7 @@
     uint32_t finished_count; /* number of finished occurrences */
     uint64_t weight;         /* its part of the table's weight */
     bool compacted;          /* see mb_dag_compact */
+    bool omission_logged;    /* the log has that its progress is incomplete */
     /* As stored in the job log, and thus as reported to clients: */
     mb_dag_outcome_t stored_outcome;
     bool started; /* a worker has listed a run or its end */
@@ -245,6 +250,7 @@
     GArray *numbers;  /* uint32_t: the occurrences that `done` describes */
     mb_str_t done; /* a bit for each task; every occurrence starts at a byte */
     GArray *rows;  /* mb_dag_progress_row_t */
+    uint32_t omitted; /* checkpoints and rows that were left out */
 } mb_dag_progress_t;
 
 /* All jobs that a process knows. */
--- a/lib/state/mb_dag_progress.c
+++ b/lib/state/mb_dag_progress.c
@@ -6,6 +6,14 @@
 
 #include "mb_dag.h"
 
+/* Largest encoded sizes, in bytes: of a row without its runs and its
+   checkpoint, of the number of a run, of a range and of the number of an
+   occurrence. */
+#define ROW_BYTES 16u
+#define RUN_BYTES 9u
+#define RANGE_BYTES 6u
+#define NUMBER_BYTES 3u
+
 /* Returns the size of the done bits of an occurrence, in bytes. */
 static size_t
 occurrence_bytes(const mb_dag_job_t *job)
@@ -13,23 +21,99 @@
     return (job->task_count + 7u) / 8u;
 }
 
-/* Adds a row for a task that is not done but has failures or a checkpoint.
-   `number` is its index in the occurrence. */
+/* Tells whether a task has a run. */
+static bool
+is_running(const mb_dag_task_t *task)
+{
+    bool running = false;
+    for (uint32_t i = 0; i < MB_DAG_COPIES_MAX; i++) {
+        running = running || task->runs[i].number != 0;
+    }
+    return running;
+}
+
+/* Which rows are added in a pass over the tasks. What is left out for lack of
+   space should be what matters least: the checkpoints of running tasks, which
+   their workers report to the next owner too. */
+typedef enum row_pass {
+    ROWS_WITH_FAILURES,
+    ROWS_OF_WAITING_TASKS,
+    ROWS_OF_RUNNING_TASKS,
+    ROW_PASS_COUNT
+} row_pass_t;
+
+/* Returns the pass that adds the row of a task; ROW_PASS_COUNT if the task has
+   none, as it is done or has neither failures nor a checkpoint. */
+static row_pass_t
+get_pass(const mb_dag_task_t *task)
+{
+    if (task->done || (task->failures == 0 && task->checkpoint_len == 0)) {
+        return ROW_PASS_COUNT;
+    }
+    if (task->failures > 0) {
+        return ROWS_WITH_FAILURES;
+    }
+    return is_running(task) ? ROWS_OF_RUNNING_TASKS : ROWS_OF_WAITING_TASKS;
+}
+
+/* What has been collected. */
+typedef struct collection {
+    mb_buf_t *bits;
+    mb_dag_progress_t *progress;
+    size_t bytes;    /* estimated size of the record */
+    row_pass_t pass; /* the present one */
+} collection_t;
+
+/* Tells whether a record has space for more bytes. */
+static bool
+has_space(const collection_t *collection, size_t bytes)
+{
+#ifdef MB_MUTANT_DAG_PROGRESS_NOT_BOUNDED
+    return true;
+#endif
+    return collection->bytes + bytes <= MB_DAG_PROGRESS_BYTES_MAX;
+}
+
+/* Adds the row of a task if there is space for it, without its checkpoint if
+   there is none for that. `number` is its index in the occurrence. */
 static void
-collect_row(const mb_dag_task_t *task, uint32_t occurrence, uint32_t number,
-            mb_dag_progress_t *progress)
+add_row(collection_t *collection, const mb_dag_task_t *task,
+        uint32_t occurrence, uint32_t number)
 {
+    mb_dag_progress_t *progress = collection->progress;
+    size_t bytes = ROW_BYTES + task->failures * RUN_BYTES;
     mb_dag_progress_row_t row = {
         .occurrence = occurrence,
         .task = number,
         .failures = task->failures,
         .failed_runs = task->failed_runs,
         .checkpoint = {task->checkpoint, task->checkpoint_len}};
-    if (!task->done && (task->failures > 0 || task->checkpoint_len > 0)) {
+    if (!has_space(collection, bytes + row.checkpoint.len)) {
+        row.checkpoint = MB_STR_EMPTY;
+        progress->omitted++;
+    }
+    if (row.failures == 0 && row.checkpoint.len == 0) {
+        return;
+    }
+    if (has_space(collection, bytes)) {
+        collection->bytes += bytes + row.checkpoint.len;
         (void)g_array_append_val(progress->rows, row);
     }
 }
 
+/* Adds the rows of an open occurrence that belong to the present pass. */
+static void
+add_rows(const mb_dag_job_t *job, const mb_dag_occurrence_t *occurrence,
+         collection_t *collection)
+{
+    for (uint32_t t = 0; t < job->task_count; t++) {
+        const mb_dag_task_t *task = &occurrence->tasks[t];
+        if (get_pass(task) == collection->pass) {
+            add_row(collection, task, occurrence->number, t);
+        }
+    }
+}
+
 /* Sets a bit; the bits of a byte are numbered from the lowest. */
 static void
 set_bit(char *bits, uint32_t number)
@@ -58,65 +142,85 @@
     return added;
 }
 
-/* Adds an open occurrence that is not finished: its bits, unless no task is
-   done, and its rows. */
+/* Adds the done bits of an open occurrence that is not finished, unless no
+   task is done. */
 static void
-collect_occurrence(const mb_dag_job_t *job,
-                   const mb_dag_occurrence_t *occurrence, mb_buf_t *bits,
-                   mb_dag_progress_t *progress)
+collect_bits(const mb_dag_job_t *job, const mb_dag_occurrence_t *occurrence,
+             collection_t *collection)
 {
     char *added = NULL;
     for (uint32_t t = 0; t < job->task_count; t++) {
-        const mb_dag_task_t *task = &occurrence->tasks[t];
-        if (task->done && added == NULL) {
-            added = append_bits(job, bits);
-            (void)g_array_append_val(progress->numbers, occurrence->number);
+        if (!occurrence->tasks[t].done) {
+            continue;
         }
-        if (task->done) {
-            set_bit(added, t);
+        if (added == NULL) {
+            added = append_bits(job, collection->bits);
+            (void)g_array_append_val(collection->progress->numbers,
+                                     occurrence->number);
         }
-        collect_row(task, occurrence->number, t, progress);
+        set_bit(added, t);
     }
 }
 
-/* Collects the progress of a job with one occurrence. */
+/* Collects the done bits of a job with one occurrence. */
 static void
-collect_only(const mb_dag_job_t *job, mb_buf_t *bits,
-             mb_dag_progress_t *progress)
+collect_only_bits(const mb_dag_job_t *job, collection_t *collection)
 {
-    char *added = append_bits(job, bits);
+    char *added = append_bits(job, collection->bits);
     bool finished = mb_dag_is_finished(job, 0);
     const mb_dag_occurrence_t *only = mb_dag_find_open(job, 0);
     for (uint32_t t = 0; t < job->task_count; t++) {
         if (finished || (only != NULL && only->tasks[t].done)) {
             set_bit(added, t);
         }
-        else if (only != NULL) {
-            collect_row(&only->tasks[t], 0, t, progress);
+    }
+}
+
+/* What is done with an open occurrence. */
+typedef void (*collect_t)(const mb_dag_job_t *job,
+                          const mb_dag_occurrence_t *occurrence,
+                          collection_t *collection);
+
+/* Calls `collect` for each open occurrence that is not finished. */
+static void
+for_each_unfinished(const mb_dag_job_t *job, collect_t collect,
+                    collection_t *collection)
+{
+    for (guint i = 0; i < job->open->len; i++) {
+        const mb_dag_occurrence_t *occurrence =
+            g_ptr_array_index(job->open, i);
+        if (!mb_dag_is_finished(job, occurrence->number)) {
+            collect(job, occurrence, collection);
         }
     }
 }
 
 /* Sets *progress to the progress of a job, to be stored. `progress->rows` and
-   `progress->numbers` must be empty arrays. The result is valid as long as
-   neither `bits`, whose content is replaced by the done bits, nor the job
+   `progress->numbers` must be empty arrays. Failures and checkpoints without
+   space in MB_DAG_PROGRESS_BYTES_MAX are left out. The result is valid as long
+   as neither `bits`, whose content is replaced by the done bits, nor the job
    changes, as it points into the job. */
 void
 mb_dag_progress_collect(const mb_dag_job_t *job, mb_buf_t *bits,
                         mb_dag_progress_t *progress)
 {
+    collection_t collection = {.bits = bits, .progress = progress};
     mb_buf_clear(bits);
     progress->is_sparse = job->occurrence_count > 1;
     progress->finished = job->finished;
-    if (!progress->is_sparse) {
-        collect_only(job, bits, progress);
+    progress->omitted = 0;
+    if (progress->is_sparse) {
+        for_each_unfinished(job, collect_bits, &collection);
+        collection.bytes = job->finished->len * (size_t)RANGE_BYTES +
+                           progress->numbers->len * (size_t)NUMBER_BYTES;
     }
-    for (guint i = 0; progress->is_sparse && i < job->open->len; i++) {
-        const mb_dag_occurrence_t *occurrence =
-            g_ptr_array_index(job->open, i);
-        if (!mb_dag_is_finished(job, occurrence->number)) {
-            collect_occurrence(job, occurrence, bits, progress);
-        }
+    else {
+        collect_only_bits(job, &collection);
+    }
+    collection.bytes += bits->len;
+    for (int pass = 0; pass < ROW_PASS_COUNT; pass++) {
+        collection.pass = (row_pass_t)pass;
+        for_each_unfinished(job, add_rows, &collection);
     }
     progress->id = job->spec.id;
     progress->outcome = job->outcome;
--- a/tests/unit/test_dag_occurrences.cc
+++ b/tests/unit/test_dag_occurrences.cc
@@ -20,6 +20,12 @@
     mb_dag_step_t steps[2] = {};
     mb_dag_spec_t spec = {};
     mb_buf_t value = {};
+    uint32_t omitted = 0; /* from the latest record */
+
+    static mb_str_t view_of(const std::string &text)
+    {
+        return {text.data(), text.size()};
+    }
 
     void SetUp() override
     {
@@ -68,6 +74,7 @@
         mb_dag_progress_collect(job, &bits, &progress);
         mb_buf_clear(&value);
         mb_dag_record_encode_progress(&value, &progress);
+        omitted = progress.omitted;
         g_array_unref(progress.rows);
         g_array_unref(progress.numbers);
         mb_buf_finish(&bits);
@@ -245,3 +252,52 @@
     }
     mb_dag_table_clear(&table);
 }
+
+/* The progress of a job with many checkpoints was longer than a record of the
+   log, which refused it; the owner then started nothing any more. */
+TEST_F(DagOccurrences, ProgressWithManyCheckpointsFitsInARecord)
+{
+    const size_t record_max = 262144;
+    const std::string checkpoint(MB_DAG_CHECKPOINT_MAX, 'c');
+    steps[0].count = 3000;
+    for (uint32_t occurrences : {0u, 20u}) {
+        mb_dag_table_clear(&table);
+        mb_dag_job_t *job = add(occurrences);
+        for (uint32_t t = 0; t < 3000; t++) {
+            mb_dag_task_t *task = mb_dag_task(job, 0, 0, t);
+            task->runs[0].number = t < 2990;
+            mb_dag_set_checkpoint(task, view_of(checkpoint));
+            if (t < 20) {
+                (void)mb_dag_add_failure(task, t + 1);
+            }
+        }
+        encode(job);
+        EXPECT_LT(value.len, record_max);
+        EXPECT_GT(omitted, 2000u);
+        job = read_back();
+        for (uint32_t t = 0; t < 3000; t++) {
+            const mb_dag_task_t *task = mb_dag_task(job, 0, 0, t);
+            EXPECT_EQ(task->failures, t < 20 ? 1 : 0);
+            /* Tasks without a run need their checkpoints most. */
+            EXPECT_TRUE(t < 2990 || task->checkpoint_len > 0) << t;
+        }
+    }
+}
+
+/* The progress of the largest recurring job was longer than a record. */
+TEST_F(DagOccurrences, ProgressOfTheMostOccurrencesFitsInARecord)
+{
+    steps[0].count = 1;
+    steps[1].count = 1;
+    spec.interval_ms = 0;
+    mb_dag_job_t *job = add(MB_DAG_TASKS_MAX / 2);
+    for (uint32_t i = 0; i < job->occurrence_count; i++) {
+        finish(job, i, i % 2 + 1);
+    }
+    encode(job);
+    EXPECT_LT(value.len, 262144u);
+    job = read_back();
+    EXPECT_EQ(job->finished_count, MB_DAG_TASKS_MAX / 4);
+    EXPECT_EQ(mb_dag_unfinished(job, 4, 0), 0u);
+    EXPECT_EQ(mb_dag_unfinished(job, 4, 1), 1u);
+}
--- a/tests/unit/test_decoders.cc
+++ b/tests/unit/test_decoders.cc
@@ -187,7 +187,7 @@
     g_array_append_val(numbers, number);
     mb_dag_progress_t progress = {
         job_id,  MB_DAG_OPEN,        true, false, finished,
-        numbers, MB_STR_LIT("\x03"), rows};
+        numbers, MB_STR_LIT("\x03"), rows, 0};
     mb_dag_absence_record_t absence = {1, tasks};
     mb_dag_record_encode_job(&values[0], &spec);
     mb_dag_record_encode_progress(&values[1], &progress);
