--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -191,8 +191,10 @@
     mb_dag_step_times_t *step_times; /* known to the owner, by step */
     uint32_t task_count;             /* of an occurrence */
     uint32_t occurrence_count;
-    GPtrArray *open;  /* mb_dag_occurrence_t by number; those that are finished
-                         stay until mb_dag_release_finished */
+    GPtrArray *open; /* mb_dag_occurrence_t by number; those that are finished
+                        stay until mb_dag_release_finished */
+    mb_dag_occurrence_t *latest; /* the open one that was last looked up, or
+                                    NULL: nearly always the next one */
     GArray *finished; /* mb_dag_range_t, in order, with gaps between them */
     uint32_t finished_count; /* number of finished occurrences */
     uint64_t weight;         /* its part of the table's weight */
--- a/lib/state/mb_dag_occurrence.c
+++ b/lib/state/mb_dag_occurrence.c
@@ -31,6 +31,9 @@
 mb_dag_occurrence_t *
 mb_dag_find_open(const mb_dag_job_t *job, uint32_t number)
 {
+    if (job->latest != NULL && job->latest->number == number) {
+        return job->latest;
+    }
     guint position = find_position(job, number);
     if (position == job->open->len) {
         return NULL;
@@ -101,6 +104,9 @@
         g_free(occurrence->tasks[i].checkpoint);
         g_free(occurrence->tasks[i].failed_runs);
     }
+    if (job->latest == occurrence) {
+        job->latest = NULL;
+    }
     if (occurrence->is_surplus) {
         job->table->surplus_bytes -= mb_dag_weigh_occurrence(&job->spec);
     }
@@ -116,10 +122,14 @@
 mb_dag_occurrence_t *
 mb_dag_open(mb_dag_job_t *job, uint32_t number)
 {
+    if (job->latest != NULL && job->latest->number == number) {
+        return job->latest;
+    }
     guint position = find_position(job, number);
     if (position < job->open->len) {
         mb_dag_occurrence_t *found = g_ptr_array_index(job->open, position);
         if (found->number == number) {
+            job->latest = found;
             return found;
         }
     }
@@ -139,6 +149,7 @@
         job->table->surplus_bytes += mb_dag_weigh_occurrence(&job->spec);
     }
     g_ptr_array_insert(job->open, (gint)position, occurrence);
+    job->latest = occurrence;
     return occurrence;
 }
 
