Limit the runs of the fleet by the memory of its owner

Runs may take a tenth of memory_mb; from there on nothing more is started until some end. Adopted runs are not limited.

Fleet.NoMoreRunsAreStartedThanTheOwnerHasMemoryFor: 200 small tasks on workers with room for all of them, at most 50 at a time.

--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -89,6 +89,13 @@
     mb_buf_finish(&fleet->done_bits);
 }
 
+/* Sets the maximum number of runs; see the header. */
+void
+mb_fleet_set_runs_max(mb_fleet_t *fleet, uint32_t runs_max)
+{
+    fleet->runs_max = runs_max;
+}
+
 /* Returns the number of the worker whose agent has this address, or
    UINT32_MAX if the fleet has never had it. */
 uint32_t
--- a/lib/coordination/mb_fleet.h
+++ b/lib/coordination/mb_fleet.h
@@ -309,6 +309,7 @@
     GArray *progress_rows;
     GArray *progress_numbers;     /* uint32_t, the same */
     uint32_t running;             /* runs on all workers */
+    uint32_t runs_max;            /* see mb_fleet_set_runs_max */
     uint64_t waiting_logged_us;   /* when waiting jobs were last looked for */
     mb_fleet_pools_t pools;       /* as of the start of the latest pass */
     uint64_t latencies_logged_us; /* when expected latencies were last logged
@@ -344,6 +345,10 @@
 void mb_fleet_set_evacuation(mb_fleet_t *fleet,
                              const mb_evacuation_t *evacuation);
 
+/* Sets the number of runs from which on nothing more is started; 0: not
+   limited. */
+void mb_fleet_set_runs_max(mb_fleet_t *fleet, uint32_t runs_max);
+
 /* Ownership. */
 void mb_fleet_become_owner(mb_fleet_t *fleet, uint64_t token,
                            uint64_t former_leases_end_us);
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -98,6 +98,7 @@
 void mb_fleet_shorten_wait(mb_fleet_t *fleet, uint64_t now_us);
 
 /* mb_fleet_orders.c */
+bool mb_fleet_has_max_runs(const mb_fleet_t *fleet);
 bool mb_fleet_orders_congested(const mb_fleet_t *fleet,
                                const mb_fleet_worker_t *worker);
 void mb_fleet_send_order(mb_fleet_t *fleet, mb_fleet_worker_t *worker);
--- a/lib/coordination/mb_fleet_orders.c
+++ b/lib/coordination/mb_fleet_orders.c
@@ -9,14 +9,22 @@
                 2 * WORKER_RUNS_MAX);
 G_STATIC_ASSERT(WORKER_RUNS_MAX <= MB_ORDER_ROWS_MAX);
 
+/* Tells whether the owner has as many runs as it has memory for. */
+bool
+mb_fleet_has_max_runs(const mb_fleet_t *fleet)
+{
+    return fleet->runs_max != 0 && fleet->running >= fleet->runs_max;
+}
+
 /* Tells whether further starts for a worker have to wait: too many bytes are
-   on their way to its agent, or it has as many runs as its agent can
-   report. */
+   on their way to its agent, it has as many runs as its agent can report, or
+   the owner has as many runs as it has memory for. */
 bool
 mb_fleet_orders_congested(const mb_fleet_t *fleet,
                           const mb_fleet_worker_t *worker)
 {
     return worker->runs->len >= WORKER_RUNS_MAX ||
+           mb_fleet_has_max_runs(fleet) ||
            fleet->callbacks.is_congested(fleet->callbacks.context,
                                          worker->number);
 }
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -286,6 +286,9 @@
 {
     mb_fleet_candidates_t *candidates = &pass->candidates;
     bool has_failed = mb_fleet_run_task(run)->last_failed_worker != 0;
+    if (mb_fleet_has_max_runs(pass->inputs.fleet)) {
+        return false;
+    }
     mb_fleet_worker_t *worker =
         has_failed
             ? choose_worker(pass, run, MB_STR_EMPTY,
--- a/lib/transport/mb_scheduler_memory.c
+++ b/lib/transport/mb_scheduler_memory.c
@@ -8,6 +8,9 @@
    there is room again, it reads the log anew. */
 #include "mb_scheduler_request.h"
 
+/* Divisor: the part of the memory that the runs of the fleet may take in its
+   owner. */
+#define RUNS_SHARE 10u
 /* Time that the client of a submission without room is told to wait, in
    seconds. */
 #define RETRY_AFTER_S 5u
@@ -34,6 +37,10 @@
 {
     mb_job_memory_init(&node->job_memory, node->config.name,
                        node->config.memory_bytes, &node->clock);
+    mb_fleet_set_runs_max(
+        &node->fleet, (uint32_t)MIN(node->config.memory_bytes / RUNS_SHARE /
+                                        sizeof(mb_fleet_run_t),
+                                    UINT32_MAX));
     node->set_aside =
         g_hash_table_new_full(mb_dag_id_hash, mb_dag_id_equal, NULL, g_free);
 }
--- a/tests/unit/test_fleet.cc
+++ b/tests/unit/test_fleet.cc
@@ -1389,6 +1389,25 @@
     expect_no_violations(simulation);
 }
 
+/* The runs of many small tasks took the memory of the owner. */
+TEST(Fleet, NoMoreRunsAreStartedThanTheOwnerHasMemoryFor)
+{
+    FleetSimulation simulation(4);
+    mb_dag_step_t step;
+    mb_fleet_set_runs_max(&simulation.fleet, 50);
+    simulation.fail_over();
+    simulation.advance(2500);
+    simulation.submit(one_step_job(&step, first_id, 200, 10));
+    uint32_t most = 0;
+    for (int i = 0; i < 400; i++) {
+        simulation.advance(20);
+        most = MAX(most, simulation.fleet.running);
+    }
+    EXPECT_EQ(most, 50u);
+    EXPECT_EQ(simulation.outcome(first_id), MB_DAG_COMPLETED);
+    expect_no_violations(simulation);
+}
+
 /* A recurring job that had been finished for a while was started again when
    its ends were repeated, or by the next owner. */
 TEST(Fleet, FinishedOccurrencesStayFinishedForTheNextOwner)
