--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -323,6 +323,7 @@
     job->idle_since_us = now_us;
     job->wait_logged_us = 0;
     job->estimated_us = 0;
+    job->wanted_since_us = job->arrived_us;
     job->due_base_us = now_us;
     job->due_base_ms = now_ms;
     job->next_due = 0;
--- a/lib/coordination/mb_fleet_order.c
+++ b/lib/coordination/mb_fleet_order.c
@@ -43,28 +43,26 @@
     return false;
 }
 
-/* Returns since when a job is to be done: its submission or, if it recurs, the
-   due time of its oldest unfinished occurrence; the present time if none is
+/* Updates since when a job is to be done; the present time if no occurrence is
    due. */
-static uint64_t
-get_wanted_since_us(const mb_dag_job_t *job, uint64_t now_us)
+static void
+update_wanted_since(mb_dag_job_t *job, uint64_t now_us)
 {
+    job->wanted_since_us = job->arrived_us;
 #ifndef MB_MUTANT_FLEET_RECURRING_JOBS_AGE
     if (job->spec.occurrences > 0) {
         const mb_dag_occurrence_t *oldest = mb_dag_oldest_open(job);
-        return oldest == NULL
-                   ? now_us
-                   : MIN(now_us, mb_dag_due_us(job, oldest->number));
+        job->wanted_since_us =
+            oldest == NULL ? now_us : mb_dag_due_us(job, oldest->number);
     }
 #endif
-    return MIN(now_us, job->arrived_us);
 }
 
 /* Tells whether a job is expected to miss its objective. */
 bool
 mb_fleet_job_is_late(const mb_dag_job_t *job, uint64_t now_us)
 {
-    uint64_t age_us = now_us - get_wanted_since_us(job, now_us);
+    uint64_t age_us = now_us - MIN(now_us, job->wanted_since_us);
     return age_us + job->remaining_us > job->objective_us;
 }
 
@@ -73,12 +71,11 @@
 static sort_key_t
 get_sort_key(const mb_dag_job_t *job, uint64_t now_us)
 {
-    uint64_t since_us = get_wanted_since_us(job, now_us);
-    uint64_t age_us = now_us - since_us;
+    uint64_t age_us = now_us - MIN(now_us, job->wanted_since_us);
     sort_key_t key = {.priority = job->spec.policy.priority,
                       .rank = RANK_IN_TIME,
                       .remaining_work = job->remaining_work,
-                      .due_us = since_us + job->objective_us};
+                      .due_us = job->wanted_since_us + job->objective_us};
 #ifndef MB_MUTANT_FLEET_SERVICES_BY_WORK
     if (mb_fleet_job_is_service(job)) {
         key.rank = RANK_SERVICE;
@@ -159,7 +156,9 @@
     fleet->jobs_unsorted = false;
     fleet->sorted_us = now_us;
     for (guint i = 0; i < fleet->open_jobs->len; i++) {
-        mb_fleet_estimate_job(fleet, g_ptr_array_index(fleet->open_jobs, i));
+        mb_dag_job_t *job = g_ptr_array_index(fleet->open_jobs, i);
+        mb_fleet_estimate_job(fleet, job);
+        update_wanted_since(job, now_us);
     }
     g_ptr_array_sort_with_data(fleet->open_jobs, compare_jobs, &now_us);
 }
--- a/lib/coordination/mb_fleet_where.c
+++ b/lib/coordination/mb_fleet_where.c
@@ -143,6 +143,7 @@
     mb_dag_job_t *job = mb_dag_add(&table, spec);
     if (job != NULL) {
         job->arrived_us = mb_clock_us(&fleet->clock);
+        job->wanted_since_us = job->arrived_us;
         job->idle_since_us = job->arrived_us;
         mb_fleet_estimate_job(fleet, job);
         mb_fleet_explain_job(fleet, job, where);
--- a/lib/coordination/mb_job_memory.c
+++ b/lib/coordination/mb_job_memory.c
@@ -102,10 +102,9 @@
 
 /* Tells whether less than a time has passed since a record was read. */
 static bool
-is_recent(const mb_job_memory_t *memory, const peer_t *peer, uint64_t time_ms)
+is_recent(const peer_t *peer, uint64_t now_us, uint64_t time_ms)
 {
-    return mb_clock_us(&memory->clock) <
-           peer->heard_us + time_ms * MB_US_PER_MS;
+    return now_us < peer->heard_us + time_ms * MB_US_PER_MS;
 }
 
 /* Visits the records that are ignored; see the header. */
@@ -116,10 +115,11 @@
 {
     GHashTableIter iter;
     gpointer value;
+    uint64_t now_us = mb_clock_us(&memory->clock);
     g_hash_table_iter_init(&iter, memory->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const peer_t *peer = value;
-        if (!is_recent(memory, peer, MB_JOB_MEMORY_PEER_TIMEOUT_MS)) {
+        if (!is_recent(peer, now_us, MB_JOB_MEMORY_PEER_TIMEOUT_MS)) {
             visit(context, mb_buf_view(&peer->name));
         }
     }
@@ -138,19 +138,20 @@
 {
     GHashTableIter iter;
     gpointer value;
+    uint64_t now_us = mb_clock_us(&memory->clock);
     view_t view = {memory->bytes_max == 0 ? UINT64_MAX : memory->bytes_max, 1,
                    0};
     g_hash_table_iter_init(&iter, memory->peers);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const peer_t *peer = value;
-        if (!is_recent(memory, peer, MB_JOB_MEMORY_PEER_TIMEOUT_MS)) {
+        if (!is_recent(peer, now_us, MB_JOB_MEMORY_PEER_TIMEOUT_MS)) {
             continue;
         }
         view.schedulers++;
         if (peer->record.bytes_max != 0) {
             view.bytes_max = MIN(view.bytes_max, peer->record.bytes_max);
         }
-        if (is_recent(memory, peer, MB_JOB_MEMORY_OVERLAP_MS)) {
+        if (is_recent(peer, now_us, MB_JOB_MEMORY_OVERLAP_MS)) {
             view.reserved_bytes += peer->record.reserved_bytes;
         }
     }
@@ -255,10 +256,12 @@
 {
     mb_job_memory_reservation_t *reservation = &memory->reservation;
     uint64_t time_us = MB_JOB_MEMORY_OVERLAP_MS * (uint64_t)MB_US_PER_MS;
+    if (reservation->bytes == 0) {
+        return false;
+    }
     bool is_over =
         mb_clock_us(&memory->clock) >= reservation->since_us + time_us;
-    if (reservation->bytes == 0 ||
-        (!is_over && mb_dag_find(table, reservation->id) == NULL)) {
+    if (!is_over && mb_dag_find(table, reservation->id) == NULL) {
         return false;
     }
     *reservation = (mb_job_memory_reservation_t){0};
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -168,12 +168,14 @@
    to be finished. Only these are in memory. */
 typedef struct mb_dag_occurrence {
     uint32_t number;
-    bool is_surplus;            /* it was opened beyond the job's window */
-    mb_dag_task_t *tasks;       /* of all steps, in order of the steps */
-    uint32_t *unfinished_tasks; /* number of tasks not done, by step */
+    bool is_surplus;         /* it was opened beyond the job's window */
+    mb_dag_task_t *tasks;    /* of all steps, in order of the steps */
+    uint64_t finished_steps; /* mask of steps whose tasks are all done */
     /* By step: all tasks of the step with a lower index are done. */
     uint32_t *first_unfinished;
-    uint64_t finished_steps; /* mask of steps whose tasks are all done */
+    /* Number of tasks not done, by step; `first_unfinished` is the second half
+       of the same memory. */
+    uint32_t unfinished_tasks[];
 } mb_dag_occurrence_t;
 
 /* Consecutive occurrences, from `first` to `end` - 1. */
@@ -224,6 +226,9 @@
     uint64_t due_base_ms;
     uint32_t next_due; /* every occurrence before it was opened or is finished
                         */
+    /* Since when the job is to be done, as of the latest sort: the due time of
+       its oldest unfinished occurrence if it recurs, else `arrived_us`. */
+    uint64_t wanted_since_us;
     uint64_t objective_us; /* see mb_dag_policy_t; from `arrived_us` */
     /* Estimates for the oldest unfinished occurrence: */
     uint64_t remaining_work; /* in milliseconds of 1/1000 processor */
@@ -296,8 +301,8 @@
 const mb_dag_occurrence_t *mb_dag_oldest_open(const mb_dag_job_t *job);
 uint64_t mb_dag_due_us(const mb_dag_job_t *job, uint32_t number);
 bool mb_dag_has_task(const mb_dag_job_t *job, const mb_dag_task_id_t *id);
-mb_dag_task_t *mb_dag_task(mb_dag_job_t *job, uint32_t occurrence,
-                           uint32_t step, uint32_t index);
+mb_dag_task_t *mb_dag_open_task(mb_dag_job_t *job, uint32_t occurrence,
+                                uint32_t step, uint32_t index);
 const mb_dag_task_t *mb_dag_find_task(const mb_dag_job_t *job,
                                       uint32_t occurrence, uint32_t step,
                                       uint32_t index);
@@ -312,6 +317,22 @@
                        uint32_t step);
 bool mb_dag_all_done(const mb_dag_job_t *job);
 
+/* Finds a task by occurrence, step and index in the step. Its occurrence is
+   opened if necessary. Returns NULL if a number is out of range, or if the
+   occurrence is finished and was released. Inline, as scheduling passes call
+   it for each task and worker. */
+static inline mb_dag_task_t *
+mb_dag_task(mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
+            uint32_t index)
+{
+    mb_dag_occurrence_t *latest = job->latest;
+    if (latest == NULL || latest->number != occurrence ||
+        step >= job->spec.step_count || index >= job->steps[step].count) {
+        return mb_dag_open_task(job, occurrence, step, index);
+    }
+    return &latest->tasks[job->first_task[step] + index];
+}
+
 /* mb_dag_progress.c */
 void mb_dag_progress_collect(const mb_dag_job_t *job, mb_buf_t *bits,
                              mb_dag_progress_t *progress);
--- a/lib/state/mb_dag_occurrence.c
+++ b/lib/state/mb_dag_occurrence.c
@@ -111,8 +111,6 @@
         job->table->surplus_bytes -= mb_dag_weigh_occurrence(&job->spec);
     }
     g_free(occurrence->tasks);
-    g_free(occurrence->unfinished_tasks);
-    g_free(occurrence->first_unfinished);
     g_free(occurrence);
 }
 
@@ -136,11 +134,13 @@
     if (number >= job->occurrence_count || mb_dag_is_finished(job, number)) {
         return NULL;
     }
-    mb_dag_occurrence_t *occurrence = g_new0(mb_dag_occurrence_t, 1);
+    size_t numbers_bytes = 2 * job->spec.step_count * sizeof(uint32_t);
+    mb_dag_occurrence_t *occurrence =
+        g_malloc0(sizeof(mb_dag_occurrence_t) + numbers_bytes);
     occurrence->number = number;
     occurrence->tasks = g_new0(mb_dag_task_t, job->task_count);
-    occurrence->unfinished_tasks = g_new(uint32_t, job->spec.step_count);
-    occurrence->first_unfinished = g_new0(uint32_t, job->spec.step_count);
+    occurrence->first_unfinished =
+        &occurrence->unfinished_tasks[job->spec.step_count];
     for (uint32_t i = 0; i < job->spec.step_count; i++) {
         occurrence->unfinished_tasks[i] = job->steps[i].count;
     }
@@ -290,12 +290,11 @@
            id->index < job->steps[id->step].count;
 }
 
-/* Finds a task by occurrence, step and index in the step. Its occurrence is
-   opened if necessary. Returns NULL if a number is out of range, or if the
-   occurrence is finished and was released. */
+/* Finds a task, as mb_dag_task does, when its occurrence is not the one that
+   was last looked up. */
 mb_dag_task_t *
-mb_dag_task(mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
-            uint32_t index)
+mb_dag_open_task(mb_dag_job_t *job, uint32_t occurrence, uint32_t step,
+                 uint32_t index)
 {
     if (step >= job->spec.step_count || index >= job->steps[step].count) {
         return NULL;
--- a/lib/transport/mb_scheduler_memory.c
+++ b/lib/transport/mb_scheduler_memory.c
@@ -322,6 +322,18 @@
     node->drawn_bytes = node->table.weight;
 }
 
+/* Updates the metrics of the memory that jobs take. */
+static void
+update_memory_metrics(mb_scheduler_node_t *node)
+{
+    uint64_t limit = mb_job_memory_limit(&node->job_memory);
+    mb_gauge_set(node->metrics.jobs_weight, node->table.weight);
+    mb_gauge_set(node->metrics.jobs_weight_limit,
+                 limit == UINT64_MAX ? 0 : limit);
+    mb_gauge_set(node->metrics.jobs_set_aside,
+                 g_hash_table_size(node->set_aside));
+}
+
 /* Queues the removal of the record of a scheduler that has been silent for
    long; callback of mb_job_memory_visit_old. */
 static void
@@ -357,6 +369,7 @@
     node->memory_swept_us = now_us;
     compact_closed_jobs(node);
     reload_if_room(node, now_us);
+    update_memory_metrics(node);
     if (node->owner_journal != NULL) {
         mb_job_memory_visit_old(&node->job_memory, remove_record, node);
     }
--- a/lib/transport/mb_scheduler_metrics.c
+++ b/lib/transport/mb_scheduler_metrics.c
@@ -171,18 +171,6 @@
     mb_gauge_set(node->metrics.dropped_starts, fleet->counts.dropped_starts);
 }
 
-/* Updates the metrics of the memory that jobs take. */
-static void
-update_memory_metrics(mb_scheduler_node_t *node)
-{
-    uint64_t limit = mb_job_memory_limit(&node->job_memory);
-    mb_gauge_set(node->metrics.jobs_weight, node->table.weight);
-    mb_gauge_set(node->metrics.jobs_weight_limit,
-                 limit == UINT64_MAX ? 0 : limit);
-    mb_gauge_set(node->metrics.jobs_set_aside,
-                 g_hash_table_size(node->set_aside));
-}
-
 /* Copies the counters that other modules keep to the metrics. */
 void
 mb_scheduler_update_metrics(mb_scheduler_node_t *node)
@@ -216,7 +204,6 @@
     mb_gauge_set(node->metrics.reads,
                  node->jobs.reads + node->configs.follower.reads);
     update_evacuation_metrics(node);
-    update_memory_metrics(node);
     mb_scheduler_update_backlog_metrics(node);
 }
 
