--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -220,8 +220,8 @@
     uint64_t idle_since_us; /* since when `running` is 0 */
     uint64_t wait_logged_us; /* when the log last got why it waits; 0: never */
     uint64_t arrived_us;     /* when the job was submitted */
-    /* The same time by the clock of this process and as Unix time, from which
-       due times are computed. */
+    /* When this owner got to know the job, by the clock of this process and as
+       Unix time: due times are computed from it. */
     uint64_t due_base_us;
     uint64_t due_base_ms;
     uint32_t next_due; /* every occurrence before it was opened or is finished
--- a/lib/transport/mb_scheduler_memory.c
+++ b/lib/transport/mb_scheduler_memory.c
@@ -216,22 +216,24 @@
     }
 }
 
-/* Finds a job of the log, in the table or among those that were set aside. */
+/* Finds a job of the log, in the table or among those that were set aside.
+   Sets *state, unless there is none. */
 bool
 mb_scheduler_find_job(const mb_scheduler_node_t *node, mb_dag_id_t id,
                       mb_scheduler_job_state_t *state)
 {
     const mb_dag_job_t *job = mb_dag_find(&node->table, id);
-    const set_aside_t *aside = g_hash_table_lookup(node->set_aside, &id);
     if (job != NULL) {
         *state = (mb_scheduler_job_state_t){
             job->cancelled ? MB_DAG_CANCELLED : job->stored_outcome,
             job->started};
+        return true;
     }
-    else if (aside != NULL) {
+    const set_aside_t *aside = g_hash_table_lookup(node->set_aside, &id);
+    if (aside != NULL) {
         *state = (mb_scheduler_job_state_t){aside->outcome, aside->started};
     }
-    return job != NULL || aside != NULL;
+    return aside != NULL;
 }
 
 /* Counts the jobs of a queue that were set aside and have not started. */
