--- a/lib/coordination/mb_fleet_copies.c
+++ b/lib/coordination/mb_fleet_copies.c
@@ -136,7 +136,7 @@
     }
     for (run->index = 0; run->index < step->count; run->index++) {
         const mb_dag_task_t *task = mb_fleet_run_task(run);
-        uint32_t runs = mb_fleet_count_copies(task);
+        uint32_t runs = mb_dag_count_runs(task);
         straggler_t straggler = {.run = *run};
         if (runs > 1) {
             mb_fleet_pools_add_copy(&inputs->fleet->pools,
--- a/lib/coordination/mb_fleet_internal.h
+++ b/lib/coordination/mb_fleet_internal.h
@@ -58,7 +58,6 @@
 void mb_fleet_mark_job_startable(mb_fleet_t *fleet, mb_dag_job_t *job);
 bool mb_fleet_task_is_running(const mb_dag_task_t *task);
 bool mb_fleet_allows_copies(const mb_dag_step_t *step);
-uint32_t mb_fleet_count_copies(const mb_dag_task_t *task);
 mb_dag_run_t *mb_fleet_find_copy(const mb_fleet_run_t *run);
 
 /* mb_fleet_absence.c */
--- a/lib/coordination/mb_fleet_reported_runs.c
+++ b/lib/coordination/mb_fleet_reported_runs.c
@@ -32,7 +32,7 @@
     is_newest = is_newest || mb_fleet_allows_copies(step);
 #endif
     return !task->done && is_newest &&
-           mb_fleet_count_copies(task) <
+           mb_dag_count_runs(task) <
                (step->speculative ? MB_DAG_COPIES_MAX : 1u);
 }
 
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -184,7 +184,7 @@
 {
     const mb_dag_step_t *step = &run->job->steps[run->step];
     return step->checkpoints && !step->gang &&
-           mb_fleet_count_copies(mb_fleet_run_task(run)) == 1;
+           mb_dag_count_runs(mb_fleet_run_task(run)) == 1;
 }
 
 /* Moves runs that agents have severely throttled for a while to protect
--- a/lib/coordination/mb_fleet_state.c
+++ b/lib/coordination/mb_fleet_state.c
@@ -89,22 +89,11 @@
     return step->speculative && !step->gang && !step->long_running;
 }
 
-/* Returns the number of runs that a task has on workers. */
-uint32_t
-mb_fleet_count_copies(const mb_dag_task_t *task)
-{
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < MB_DAG_COPIES_MAX; i++) {
-        count += task->runs[i].number != 0;
-    }
-    return count;
-}
-
 /* Tells whether a task has at least one run on some worker. */
 bool
 mb_fleet_task_is_running(const mb_dag_task_t *task)
 {
-    return mb_fleet_count_copies(task) > 0;
+    return mb_dag_count_runs(task) > 0;
 }
 
 /* Returns the entry of a run in its task, or NULL if there is none. */
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -333,6 +333,17 @@
     return &latest->tasks[job->first_task[step] + index];
 }
 
+/* Returns the number of runs that a task has on workers. */
+static inline uint32_t
+mb_dag_count_runs(const mb_dag_task_t *task)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < MB_DAG_COPIES_MAX; i++) {
+        count += task->runs[i].number != 0;
+    }
+    return count;
+}
+
 /* mb_dag_progress.c */
 void mb_dag_progress_collect(const mb_dag_job_t *job, mb_buf_t *bits,
                              mb_dag_progress_t *progress);
--- a/lib/state/mb_dag_occurrence.c
+++ b/lib/state/mb_dag_occurrence.c
@@ -192,14 +192,11 @@
 static bool
 has_run(const mb_dag_job_t *job, const mb_dag_occurrence_t *occurrence)
 {
-    for (uint32_t i = 0; i < job->task_count; i++) {
-        for (uint32_t k = 0; k < MB_DAG_COPIES_MAX; k++) {
-            if (occurrence->tasks[i].runs[k].number != 0) {
-                return true;
-            }
-        }
+    uint32_t runs = 0;
+    for (uint32_t i = 0; runs == 0 && i < job->task_count; i++) {
+        runs = mb_dag_count_runs(&occurrence->tasks[i]);
     }
-    return false;
+    return runs > 0;
 }
 
 /* Frees the finished occurrences of a job of which nothing runs any more.
--- a/lib/state/mb_dag_progress.c
+++ b/lib/state/mb_dag_progress.c
@@ -21,17 +21,6 @@
     return (job->task_count + 7u) / 8u;
 }
 
-/* Tells whether a task has a run. */
-static bool
-is_running(const mb_dag_task_t *task)
-{
-    bool running = false;
-    for (uint32_t i = 0; i < MB_DAG_COPIES_MAX; i++) {
-        running = running || task->runs[i].number != 0;
-    }
-    return running;
-}
-
 /* Which rows are added in a pass over the tasks. What is left out for lack of
    space should be what matters least: the checkpoints of running tasks, which
    their workers report to the next owner too. */
@@ -53,7 +42,8 @@
     if (task->failures > 0) {
         return ROWS_WITH_FAILURES;
     }
-    return is_running(task) ? ROWS_OF_RUNNING_TASKS : ROWS_OF_WAITING_TASKS;
+    return mb_dag_count_runs(task) > 0 ? ROWS_OF_RUNNING_TASKS
+                                       : ROWS_OF_WAITING_TASKS;
 }
 
 /* What has been collected. */
