Hash and compare text keys of tables in one place

Cause: nine modules had the same two functions for a GHashTable whose keys are texts; mb_job_memory added the ninth. They stand in mb_str now, one pair for views and one for buffers.

--- a/lib/base/mb_str.c
+++ b/lib/base/mb_str.c
@@ -243,3 +243,31 @@
     }
     return (mb_str_t){buf->data, buf->len};
 }
+
+/* Hashes a key of type mb_str_t. */
+unsigned
+mb_str_key_hash(const void *key)
+{
+    return (unsigned)mb_str_hash(*(const mb_str_t *)key);
+}
+
+/* Compares two keys of type mb_str_t. */
+int
+mb_str_key_equal(const void *a, const void *b)
+{
+    return mb_str_equal(*(const mb_str_t *)a, *(const mb_str_t *)b);
+}
+
+/* Hashes a key of type mb_buf_t. */
+unsigned
+mb_buf_key_hash(const void *key)
+{
+    return (unsigned)mb_str_hash(mb_buf_view(key));
+}
+
+/* Compares two keys of type mb_buf_t. */
+int
+mb_buf_key_equal(const void *a, const void *b)
+{
+    return mb_str_equal(mb_buf_view(a), mb_buf_view(b));
+}
--- a/lib/base/mb_str.h
+++ b/lib/base/mb_str.h
@@ -35,6 +35,12 @@
 bool mb_str_split(mb_str_t *rest, char separator, mb_str_t *part);
 bool mb_str_to_u64(mb_str_t text, uint64_t *value);
 uint64_t mb_str_hash(mb_str_t text);
+/* Functions of a GHashTable whose keys are of type mb_str_t, and of one whose
+   keys are of type mb_buf_t. */
+unsigned mb_str_key_hash(const void *key);
+int mb_str_key_equal(const void *a, const void *b);
+unsigned mb_buf_key_hash(const void *key);
+int mb_buf_key_equal(const void *a, const void *b);
 char *mb_str_to_cstr(mb_str_t text);
 
 void mb_buf_init(mb_buf_t *buf);
--- a/lib/coordination/mb_admission.c
+++ b/lib/coordination/mb_admission.c
@@ -79,20 +79,6 @@
     g_free(service);
 }
 
-/* Hash function for service names. */
-static guint
-hash_name(gconstpointer key)
-{
-    return (guint)mb_str_hash(*(const mb_str_t *)key);
-}
-
-/* Equality function for service names. */
-static gboolean
-equal_names(gconstpointer a, gconstpointer b)
-{
-    return mb_str_equal(*(const mb_str_t *)a, *(const mb_str_t *)b);
-}
-
 /* Initializes without services and with a full retry budget. */
 void
 mb_admission_init(mb_admission_t *admission, mb_epoch_t *epoch,
@@ -107,8 +93,8 @@
     admission->default_queue_limit = default_queue_limit;
     admission->retry_tokens = RETRY_TOKENS_MAX;
     admission->table = g_malloc0(sizeof(admission_table_t));
-    admission->services =
-        g_hash_table_new_full(hash_name, equal_names, NULL, free_service);
+    admission->services = g_hash_table_new_full(
+        mb_str_key_hash, mb_str_key_equal, NULL, free_service);
     (void)pthread_mutex_init(&admission->writer_lock, NULL);
 }
 
--- a/lib/coordination/mb_evacuation.c
+++ b/lib/coordination/mb_evacuation.c
@@ -2,20 +2,6 @@
 
 #include <string.h>
 
-/* GHashFunc over the names of domains (mb_str_t). */
-static guint
-hash_name(gconstpointer key)
-{
-    return (guint)mb_str_hash(*(const mb_str_t *)key);
-}
-
-/* GEqualFunc over the names of domains (mb_str_t). */
-static gboolean
-equal_names(gconstpointer a, gconstpointer b)
-{
-    return mb_str_equal(*(const mb_str_t *)a, *(const mb_str_t *)b);
-}
-
 /* GDestroyNotify of `domains`. */
 static void
 free_domain(gpointer data)
@@ -47,8 +33,8 @@
                    const mb_clock_t *clock, const mb_log_t *log)
 {
     memset(table, 0, sizeof(*table));
-    table->domains =
-        g_hash_table_new_full(hash_name, equal_names, NULL, free_domain);
+    table->domains = g_hash_table_new_full(mb_str_key_hash, mb_str_key_equal,
+                                           NULL, free_domain);
     table->clock = *clock;
     table->log = *log;
     table->age_max_us = get_age_max_us(age_max_ms);
--- a/lib/coordination/mb_fleet.c
+++ b/lib/coordination/mb_fleet.c
@@ -10,20 +10,6 @@
 #define WAIT_LOG_DELAY_MS 1000u
 #define WAIT_LOG_WORKERS 8u
 
-/* GHashFunc over the addresses of workers (mb_buf_t). */
-static guint
-hash_address(gconstpointer key)
-{
-    return (guint)mb_str_hash(mb_buf_view(key));
-}
-
-/* GEqualFunc over the addresses of workers (mb_buf_t). */
-static gboolean
-equal_address(gconstpointer a, gconstpointer b)
-{
-    return mb_str_equal(mb_buf_view(a), mb_buf_view(b));
-}
-
 /* GDestroyNotify of `workers`. */
 static void
 free_worker(gpointer data)
@@ -57,7 +43,8 @@
     fleet->clock = *clock;
     fleet->log = *log;
     fleet->workers = g_ptr_array_new_with_free_func(free_worker);
-    fleet->workers_by_address = g_hash_table_new(hash_address, equal_address);
+    fleet->workers_by_address =
+        g_hash_table_new(mb_buf_key_hash, mb_buf_key_equal);
     fleet->open_jobs = g_ptr_array_new();
     fleet->dirty_jobs = g_ptr_array_new();
     mb_headroom_init(&fleet->headroom_model);
--- a/lib/coordination/mb_fleet_pools.c
+++ b/lib/coordination/mb_fleet_pools.c
@@ -5,26 +5,12 @@
 
 #define MILLI 1000u
 
-/* GHashFunc over the names of services (mb_str_t). */
-static guint
-hash_service(gconstpointer key)
-{
-    return (guint)mb_str_hash(*(const mb_str_t *)key);
-}
-
-/* GEqualFunc over the names of services (mb_str_t). */
-static gboolean
-equal_service(gconstpointer a, gconstpointer b)
-{
-    return mb_str_equal(*(const mb_str_t *)a, *(const mb_str_t *)b);
-}
-
 /* Initializes a table without services. */
 void
 mb_fleet_pools_init(mb_fleet_pools_t *pools)
 {
     pools->by_service =
-        g_hash_table_new_full(hash_service, equal_service, NULL, g_free);
+        g_hash_table_new_full(mb_str_key_hash, mb_str_key_equal, NULL, g_free);
 }
 
 /* Releases the table's memory. */
--- a/lib/coordination/mb_fleet_schedule.c
+++ b/lib/coordination/mb_fleet_schedule.c
@@ -459,20 +459,6 @@
     return all_placed;
 }
 
-/* GHashFunc over the racks of workers (mb_buf_t). */
-static guint
-hash_rack(gconstpointer key)
-{
-    return (guint)mb_str_hash(mb_buf_view(key));
-}
-
-/* GEqualFunc over the racks of workers (mb_buf_t). */
-static gboolean
-equal_rack(gconstpointer a, gconstpointer b)
-{
-    return mb_str_equal(mb_buf_view(a), mb_buf_view(b));
-}
-
 /* Chooses the workers of a gang as choose_gang_workers does. If its step is
    rack-local, tries each rack first and the whole fleet last. */
 static bool
@@ -481,7 +467,7 @@
 {
     bool rack_local = run->job->steps[run->step].rack_local;
     g_autoptr(GHashTable) tried_racks =
-        g_hash_table_new(hash_rack, equal_rack);
+        g_hash_table_new(mb_buf_key_hash, mb_buf_key_equal);
     for (guint i = 0; rack_local && i < pass->inputs.fleet->workers->len;
          i++) {
         mb_buf_t *rack = &mb_fleet_get_worker(pass->inputs.fleet, i)->rack;
--- a/lib/coordination/mb_follower.c
+++ b/lib/coordination/mb_follower.c
@@ -27,27 +27,13 @@
     mb_buf_finish(&follower->last_page_key);
 }
 
-/* Returns a hash of a key (mb_str_t), as GHashFunc. */
-static guint
-hash_key(gconstpointer key)
-{
-    return (guint)mb_str_hash(*(const mb_str_t *)key);
-}
-
-/* Compares two keys (mb_str_t), as GEqualFunc. */
-static gboolean
-equal_keys(gconstpointer a, gconstpointer b)
-{
-    return mb_str_equal(*(const mb_str_t *)a, *(const mb_str_t *)b);
-}
-
 /* Passes the last record of each key on a page to the callback. */
 static void
 apply_newest(mb_follower_t *follower, const mb_keyed_page_t *page,
              bool in_order)
 {
     g_autoptr(GHashTable) applied_keys =
-        g_hash_table_new(hash_key, equal_keys);
+        g_hash_table_new(mb_str_key_hash, mb_str_key_equal);
     for (uint32_t i = page->count; i-- > 0;) {
         const mb_keyed_record_t *record = &page->records[i];
         if (g_hash_table_add(applied_keys, (gpointer)&record->key)) {
--- a/lib/coordination/mb_job_memory.c
+++ b/lib/coordination/mb_job_memory.c
@@ -20,20 +20,6 @@
     bool reserved; /* the others knew of it before */
 } admission_t;
 
-/* GHashFunc over names (mb_buf_t). */
-static guint
-hash_name(gconstpointer key)
-{
-    return (guint)mb_str_hash(mb_buf_view(key));
-}
-
-/* GEqualFunc over names (mb_buf_t). */
-static gboolean
-equal_names(gconstpointer a, gconstpointer b)
-{
-    return mb_str_equal(mb_buf_view(a), mb_buf_view(b));
-}
-
 /* GDestroyNotify of `peers`. */
 static void
 free_peer(gpointer data)
@@ -52,8 +38,8 @@
     *memory = (mb_job_memory_t){.clock = *clock,
                                 .bytes_max = memory_bytes / MEMORY_SHARE};
     mb_buf_set(&memory->name, name);
-    memory->peers =
-        g_hash_table_new_full(hash_name, equal_names, NULL, free_peer);
+    memory->peers = g_hash_table_new_full(mb_buf_key_hash, mb_buf_key_equal,
+                                          NULL, free_peer);
     g_queue_init(&memory->recent);
 }
 
--- a/lib/coordination/mb_placement.c
+++ b/lib/coordination/mb_placement.c
@@ -3,20 +3,6 @@
 #include "mb_assert.h"
 #include "mb_placement_table.h"
 
-/* Hash function for keys of type mb_buf_t. */
-static guint
-hash_buf(gconstpointer key)
-{
-    return (guint)mb_str_hash(mb_buf_view(key));
-}
-
-/* Equality function for keys of type mb_buf_t. */
-static gboolean
-equal_bufs(gconstpointer a, gconstpointer b)
-{
-    return mb_str_equal(mb_buf_view(a), mb_buf_view(b));
-}
-
 /* Frees a heap-allocated mb_buf_t. */
 static void
 free_buf(void *data)
@@ -55,10 +41,10 @@
     placement->domains = g_ptr_array_new_with_free_func(free_domain);
     placement->racks = g_ptr_array_new_with_free_func(free_rack);
     placement->free_ids = g_array_new(FALSE, FALSE, sizeof(mb_worker_id_t));
-    placement->by_name = g_hash_table_new(hash_buf, equal_bufs);
+    placement->by_name = g_hash_table_new(mb_buf_key_hash, mb_buf_key_equal);
     placement->rack_by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
-    placement->name_ids =
-        g_hash_table_new_full(hash_buf, equal_bufs, free_buf, NULL);
+    placement->name_ids = g_hash_table_new_full(
+        mb_buf_key_hash, mb_buf_key_equal, free_buf, NULL);
     mb_spread_init(&placement->spread);
     return placement;
 }
--- a/lib/coordination/mb_quota.c
+++ b/lib/coordination/mb_quota.c
@@ -22,20 +22,6 @@
     mb_size_t capacity;
 };
 
-/* Hash function for the keys of `by_name`. */
-static guint
-hash_name(gconstpointer key)
-{
-    return (guint)mb_str_hash(mb_buf_view(key));
-}
-
-/* Equality function for the keys of `by_name`. */
-static gboolean
-equal_names(gconstpointer a, gconstpointer b)
-{
-    return mb_str_equal(mb_buf_view(a), mb_buf_view(b));
-}
-
 /* Frees a team's entry. */
 static void
 free_team(void *data)
@@ -84,7 +70,7 @@
 mb_quota_new(void)
 {
     mb_quota_t *quota = g_new0(mb_quota_t, 1);
-    quota->by_name = g_hash_table_new(hash_name, equal_names);
+    quota->by_name = g_hash_table_new(mb_buf_key_hash, mb_buf_key_equal);
     quota->teams = g_ptr_array_new_with_free_func(free_team);
     return quota;
 }
