Store progress of up to 1,024 occurrences as the version before reads it

What callers would see during an upgrade: an owner of the version before ignores the progress of every recurring job that this one has stored, and starts finished occurrences again.

Cause: all recurring jobs were stored in version 2 of the record.

Fix: version 2 is used only if the bits of all occurrences exceed 1 KB.

--- a/lib/protocol/mb_dag_record.c
+++ b/lib/protocol/mb_dag_record.c
@@ -20,7 +20,8 @@
 #define SLOPE_SCALE 1000.0
 /* Version of the format. Records of other versions are rejected. */
 #define RECORD_VERSION 1u
-/* Version of the progress of a recurring job, which has more elements. */
+/* Version of the progress of a job with many occurrences, which has more
+   elements. */
 #define SPARSE_VERSION 2u
 /* Largest amount of memory that is accepted, in bytes, so that sums don't
    overflow. */
@@ -209,9 +210,9 @@
     (void)msgpack_pack_uint32(&packer, RECORD_VERSION);
 }
 
-/* Packs the elements that only the progress of a recurring job has: the ranges
-   of finished occurrences as one array (first, end, first, ...), and the
-   numbers of the occurrences that the bits describe. */
+/* Packs the elements that only sparse progress has: the ranges of finished
+   occurrences as one array (first, end, first, ...), and the numbers of the
+   occurrences that the bits describe. */
 static void
 pack_sparse(msgpack_packer *packer, const mb_dag_progress_t *progress)
 {
@@ -230,8 +231,8 @@
 }
 
 /* Appends the progress of a job as [version, outcome, whether a task has
-   started, bits of the tasks that are done, rows], for a recurring job with
-   the elements of pack_sparse after it. Each row is four elements: occurrence,
+   started, bits of the tasks that are done, rows], if it is sparse with the
+   elements of pack_sparse after it. Each row is four elements: occurrence,
    task, array of the failed runs, checkpoint. */
 void
 mb_dag_record_encode_progress(mb_buf_t *out, const mb_dag_progress_t *progress)
--- a/lib/state/mb_dag.h
+++ b/lib/state/mb_dag.h
@@ -251,7 +251,7 @@
     mb_dag_outcome_t outcome;
     bool started;
     /* Whether the record names the finished occurrences and those that `done`
-       describes, as for recurring jobs; otherwise `done` describes all. */
+       describes, as for jobs with many; otherwise `done` describes all. */
     bool is_sparse;
     GArray *finished; /* mb_dag_range_t */
     GArray *numbers;  /* uint32_t: the occurrences that `done` describes */
--- a/lib/state/mb_dag_progress.c
+++ b/lib/state/mb_dag_progress.c
@@ -1,7 +1,7 @@
 /* The progress of a job as it is stored: which tasks are done, and the
-   failures and checkpoints of the others. That of a recurring job names the
-   finished occurrences as ranges and describes only those that have begun, so
-   that it does not grow with the number of occurrences. */
+   failures and checkpoints of the others. That of a job with many occurrences
+   names the finished ones as ranges and describes only those that have begun,
+   so that it does not grow with their number. */
 #include <string.h>
 
 #include "mb_dag.h"
@@ -13,6 +13,9 @@
 #define RUN_BYTES 9u
 #define RANGE_BYTES 6u
 #define NUMBER_BYTES 3u
+/* Size up to which the done bits of all occurrences are stored, in bytes:
+   schedulers of earlier versions can read only that. */
+#define DENSE_BYTES_MAX 1024u
 
 /* Returns the size of the done bits of an occurrence, in bytes. */
 static size_t
@@ -152,16 +155,18 @@
     }
 }
 
-/* Collects the done bits of a job with one occurrence. */
+/* Collects the done bits of all occurrences. */
 static void
-collect_only_bits(const mb_dag_job_t *job, collection_t *collection)
+collect_all_bits(const mb_dag_job_t *job, collection_t *collection)
 {
-    char *added = append_bits(job, collection->bits);
-    bool finished = mb_dag_is_finished(job, 0);
-    const mb_dag_occurrence_t *only = mb_dag_find_open(job, 0);
-    for (uint32_t t = 0; t < job->task_count; t++) {
-        if (finished || (only != NULL && only->tasks[t].done)) {
-            set_bit(added, t);
+    for (uint32_t k = 0; k < job->occurrence_count; k++) {
+        char *added = append_bits(job, collection->bits);
+        bool finished = mb_dag_is_finished(job, k);
+        const mb_dag_occurrence_t *open = mb_dag_find_open(job, k);
+        for (uint32_t t = 0; t < job->task_count; t++) {
+            if (finished || (open != NULL && open->tasks[t].done)) {
+                set_bit(added, t);
+            }
         }
     }
 }
@@ -196,7 +201,9 @@
 {
     collection_t collection = {.bits = bits, .progress = progress};
     mb_buf_clear(bits);
-    progress->is_sparse = job->occurrence_count > 1;
+    progress->is_sparse =
+        job->occurrence_count > 1 &&
+        job->occurrence_count * occurrence_bytes(job) > DENSE_BYTES_MAX;
     progress->finished = job->finished;
     progress->omitted = 0;
     if (progress->is_sparse) {
@@ -205,7 +212,7 @@
                            progress->numbers->len * (size_t)NUMBER_BYTES;
     }
     else {
-        collect_only_bits(job, &collection);
+        collect_all_bits(job, &collection);
     }
     collection.bytes += bits->len;
     for (int pass = 0; pass < ROW_PASS_COUNT; pass++) {
--- a/tests/unit/test_dag_occurrences.cc
+++ b/tests/unit/test_dag_occurrences.cc
@@ -123,8 +123,8 @@
    its number was lost among the finished ones. */
 TEST_F(DagOccurrences, UnfinishedOccurrenceAmongFinishedOnesIsKept)
 {
-    mb_dag_job_t *job = add(1000);
-    for (uint32_t i = 0; i < 1000; i++) {
+    mb_dag_job_t *job = add(10000);
+    for (uint32_t i = 0; i < 10000; i++) {
         finish(job, i, i == 500 ? 1 : 5);
         mb_dag_release_finished(job);
     }
@@ -133,7 +133,7 @@
     EXPECT_LT(value.len, 64u);
     job = read_back();
     EXPECT_EQ(job->open->len, 1u);
-    EXPECT_EQ(job->finished_count, 999u);
+    EXPECT_EQ(job->finished_count, 9999u);
     EXPECT_EQ(mb_dag_unfinished(job, 500, 0), 2u);
     EXPECT_EQ(mb_dag_unfinished(job, 501, 0), 0u);
     finish(job, 500, 5);
@@ -186,6 +186,34 @@
     EXPECT_EQ(job->open->len, 1u);
 }
 
+/* During an upgrade, an owner of the version before did not read which
+   occurrences were done, and started them again. */
+TEST_F(DagOccurrences, ProgressOfSomeOccurrencesIsReadByTheFormerVersion)
+{
+    mb_dag_record_t record;
+    for (uint32_t occurrences : {2u, 1024u, 1025u}) {
+        mb_dag_table_clear(&table);
+        mb_dag_job_t *job = add(occurrences);
+        finish(job, 0, 5);
+        finish(job, 1, 2);
+        mb_dag_release_finished(job);
+        encode(job);
+        ASSERT_TRUE(
+            mb_dag_record_decode(&decoder, MB_STR_LIT("s0123456789abcdef"),
+                                 mb_buf_view(&value), &record, nullptr));
+        const mb_dag_progress_t &progress = record.body.progress;
+        EXPECT_EQ(progress.is_sparse, occurrences > 1024);
+        if (!progress.is_sparse) {
+            ASSERT_EQ(progress.done.len, occurrences);
+            EXPECT_EQ(progress.done.data[0], 31);
+            EXPECT_EQ(progress.done.data[1], 3);
+        }
+        job = read_back();
+        EXPECT_EQ(job->finished_count, 1u);
+        EXPECT_EQ(mb_dag_unfinished(job, 1, 0), 1u);
+    }
+}
+
 /* A due time beyond the range of the clock wrapped around, and the occurrence
    was due at once. */
 TEST_F(DagOccurrences, DueTimesDoNotWrapAround)
@@ -205,8 +233,10 @@
     auto order = *rc::gen::container<std::vector<uint32_t>>(
         60, rc::gen::inRange<uint32_t>(0, 12));
     std::vector<uint32_t> done(12, 0);
+    /* Stored with all bits, and with ranges. */
+    auto occurrences = *rc::gen::element<uint32_t>(12, 5000);
     mb_dag_table_clear(&table);
-    mb_dag_job_t *job = add(12);
+    mb_dag_job_t *job = add(occurrences);
     for (uint32_t number : order) {
         if (done[number] == 5) {
             continue;
